--- /dev/null
+++ b/src/base/EnumNames.h
@@ -0,0 +1,44 @@
+// Names of enumerators, used alike by logs, metrics, settings and the command line.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace tray {
+
+/// One row of a name table.
+template <typename Enum>
+struct EnumName
+{
+    Enum value;
+    std::string_view name;
+};
+
+/// Specialised beside each enum with a constexpr member Table of EnumName rows.
+template <typename Enum>
+struct EnumNames;
+
+/// Name of an enumerator; "?" for a value outside the table.
+template <typename Enum>
+constexpr std::string_view enumName(Enum value)
+{
+    for (const auto &row : EnumNames<Enum>::Table) {
+        if (row.value == value)
+            return row.name;
+    }
+    return "?";
+}
+
+/// Enumerator with the given name, if there is one.
+template <typename Enum>
+constexpr std::optional<Enum> enumFromName(std::string_view name)
+{
+    for (const auto &row : EnumNames<Enum>::Table) {
+        if (row.name == name)
+            return row.value;
+    }
+    return std::nullopt;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/base/ErrorKind.h
@@ -0,0 +1,111 @@
+// Closed list of error kinds and the table that maps each kind to the answer a caller gets.
+#pragma once
+
+#include "base/EnumNames.h"
+
+#include <cstdint>
+
+namespace tray {
+
+/// Everything that can go wrong. The numeric values travel in messages and must not change.
+enum class ErrorKind : uint32_t {
+    None = 0,
+    BadRequest = 1,
+    Unauthorized = 2,
+    Forbidden = 3,
+    UnknownModel = 4,
+    BodyTooLarge = 5,
+    HeaderTooLarge = 6,
+    RequestTimeout = 7,
+    IdempotencyConflict = 8,
+    Overloaded = 9,
+    NoReplica = 10,
+    Draining = 11,
+    NeverSeen = 12,
+    UpstreamUnreachable = 13,
+    UpstreamFailed = 14,
+    StreamBroken = 15,
+    OutcomeUnknown = 16,
+    InProgress = 17,
+    AnswerExpired = 18,
+    SuspectRefused = 19,
+    PlatformUnavailable = 20,
+    VersionConflict = 21,
+    NotFound = 22,
+    TicketRefused = 23,
+    InvalidSettings = 24,
+    Timeout = 25,
+    Cancelled = 26,
+    Stale = 27,
+    Internal = 28,
+    OutOfMemory = 29,
+};
+
+/// Whether a request that ended with an error was executed by an upstream.
+enum class Ran : uint8_t { No, Yes, Unknown };
+
+/// Answer that belongs to an error kind.
+struct ErrorAnswer
+{
+    ErrorKind kind;
+    int httpStatus;
+    /// Value of the "type" field of the JSON error.
+    std::string_view type;
+    /// The system itself may try another upstream.
+    bool retryable;
+    Ran ran;
+    /// Default Retry-After in ms; 0 sends none.
+    int retryAfterMs;
+};
+
+/// Row of the answer table for a kind; total over all kinds.
+const ErrorAnswer &errorAnswer(ErrorKind kind);
+
+template <>
+struct EnumNames<ErrorKind>
+{
+    static constexpr auto Table = std::to_array<EnumName<ErrorKind>>({
+        {ErrorKind::None, "none"},
+        {ErrorKind::BadRequest, "bad_request"},
+        {ErrorKind::Unauthorized, "unauthorized"},
+        {ErrorKind::Forbidden, "forbidden"},
+        {ErrorKind::UnknownModel, "model_not_found"},
+        {ErrorKind::BodyTooLarge, "body_too_large"},
+        {ErrorKind::HeaderTooLarge, "header_too_large"},
+        {ErrorKind::RequestTimeout, "request_timeout"},
+        {ErrorKind::IdempotencyConflict, "idempotency_conflict"},
+        {ErrorKind::Overloaded, "overloaded"},
+        {ErrorKind::NoReplica, "no_replica"},
+        {ErrorKind::Draining, "draining"},
+        {ErrorKind::NeverSeen, "never_seen"},
+        {ErrorKind::UpstreamUnreachable, "upstream_unreachable"},
+        {ErrorKind::UpstreamFailed, "upstream_failed"},
+        {ErrorKind::StreamBroken, "stream_broken"},
+        {ErrorKind::OutcomeUnknown, "outcome_unknown"},
+        {ErrorKind::InProgress, "in_progress"},
+        {ErrorKind::AnswerExpired, "answer_expired"},
+        {ErrorKind::SuspectRefused, "suspect_refused"},
+        {ErrorKind::PlatformUnavailable, "platform_unavailable"},
+        {ErrorKind::VersionConflict, "version_conflict"},
+        {ErrorKind::NotFound, "not_found"},
+        {ErrorKind::TicketRefused, "ticket_refused"},
+        {ErrorKind::InvalidSettings, "invalid_settings"},
+        {ErrorKind::Timeout, "timeout"},
+        {ErrorKind::Cancelled, "cancelled"},
+        {ErrorKind::Stale, "stale"},
+        {ErrorKind::Internal, "internal"},
+        {ErrorKind::OutOfMemory, "out_of_memory"},
+    });
+};
+
+template <>
+struct EnumNames<Ran>
+{
+    static constexpr auto Table = std::to_array<EnumName<Ran>>({
+        {Ran::No, "no"},
+        {Ran::Yes, "yes"},
+        {Ran::Unknown, "unknown"},
+    });
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/net/ControlClient.cpp
@@ -0,0 +1,235 @@
+// nng request sockets, one for each peer, with a context for each request.
+#include "net/ControlClient.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <thread>
+#include <vector>
+
+namespace tray {
+
+namespace {
+
+constexpr size_t MaxMessageBytes = 16u << 20;
+
+/// Socket to one peer; closed when the last request that uses it is done.
+struct PeerSocket
+{
+    nng_socket socket{};
+    bool open = false;
+
+    ~PeerSocket() { this->close(); }
+
+    /// Ends all requests on the socket. Not to be called on a thread of the library.
+    void close()
+    {
+        if (std::exchange(this->open, false))
+            nng_close(this->socket);
+    }
+};
+
+/// Connects without waiting; a peer that is down is dialled again in the background.
+std::shared_ptr<PeerSocket> openSocket(const Address &peer)
+{
+    auto made = std::make_shared<PeerSocket>();
+    if (nng_req0_open(&made->socket) != 0)
+        return nullptr;
+    made->open = true;
+    // A lost request is the caller's to repeat: the protocol's own resend would run it twice.
+    nng_socket_set_ms(made->socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
+    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMINT, 50);
+    nng_socket_set_ms(made->socket, NNG_OPT_RECONNMAXT, 500);
+    nng_socket_set_size(made->socket, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
+    const std::string url = "tcp://" + toString(peer);
+    if (nng_dial(made->socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0)
+        return nullptr;
+    return made;
+}
+
+struct Shared
+{
+    std::mutex mutex;
+    std::map<std::string, std::shared_ptr<PeerSocket>> sockets;
+    // Sockets given up on. They are closed on a caller's thread: closing on the library's own
+    // thread can block it.
+    std::vector<std::shared_ptr<PeerSocket>> retired;
+    std::atomic<uint64_t> sent{0};
+    std::atomic<uint64_t> received{0};
+    std::atomic<size_t> pending{0};
+};
+
+/// One request on its way. Deletes itself when done.
+struct Call
+{
+    std::shared_ptr<Shared> shared;
+    std::string peer;
+    std::shared_ptr<PeerSocket> socket;
+    nng_ctx context{};
+    nng_aio *aio = nullptr;
+    bool sending = true;
+    Instant deadline;
+    ControlClient::Done done;
+
+    void onDone()
+    {
+        const int status = nng_aio_result(this->aio);
+        if (status != 0) {
+            if (this->sending)
+                nng_msg_free(nng_aio_get_msg(this->aio));
+            this->fail(status);
+            return;
+        }
+        if (this->sending) {
+            this->sending = false;
+            const auto left = toMs(this->deadline - std::chrono::steady_clock::now());
+            nng_aio_set_timeout(this->aio, static_cast<nng_duration>(std::max<int64_t>(left, 1)));
+            nng_ctx_recv(this->context, this->aio);
+            return;
+        }
+        nng_msg *message = nng_aio_get_msg(this->aio);
+        std::string reply(static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message));
+        nng_msg_free(message);
+        this->shared->received += reply.size();
+        this->finish(std::move(reply));
+    }
+
+    void fail(int status)
+    {
+        {
+            // The connection may have gone silent; the next request opens a fresh one.
+            const std::lock_guard lock(this->shared->mutex);
+            const auto found = this->shared->sockets.find(this->peer);
+            if (found != this->shared->sockets.end() && found->second == this->socket) {
+                this->shared->retired.push_back(this->socket);
+                this->shared->sockets.erase(found);
+            }
+        }
+        const auto kind =
+            status == NNG_ETIMEDOUT ? ErrorKind::Timeout : ErrorKind::UpstreamUnreachable;
+        this->finish(Error{kind, this->peer + ": " + nng_strerror(status)});
+    }
+
+    void finish(Result<std::string> result)
+    {
+        nng_ctx_close(this->context);
+        this->done(std::move(result));
+        // An aio cannot be freed on its own callback; the reaper of the library does it.
+        nng_aio_reap(this->aio);
+        this->socket.reset();
+        const auto kept = this->shared;
+        delete this;
+        --kept->pending;
+    }
+};
+
+} // namespace
+
+struct ControlClient::Impl : Shared
+{};
+
+ControlClient::ControlClient() : impl(std::make_shared<Impl>()) {}
+
+ControlClient::~ControlClient()
+{
+    std::vector<std::shared_ptr<PeerSocket>> closing;
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        closing = std::move(this->impl->retired);
+        for (auto &[key, socket] : this->impl->sockets)
+            closing.push_back(std::move(socket));
+        this->impl->sockets.clear();
+    }
+    for (auto &socket : closing)
+        socket->close();
+    while (this->impl->pending > 0)
+        std::this_thread::sleep_for(milliseconds(1));
+}
+
+void ControlClient::request(const Address &peer, std::string message, Duration timeout, Done done)
+{
+    const std::string key = toString(peer);
+    std::shared_ptr<PeerSocket> socket;
+    std::vector<std::shared_ptr<PeerSocket>> closing;
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        auto &retired = this->impl->retired;
+        const auto unused = std::partition(retired.begin(), retired.end(),
+                                           [](const auto &kept) { return kept.use_count() > 1; });
+        closing.assign(std::make_move_iterator(unused), std::make_move_iterator(retired.end()));
+        retired.erase(unused, retired.end());
+        auto &slot = this->impl->sockets[key];
+        if (!slot)
+            slot = openSocket(peer);
+        socket = slot;
+        if (!slot)
+            this->impl->sockets.erase(key);
+    }
+    auto call = std::make_unique<Call>();
+    nng_msg *body = nullptr;
+    if (!socket || nng_ctx_open(&call->context, socket->socket) != 0) {
+        done(Error{ErrorKind::UpstreamUnreachable, key + ": no connection can be opened"});
+        return;
+    }
+    const int allocated = nng_aio_alloc(
+        &call->aio, [](void *self) { static_cast<Call *>(self)->onDone(); }, call.get());
+    if (allocated != 0 || nng_msg_alloc(&body, 0) != 0 ||
+        nng_msg_append(body, message.data(), message.size()) != 0) {
+        nng_ctx_close(call->context);
+        nng_msg_free(body);
+        nng_aio_free(call->aio);
+        done(Error{ErrorKind::Internal, "out of memory"});
+        return;
+    }
+    call->shared = this->impl;
+    call->peer = key;
+    call->socket = std::move(socket);
+    call->deadline = std::chrono::steady_clock::now() + timeout;
+    call->done = std::move(done);
+    this->impl->sent += message.size();
+    ++this->impl->pending;
+    nng_aio_set_timeout(call->aio, static_cast<nng_duration>(std::max<int64_t>(toMs(timeout), 1)));
+    nng_aio_set_msg(call->aio, body);
+    auto *started = call.release();
+    nng_ctx_send(started->context, started->aio);
+}
+
+boost::asio::awaitable<Result<std::string>>
+ControlClient::request(Address peer, std::string message, Duration timeout)
+{
+    using Signature = void(Result<std::string>);
+    auto initiate = [this](auto handler, Address address, std::string text, Duration limit) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        auto executor = boost::asio::get_associated_executor(*shared);
+        // Keeps the executor's context from running out of work while the library waits.
+        auto work = boost::asio::prefer(executor, boost::asio::execution::outstanding_work.tracked);
+        this->request(address, std::move(text), limit,
+                      [shared, work](Result<std::string> result) mutable {
+                          boost::asio::post(work, [shared, result = std::move(result)]() mutable {
+                              (*shared)(std::move(result));
+                          });
+                      });
+    };
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, Signature>(
+        std::move(initiate), boost::asio::use_awaitable, std::move(peer), std::move(message),
+        timeout);
+}
+
+uint64_t ControlClient::bytesSent() const
+{
+    return this->impl->sent;
+}
+
+uint64_t ControlClient::bytesReceived() const
+{
+    return this->impl->received;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/FrameChannel.cpp
@@ -0,0 +1,224 @@
+// Frames over TCP.
+#include "net/FrameChannel.h"
+
+#include "dataplane.pb.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+struct FrameChannel::Impl
+{
+    explicit Impl(tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    std::string readBuffer;
+    size_t readPosition = 0;
+    size_t readEnd = 0;
+};
+
+FrameChannel::FrameChannel(tcp::socket socket) : impl(std::make_unique<Impl>(std::move(socket)))
+{
+    beast::error_code ignored;
+    this->impl->stream.socket().set_option(tcp::no_delay(true), ignored);
+    this->impl->readBuffer.resize(16384);
+}
+
+FrameChannel::~FrameChannel() = default;
+
+FrameChannel::FrameChannel(FrameChannel &&other) noexcept = default;
+
+asio::awaitable<Result<std::unique_ptr<FrameChannel>>>
+FrameChannel::connect(asio::any_io_executor executor, Address address, Duration timeout)
+{
+    beast::error_code code;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+    beast::tcp_stream stream(executor);
+    stream.expires_after(timeout);
+    if (!code)
+        std::tie(code) = co_await stream.async_connect(endpoint, Await);
+    if (code)
+        co_return Error{ErrorKind::UpstreamUnreachable, toString(address) + ": " + code.message()};
+    stream.expires_never();
+    co_return std::make_unique<FrameChannel>(stream.release_socket());
+}
+
+asio::awaitable<Result<proto::Frame>> FrameChannel::receive(Duration silence)
+{
+    auto &state = *this->impl;
+    const auto broken = [](const std::string &what) {
+        return Error{ErrorKind::StreamBroken, "the data channel broke: " + what};
+    };
+    size_t wanted = 4;
+    while (true) {
+        if (state.readEnd - state.readPosition >= 4) {
+            uint32_t length = 0;
+            for (size_t i = 0; i < 4; ++i)
+                length = length << 8 |
+                         static_cast<unsigned char>(state.readBuffer[state.readPosition + i]);
+            if (length > MaxFrameBytes)
+                co_return broken("a frame is too long");
+            wanted = 4 + length;
+        }
+        if (state.readEnd - state.readPosition >= wanted && wanted > 4)
+            break;
+        // Makes room for the rest of the frame at the front of the buffer.
+        if (state.readPosition > 0) {
+            state.readBuffer.replace(0, state.readEnd - state.readPosition, state.readBuffer,
+                                     state.readPosition, state.readEnd - state.readPosition);
+            state.readEnd -= state.readPosition;
+            state.readPosition = 0;
+        }
+        if (state.readBuffer.size() < std::max<size_t>(wanted, 16384))
+            state.readBuffer.resize(wanted);
+        state.stream.expires_after(silence);
+        const auto [code, bytes] = co_await state.stream.async_read_some(
+            asio::buffer(state.readBuffer.data() + state.readEnd,
+                         state.readBuffer.size() - state.readEnd),
+            Await);
+        if (code == beast::error::timeout)
+            co_return Error{ErrorKind::Timeout, "the data channel is silent"};
+        if (code)
+            co_return broken(code.message());
+        state.readEnd += bytes;
+    }
+    proto::Frame frame;
+    if (!frame.ParseFromArray(state.readBuffer.data() + state.readPosition + 4,
+                              static_cast<int>(wanted - 4)))
+        co_return broken("a frame cannot be parsed");
+    state.readPosition += wanted;
+    state.stream.expires_never();
+    co_return frame;
+}
+
+asio::awaitable<Result<Unit>> FrameChannel::send(const proto::Frame &frame, Duration timeout)
+{
+    std::string bytes(4, '\0');
+    frame.AppendToString(&bytes);
+    const auto length = static_cast<uint32_t>(bytes.size() - 4);
+    for (int i = 0; i < 4; ++i)
+        bytes[static_cast<size_t>(i)] = static_cast<char>(length >> (24 - 8 * i) & 255);
+    // Not on the stream's own timer: a concurrent receive has set it for the silence it accepts.
+    auto &socket = this->impl->stream.socket();
+    asio::steady_timer timer(socket.get_executor(), timeout);
+    auto expired = std::make_shared<bool>(false);
+    timer.async_wait([expired, &socket, alive = std::weak_ptr<bool>(expired)](auto code) {
+        if (!code && alive.lock()) {
+            *expired = true;
+            beast::error_code ignored;
+            socket.close(ignored);
+        }
+    });
+    const auto [code, written] = co_await asio::async_write(socket, asio::buffer(bytes), Await);
+    timer.cancel();
+    if (*expired)
+        co_return Error{ErrorKind::Timeout, "the data channel takes no data"};
+    if (code)
+        co_return Error{ErrorKind::StreamBroken, "the data channel broke: " + code.message()};
+    co_return Unit{};
+}
+
+bool FrameChannel::isUsable()
+{
+    auto &socket = this->impl->stream.socket();
+    if (!socket.is_open() || this->impl->readEnd != this->impl->readPosition)
+        return false;
+    char byte;
+    const auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void FrameChannel::close()
+{
+    beast::error_code ignored;
+    this->impl->stream.socket().close(ignored);
+}
+
+asio::any_io_executor FrameChannel::executor()
+{
+    return this->impl->stream.get_executor();
+}
+
+struct FrameServer::Impl : std::enable_shared_from_this<FrameServer::Impl>
+{
+    Impl(asio::io_context &context, Handler handler)
+        : context(context), handler(std::move(handler)), acceptor(context)
+    {}
+
+    asio::awaitable<void> accept()
+    {
+        const auto self = this->shared_from_this();
+        while (this->acceptor.is_open()) {
+            auto strand = asio::make_strand(this->context);
+            auto [code, socket] = co_await this->acceptor.async_accept(strand, Await);
+            if (code == asio::error::operation_aborted)
+                co_return;
+            if (code)
+                continue;
+            auto channel = std::make_shared<FrameChannel>(std::move(socket));
+            asio::co_spawn(strand, this->handler(channel), asio::detached);
+        }
+    }
+
+    asio::io_context &context;
+    Handler handler;
+    tcp::acceptor acceptor;
+};
+
+FrameServer::FrameServer(asio::io_context &context, Handler handler)
+    : impl(std::make_shared<Impl>(context, std::move(handler)))
+{}
+
+FrameServer::~FrameServer()
+{
+    this->stop();
+}
+
+Result<Address> FrameServer::listen(const Address &address)
+{
+    beast::error_code code;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+    auto &acceptor = this->impl->acceptor;
+    if (!code)
+        acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    if (!code)
+        acceptor.bind(endpoint, code);
+    if (!code)
+        acceptor.listen(4096, code);
+    if (code)
+        return Error{ErrorKind::InvalidSettings,
+                     "cannot listen on " + toString(address) + ": " + code.message()};
+    asio::co_spawn(acceptor.get_executor(), this->impl->accept(), asio::detached);
+    return Address{address.host, acceptor.local_endpoint().port()};
+}
+
+void FrameServer::stop()
+{
+    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+        beast::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/HttpClient.cpp
@@ -0,0 +1,246 @@
+// Client side of HTTP/1.1 by Boost.Beast.
+#include "net/HttpClient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+// Kept connections of one address; more are closed after use.
+constexpr size_t MaxIdleConnections = 64;
+// Peers close idle connections after a minute; a shorter limit keeps from meeting one that just
+// closed.
+constexpr auto MaxIdleTime = std::chrono::seconds(10);
+
+struct Connection
+{
+    explicit Connection(const asio::any_io_executor &executor) : stream(executor) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    Instant idleSince;
+};
+
+/// A kept connection is usable if the peer has neither closed it nor sent anything unasked.
+bool isUsable(Connection &connection)
+{
+    char byte;
+    const auto size =
+        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+Error failure(beast::error_code code, const std::string &what)
+{
+    if (code == beast::error::timeout)
+        return {ErrorKind::Timeout, what + " did not answer in time"};
+    return {ErrorKind::UpstreamFailed, what + ": " + code.message()};
+}
+
+} // namespace
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl>
+{
+    explicit Impl(asio::io_context &context) : context(context) {}
+
+    std::unique_ptr<Connection> takeIdle(const std::string &key)
+    {
+        const std::lock_guard lock(this->mutex);
+        auto &list = this->idle[key];
+        while (!list.empty()) {
+            auto connection = std::move(list.back());
+            list.pop_back();
+            if (std::chrono::steady_clock::now() - connection->idleSince < MaxIdleTime &&
+                isUsable(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void giveBack(const std::string &key, std::unique_ptr<Connection> connection)
+    {
+        connection->stream.expires_never();
+        connection->idleSince = std::chrono::steady_clock::now();
+        const std::lock_guard lock(this->mutex);
+        auto &list = this->idle[key];
+        if (list.size() < MaxIdleConnections)
+            list.push_back(std::move(connection));
+    }
+
+    asio::awaitable<Result<std::unique_ptr<Connection>>> connect(const Address &address,
+                                                                 Instant deadline)
+    {
+        if (auto kept = this->takeIdle(toString(address)))
+            co_return kept;
+        auto connection = std::make_unique<Connection>(this->context.get_executor());
+        beast::error_code code;
+        const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+        connection->stream.expires_at(deadline);
+        if (!code)
+            std::tie(code) = co_await connection->stream.async_connect(endpoint, Await);
+        if (code)
+            co_return Error{ErrorKind::UpstreamUnreachable,
+                            toString(address) + ": " + code.message()};
+        connection->stream.socket().set_option(tcp::no_delay(true), code);
+        co_return connection;
+    }
+
+    asio::io_context &context;
+    std::mutex mutex;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle;
+};
+
+namespace {
+
+http::request<http::string_body> toMessage(const Address &address, HttpRequest request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(http::field::host, toString(address));
+    for (const auto &[name, text] : request.headers)
+        message.insert(name, text);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+template <typename Message>
+HttpHeaders toHeaders(const Message &message)
+{
+    HttpHeaders headers;
+    for (const auto &field : message)
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return headers;
+}
+
+} // namespace
+
+namespace {
+
+class BeastStream : public HttpStream
+{
+public:
+    BeastStream(std::function<void(std::unique_ptr<Connection>)> giveBack,
+                std::unique_ptr<Connection> connection)
+        : giveBack(std::move(giveBack)), connection(std::move(connection))
+    {
+        this->parser.body_limit(boost::none);
+    }
+
+    ~BeastStream() override
+    {
+        if (this->connection && this->whole && this->parser.get().keep_alive())
+            this->giveBack(std::move(this->connection));
+    }
+
+    asio::awaitable<beast::error_code> readHeader(Instant deadline)
+    {
+        this->connection->stream.expires_at(deadline);
+        const auto [code, bytes] = co_await http::async_read_header(
+            this->connection->stream, this->connection->buffer, this->parser, Await);
+        this->fields = toHeaders(this->parser.get());
+        this->whole = this->parser.is_done();
+        co_return code;
+    }
+
+    int status() const override { return this->parser.get().result_int(); }
+
+    const HttpHeaders &headers() const override { return this->fields; }
+
+    asio::awaitable<Result<std::string>> read(Duration silence) override
+    {
+        while (!this->whole) {
+            std::string piece(16384, '\0');
+            this->parser.get().body().data = piece.data();
+            this->parser.get().body().size = piece.size();
+            this->connection->stream.expires_after(silence);
+            auto [code, bytes] = co_await http::async_read_some(
+                this->connection->stream, this->connection->buffer, this->parser, Await);
+            if (code == http::error::need_buffer)
+                code = {};
+            piece.resize(piece.size() - this->parser.get().body().size);
+            if (code)
+                co_return Error{ErrorKind::StreamBroken,
+                                "the stream ended early: " + code.message()};
+            this->whole = this->parser.is_done();
+            if (!piece.empty())
+                co_return piece;
+        }
+        co_return std::string();
+    }
+
+private:
+    std::function<void(std::unique_ptr<Connection>)> giveBack;
+    std::unique_ptr<Connection> connection;
+    http::response_parser<http::buffer_body> parser;
+    HttpHeaders fields;
+    bool whole = false;
+};
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &context) : impl(std::make_shared<Impl>(context)) {}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<Result<std::unique_ptr<HttpStream>>>
+HttpClient::open(Address address, HttpRequest request, Duration timeout)
+{
+    const auto self = this->impl;
+    const Instant deadline = std::chrono::steady_clock::now() + timeout;
+    auto connected = co_await self->connect(address, deadline);
+    if (!isOk(connected))
+        co_return error(connected);
+    auto connection = value(std::move(connected));
+    const auto message = toMessage(address, std::move(request));
+    connection->stream.expires_at(deadline);
+    const auto [code, bytes] = co_await http::async_write(connection->stream, message, Await);
+    if (code)
+        co_return failure(code, toString(address));
+    const std::string key = toString(address);
+    auto stream = std::make_unique<BeastStream>(
+        [self, key](std::unique_ptr<Connection> kept) { self->giveBack(key, std::move(kept)); },
+        std::move(connection));
+    if (const auto headerCode = co_await stream->readHeader(deadline); headerCode)
+        co_return failure(headerCode, toString(address));
+    co_return std::unique_ptr<HttpStream>(std::move(stream));
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::request(Address address, HttpRequest request,
+                                                          Duration timeout)
+{
+    const Instant deadline = std::chrono::steady_clock::now() + timeout;
+    auto opened = co_await this->open(address, std::move(request), timeout);
+    if (!isOk(opened))
+        co_return error(opened);
+    auto &stream = *value(opened);
+    HttpResponse response;
+    response.status = stream.status();
+    response.headers = stream.headers();
+    while (true) {
+        auto piece = co_await stream.read(deadline - std::chrono::steady_clock::now());
+        if (!isOk(piece))
+            co_return Error{ErrorKind::UpstreamFailed, error(piece).message};
+        if (value(piece).empty())
+            co_return response;
+        response.body += value(piece);
+    }
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/HttpMessage.cpp
@@ -0,0 +1,85 @@
+// Look-ups in HTTP messages.
+#include "net/HttpMessage.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace tray {
+
+namespace {
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
+                                                     [](unsigned char a, unsigned char b) {
+                                                         return std::tolower(a) == std::tolower(b);
+                                                     });
+}
+
+int hexDigit(char c)
+{
+    if (c >= '0' && c <= '9')
+        return c - '0';
+    if (c >= 'a' && c <= 'f')
+        return c - 'a' + 10;
+    if (c >= 'A' && c <= 'F')
+        return c - 'A' + 10;
+    return -1;
+}
+
+} // namespace
+
+std::string_view findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    for (const auto &[key, text] : headers) {
+        if (equalsIgnoringCase(key, name))
+            return text;
+    }
+    return {};
+}
+
+HttpHeaders contentType(std::string type)
+{
+    return {{"Content-Type", std::move(type)}};
+}
+
+HttpResponse makeResponse(int status, std::string type, std::string body)
+{
+    return {status, contentType(std::move(type)), std::move(body)};
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string queryParameter(std::string_view target, std::string_view name)
+{
+    const auto question = target.find('?');
+    if (question == std::string_view::npos)
+        return {};
+    auto rest = target.substr(question + 1);
+    while (!rest.empty()) {
+        const auto pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) != name)
+            continue;
+        std::string decoded;
+        const auto raw = equals == std::string_view::npos ? "" : pair.substr(equals + 1);
+        for (size_t i = 0; i < raw.size(); ++i) {
+            const bool escaped = raw[i] == '%' && i + 2 < raw.size() && hexDigit(raw[i + 1]) >= 0 &&
+                                 hexDigit(raw[i + 2]) >= 0;
+            if (escaped) {
+                decoded += static_cast<char>(hexDigit(raw[i + 1]) * 16 + hexDigit(raw[i + 2]));
+                i += 2;
+            } else {
+                decoded += raw[i] == '+' ? ' ' : raw[i];
+            }
+        }
+        return decoded;
+    }
+    return {};
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/HttpServer.cpp
@@ -0,0 +1,341 @@
+// Server side of HTTP/1.1 by Boost.Beast.
+#include "net/HttpServer.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <spdlog/spdlog.h>
+#include <unordered_set>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+HttpResponse defaultRefusal(const Error &reason)
+{
+    return {errorAnswer(reason.kind).httpStatus,
+            {{"Content-Type", "text/plain"}},
+            reason.message + "\n"};
+}
+
+Error refusalOf(beast::error_code code)
+{
+    if (code == http::error::header_limit)
+        return {ErrorKind::HeaderTooLarge, "the request header is too large"};
+    if (code == http::error::body_limit)
+        return {ErrorKind::BodyTooLarge, "the request body is too large"};
+    if (code == beast::error::timeout)
+        return {ErrorKind::RequestTimeout, "the request did not arrive in time"};
+    return {ErrorKind::BadRequest, "the request is not valid HTTP: " + code.message()};
+}
+
+bool isPeerFault(beast::error_code code)
+{
+    return code == beast::error::timeout ||
+           (code.category() == make_error_code(http::error::bad_target).category() &&
+            code != http::error::end_of_stream && code != http::error::partial_message);
+}
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+    class Connection;
+
+    Impl(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
+         HttpRefusal refusal)
+        : context(context), handler(std::move(handler)), limits(limits),
+          refusal(refusal ? std::move(refusal) : defaultRefusal), acceptor(context)
+    {}
+
+    asio::awaitable<void> accept();
+
+    asio::io_context &context;
+    HttpHandler handler;
+    HttpServerLimits limits;
+    HttpRefusal refusal;
+    tcp::acceptor acceptor;
+    std::atomic<bool> draining{false};
+    std::atomic<size_t> inFlight{0};
+    std::mutex mutex;
+    // Connections that exist, to close idle ones on drain.
+    std::unordered_set<Connection *> connections;
+};
+
+class HttpServer::Impl::Connection : public HttpResponder
+{
+public:
+    Connection(std::shared_ptr<Impl> server, tcp::socket socket)
+        : server(std::move(server)), stream(std::move(socket))
+    {
+        const std::lock_guard lock(this->server->mutex);
+        this->server->connections.insert(this);
+    }
+
+    ~Connection() override
+    {
+        const std::lock_guard lock(this->server->mutex);
+        this->server->connections.erase(this);
+    }
+
+    asio::awaitable<void> run()
+    {
+        this->stream.socket().set_option(tcp::no_delay(true));
+        while (co_await this->serveOne()) {
+        }
+        beast::error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    /// Ends the wait for a next request. Called under the server's lock from any thread.
+    void closeIfIdle()
+    {
+        asio::post(this->stream.get_executor(),
+                   [this, keep = this->server, weak = std::weak_ptr<int>(this->alive)] {
+                       if (weak.lock() && this->idle)
+                           this->stream.cancel();
+                   });
+    }
+
+    asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        this->started = true;
+        http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
+        for (const auto &[name, text] : response.headers)
+            message.insert(name, text);
+        message.keep_alive(this->keepsAlive());
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        if (this->headRequest)
+            message.body().clear();
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        const auto [code, bytes] = co_await http::async_write(this->stream, message, Await);
+        this->closing = this->closing || code || !message.keep_alive();
+        co_return !code;
+    }
+
+    asio::awaitable<bool> start(int status, HttpHeaders headers) override
+    {
+        this->started = true;
+        this->streaming = true;
+        http::response<http::empty_body> message{static_cast<http::status>(status), 11};
+        for (const auto &[name, text] : headers)
+            message.insert(name, text);
+        message.keep_alive(this->keepsAlive());
+        message.chunked(true);
+        this->closing = this->closing || !message.keep_alive();
+        http::response_serializer<http::empty_body> serializer{message};
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        const auto [code, bytes] =
+            co_await http::async_write_header(this->stream, serializer, Await);
+        this->closing = this->closing || code;
+        co_return !code;
+    }
+
+    asio::awaitable<bool> write(std::string data) override
+    {
+        if (data.empty())
+            co_return true;
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        const auto [code, bytes] = co_await asio::async_write(
+            this->stream, http::make_chunk(asio::const_buffer(data.data(), data.size())), Await);
+        this->closing = this->closing || code;
+        co_return !code;
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        this->streaming = false;
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        const auto [code, bytes] =
+            co_await asio::async_write(this->stream, http::make_chunk_last(), Await);
+        this->closing = this->closing || code;
+        co_return !code;
+    }
+
+    bool isStarted() const override { return this->started; }
+
+    bool isPeerGone() override
+    {
+        auto &socket = this->stream.socket();
+        if (!socket.is_open())
+            return true;
+        char byte;
+        const auto size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    void abort() override
+    {
+        this->closing = true;
+        beast::error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        this->stream.socket().close(ignored);
+    }
+
+private:
+    bool keepsAlive() const { return this->requestKeepsAlive && !this->server->draining; }
+
+    asio::awaitable<bool> serveOne()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(this->server->limits.headerBytes);
+        parser.body_limit(this->server->limits.bodyBytes);
+        if (!co_await this->waitForRequest())
+            co_return false;
+        this->stream.expires_after(this->server->limits.requestTimeout);
+        auto [code, bytes] =
+            co_await http::async_read_header(this->stream, this->buffer, parser, Await);
+        if (!code && parser.get()[http::field::expect] == "100-continue") {
+            http::response<http::empty_body> proceed{http::status::continue_, 11};
+            auto [writeCode, written] = co_await http::async_write(this->stream, proceed, Await);
+            code = writeCode;
+        }
+        if (!code)
+            std::tie(code, bytes) =
+                co_await http::async_read(this->stream, this->buffer, parser, Await);
+        if (code) {
+            if (isPeerFault(code)) {
+                this->requestKeepsAlive = false;
+                co_await this->respond(this->server->refusal(refusalOf(code)));
+            }
+            co_return false;
+        }
+        auto message = parser.release();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers.emplace_back(std::string(field.name_string()),
+                                         std::string(field.value()));
+        request.body = std::move(message.body());
+        this->headRequest = request.method == "HEAD";
+        this->requestKeepsAlive = message.keep_alive();
+        this->started = false;
+        ++this->server->inFlight;
+        try {
+            co_await this->server->handler(std::move(request), *this);
+        } catch (const std::exception &failure) {
+            spdlog::error("event=handler_failed error=\"{}\"", failure.what());
+            this->closing = true;
+        }
+        --this->server->inFlight;
+        // A stream that was not finished is cut, so that the peer does not take it for whole.
+        if (this->streaming)
+            this->abort();
+        co_return !this->closing && this->started && !this->server->draining;
+    }
+
+    /// Waits for the first byte of a request. False if the peer closed or the server drains.
+    asio::awaitable<bool> waitForRequest()
+    {
+        if (this->buffer.size() > 0)
+            co_return true;
+        if (this->server->draining)
+            co_return false;
+        this->idle = true;
+        this->stream.expires_after(this->server->limits.idleTimeout);
+        const auto [code, bytes] =
+            co_await this->stream.async_read_some(this->buffer.prepare(4096), Await);
+        this->idle = false;
+        if (code)
+            co_return false;
+        this->buffer.commit(bytes);
+        co_return true;
+    }
+
+    std::shared_ptr<Impl> server;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::shared_ptr<int> alive = std::make_shared<int>();
+    bool idle = false;
+    bool started = false;
+    bool streaming = false;
+    bool closing = false;
+    bool headRequest = false;
+    bool requestKeepsAlive = true;
+};
+
+asio::awaitable<void> HttpServer::Impl::accept()
+{
+    const auto self = this->shared_from_this();
+    while (this->acceptor.is_open()) {
+        auto strand = asio::make_strand(this->context);
+        auto [code, socket] = co_await this->acceptor.async_accept(strand, Await);
+        if (code == asio::error::operation_aborted)
+            co_return;
+        if (code) {
+            // Out of descriptors, most likely; a pause keeps the loop from spinning.
+            asio::steady_timer pause(this->context, milliseconds(50));
+            co_await pause.async_wait(Await);
+            continue;
+        }
+        auto connection = std::make_shared<Connection>(self, std::move(socket));
+        asio::co_spawn(
+            strand, [connection] { return connection->run(); },
+            [connection](const std::exception_ptr &) {});
+    }
+}
+
+HttpServer::HttpServer(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
+                       HttpRefusal refusal)
+    : impl(std::make_shared<Impl>(context, std::move(handler), limits, std::move(refusal)))
+{}
+
+HttpServer::~HttpServer()
+{
+    this->drain();
+}
+
+Result<Address> HttpServer::listen(const Address &address)
+{
+    beast::error_code code;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+    auto &acceptor = this->impl->acceptor;
+    if (!code)
+        acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    if (!code)
+        acceptor.bind(endpoint, code);
+    if (!code)
+        acceptor.listen(4096, code);
+    if (code)
+        return Error{ErrorKind::InvalidSettings,
+                     "cannot listen on " + toString(address) + ": " + code.message()};
+    asio::co_spawn(acceptor.get_executor(), this->impl->accept(), asio::detached);
+    return Address{address.host, acceptor.local_endpoint().port()};
+}
+
+void HttpServer::drain()
+{
+    if (this->impl->draining.exchange(true))
+        return;
+    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+        beast::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+    const std::lock_guard lock(this->impl->mutex);
+    for (auto *connection : this->impl->connections)
+        connection->closeIfIdle();
+}
+
+size_t HttpServer::inFlight() const
+{
+    return this->impl->inFlight;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/HttpServer.h
@@ -0,0 +1,76 @@
+// HTTP server on Boost.Beast. One coroutine a connection; handlers answer whole or as a stream.
+#pragma once
+
+#include "base/Address.h"
+#include "base/Time.h"
+#include "net/HttpMessage.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace tray {
+
+/// Limits of the server's input and waits.
+struct HttpServerLimits
+{
+    /// Largest request header, in bytes; more is answered with 431.
+    uint32_t headerBytes = 16384;
+    /// Largest request body, in bytes; more is answered with 413.
+    uint64_t bodyBytes = 1048576;
+    /// Longest time to receive a request once its first byte is there, and to write a piece of an
+    /// answer.
+    Duration requestTimeout = std::chrono::seconds(5);
+    /// Longest time that a connection may stay idle.
+    Duration idleTimeout = std::chrono::seconds(60);
+};
+
+/// Sends the answer to one request: respond() once, or start(), write() any number of times, and
+/// finish(). All calls return false once the peer is gone.
+class HttpResponder
+{
+public:
+    virtual ~HttpResponder() = default;
+
+    virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
+    virtual boost::asio::awaitable<bool> start(int status, HttpHeaders headers) = 0;
+    virtual boost::asio::awaitable<bool> write(std::string data) = 0;
+    virtual boost::asio::awaitable<bool> finish() = 0;
+    /// An answer has been started or sent.
+    virtual bool isStarted() const = 0;
+    /// True once the peer has closed its connection; checks without waiting.
+    virtual bool isPeerGone() = 0;
+    /// Closes the connection without finishing the answer, so that the peer sees a broken stream.
+    virtual void abort() = 0;
+};
+
+using HttpHandler =
+    std::function<boost::asio::awaitable<void>(HttpRequest request, HttpResponder &responder)>;
+
+/// Makes the answer to a request that was refused before it reached the handler. The reason is a
+/// kind such as BadRequest, HeaderTooLarge, BodyTooLarge or RequestTimeout.
+using HttpRefusal = std::function<HttpResponse(const Error &reason)>;
+
+/// Listens on an address and serves connections until stopped.
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &context, HttpHandler handler, HttpServerLimits limits = {},
+               HttpRefusal refusal = {});
+    ~HttpServer();
+
+    /// Binds and starts to accept; port 0 takes any free port. Returns the bound address.
+    Result<Address> listen(const Address &address);
+    /// Stops to accept, closes idle connections and lets requests in flight finish. Answers then
+    /// carry "Connection: close".
+    void drain();
+    /// Requests in flight.
+    size_t inFlight() const;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/net/Service.cpp
@@ -0,0 +1,54 @@
+// Threads and signals of a daemon.
+#include "net/Service.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <csignal>
+#include <spdlog/spdlog.h>
+#include <thread>
+#include <vector>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+bool runService(asio::io_context &context, unsigned threads,
+                std::function<asio::awaitable<void>()> stop, Duration stopLimit)
+{
+    // A peer that closes while it is written to must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    asio::steady_timer limit(context);
+    std::atomic<bool> complete{false};
+    signals.async_wait([&](auto code, int number) {
+        if (code)
+            return;
+        spdlog::info("event=stop_begin signal={}", number);
+        signals.async_wait([&](auto again, int) {
+            if (!again)
+                context.stop();
+        });
+        limit.expires_after(stopLimit);
+        limit.async_wait([&](auto expired) {
+            if (!expired)
+                context.stop();
+        });
+        asio::co_spawn(asio::make_strand(context), stop, [&](const std::exception_ptr &) {
+            complete = true;
+            context.stop();
+        });
+    });
+    std::vector<std::thread> workers;
+    for (unsigned i = 1; i < threads; ++i)
+        workers.emplace_back([&] { context.run(); });
+    context.run();
+    for (auto &worker : workers)
+        worker.join();
+    spdlog::info("event=stop_end complete={}", complete.load());
+    return complete;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/net/Service.h
@@ -0,0 +1,18 @@
+// Frame of a daemon: threads of an io_context and a graceful stop on SIGTERM or SIGINT.
+#pragma once
+
+#include "base/Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace tray {
+
+/// Runs the context on the given number of threads until a signal arrives and stop() has finished,
+/// or until stop() has taken longer than the limit. A second signal ends at once. Returns true if
+/// the stop was complete.
+bool runService(boost::asio::io_context &context, unsigned threads,
+                std::function<boost::asio::awaitable<void>()> stop, Duration stopLimit);
+
+} // namespace tray
--- /dev/null
+++ b/tests/net/NetTest.cpp
@@ -0,0 +1,164 @@
+// HTTP, frame and control channels over loopback.
+#include "dataplane.pb.h"
+#include "net/ControlClient.h"
+#include "net/ControlServer.h"
+#include "net/FrameChannel.h"
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <doctest/doctest.h>
+
+using namespace tray;
+namespace asio = boost::asio;
+
+namespace {
+
+const Address AnyPort{"127.0.0.1", 0};
+constexpr std::array<size_t, 4> SizesSent = {0, 10, 100000, 3};
+
+/// Built outside of the coroutine: g++ 12 rejects arrays of constants inside of one.
+std::vector<std::string> twoTexts()
+{
+    return {"first", "second"};
+}
+
+/// Runs one coroutine to its end on a context that other tasks share.
+void runOn(asio::io_context &context, asio::awaitable<void> task)
+{
+    asio::co_spawn(context, std::move(task), [&](const std::exception_ptr &failure) {
+        context.stop();
+        if (failure)
+            std::rethrow_exception(failure);
+    });
+    context.run_for(std::chrono::seconds(20));
+}
+
+} // namespace
+
+TEST_CASE("A client calls an HTTP server")
+{
+    asio::io_context context;
+    HttpServer server(context,
+                      [](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+                          if (request.target == "/echo") {
+                              co_await responder.respond(
+                                  makeResponse(200, "text/plain", request.body));
+                              co_return;
+                          }
+                          co_await responder.start(200, contentType("text/event-stream"));
+                          co_await responder.write("one,");
+                          co_await responder.write("two");
+                          if (request.target == "/whole")
+                              co_await responder.finish();
+                      },
+                      {.headerBytes = 2048, .bodyBytes = 1000});
+    const auto address = value(server.listen(AnyPort));
+    HttpClient client(context);
+    const auto call = [&](std::string method, std::string target, std::string body = "",
+                          HttpHeaders headers = {}) {
+        HttpRequest request{std::move(method), std::move(target), std::move(headers),
+                            std::move(body)};
+        return client.request(address, std::move(request), std::chrono::seconds(5));
+    };
+    SUBCASE("a body comes back whole, twice over one kept connection")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            const std::vector<std::string> texts = twoTexts();
+            for (const auto &text : texts) {
+                const auto result = co_await call("POST", "/echo", text);
+                REQUIRE(isOk(result));
+                CHECK(value(result).body == text);
+            }
+        }());
+    }
+    SUBCASE("a finished stream is whole, and a cut one is never taken for whole")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            const auto whole = co_await call("GET", "/whole");
+            REQUIRE(isOk(whole));
+            CHECK(value(whole).body == "one,two");
+            const auto cut = co_await call("GET", "/cut");
+            CHECK(!isOk(cut));
+        }());
+    }
+    SUBCASE("oversized bodies and headers are refused with the right status")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            const auto body = co_await call("POST", "/echo", std::string(1001, 'x'));
+            REQUIRE(isOk(body));
+            CHECK(value(body).status == 413);
+            HttpHeaders headers;
+            headers.emplace_back("X-Long", std::string(4000, 'x'));
+            const auto header = co_await call("GET", "/echo", "", headers);
+            REQUIRE(isOk(header));
+            CHECK(value(header).status == 431);
+        }());
+    }
+    SUBCASE("a refused connection tells that nothing was sent")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            const Address closed{"127.0.0.1", 1};
+            HttpRequest request;
+            const auto result = co_await client.request(closed, request, std::chrono::seconds(1));
+            REQUIRE(!isOk(result));
+            CHECK(error(result).kind == ErrorKind::UpstreamUnreachable);
+        }());
+    }
+}
+
+TEST_CASE("Frames travel both ways on a data channel")
+{
+    asio::io_context context;
+    FrameServer server(context, [](std::shared_ptr<FrameChannel> channel) -> asio::awaitable<void> {
+        while (true) {
+            auto frame = co_await channel->receive(std::chrono::seconds(5));
+            if (!isOk(frame) || !isOk(co_await channel->send(value(frame))))
+                co_return;
+        }
+    });
+    const auto address = value(server.listen(AnyPort));
+    runOn(context, [&]() -> asio::awaitable<void> {
+        auto connected = co_await FrameChannel::connect(context.get_executor(), address,
+                                                        std::chrono::seconds(1));
+        REQUIRE(isOk(connected));
+        auto &channel = *value(connected);
+        const std::vector<size_t> sizes(SizesSent.begin(), SizesSent.end());
+        for (const size_t size : sizes) {
+            proto::Frame frame;
+            frame.set_request_id("0123456789abcdef");
+            frame.mutable_data()->set_data(std::string(size, 'd'));
+            REQUIRE(isOk(co_await channel.send(frame)));
+            const auto echo = co_await channel.receive(std::chrono::seconds(5));
+            REQUIRE(isOk(echo));
+            CHECK(value(echo).data().data().size() == size);
+        }
+        CHECK(channel.isUsable());
+        const auto silent = co_await channel.receive(milliseconds(50));
+        REQUIRE(!isOk(silent));
+        CHECK(error(silent).kind == ErrorKind::Timeout);
+    }());
+}
+
+TEST_CASE("Control requests are answered, and silence ends in a timeout")
+{
+    asio::io_context context;
+    ControlServer server([](std::string request, ControlServer::Reply reply) {
+        if (request != "silent")
+            reply(request + "!");
+    });
+    const auto address = value(server.listen(AnyPort));
+    ControlClient client;
+    runOn(context, [&]() -> asio::awaitable<void> {
+        const auto answer = co_await client.request(address, "hello", std::chrono::seconds(5));
+        REQUIRE(isOk(answer));
+        CHECK(value(answer) == "hello!");
+        const auto silent = co_await client.request(address, "silent", milliseconds(100));
+        REQUIRE(!isOk(silent));
+        CHECK(error(silent).kind == ErrorKind::Timeout);
+        // A fresh connection replaces the one that was silent.
+        const auto again = co_await client.request(address, "again", std::chrono::seconds(5));
+        REQUIRE(isOk(again));
+    }());
+}
