Declare the interfaces that the programs meet at

Cause: entry, agent, control node and claims are built at the same time. Result: headers only; nothing to measure yet.

--- /dev/null
+++ b/src/catalogue/Catalogue.h
@@ -0,0 +1,58 @@
+// Immutable snapshot of the configuration at one head version.
+#pragma once
+
+#include "catalogue.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tray {
+
+/// Configuration that is in force. Pointers stay valid for the life of the snapshot.
+class Catalogue
+{
+public:
+    template <typename Body>
+    using Table = std::map<std::string, Body, std::less<>>;
+
+    Catalogue() = default;
+    /// Builds the snapshot from the objects of all sections; deleted objects are left out.
+    Catalogue(uint64_t headVersion, const std::vector<proto::CatalogueObject> &objects);
+
+    uint64_t headVersion() const { return this->version; }
+
+    /// Each returns null if there is no such object.
+    const proto::Pool *findPool(std::string_view name) const;
+    const proto::Tier *findTier(std::string_view name) const;
+    const proto::Member *findMember(std::string_view name) const;
+    const proto::Model *findModel(std::string_view name) const;
+    const proto::Adapter *findAdapter(std::string_view name) const;
+    const proto::Service *findService(std::string_view name) const;
+
+    /// Name of the member with the hexadecimal SHA-256 of a credential; empty if there is none.
+    std::string_view memberOfCredential(std::string_view digest) const;
+
+    const Table<proto::Pool> &pools() const { return this->poolTable; }
+    const Table<proto::Tier> &tiers() const { return this->tierTable; }
+    const Table<proto::Member> &members() const { return this->memberTable; }
+    const Table<proto::Model> &models() const { return this->modelTable; }
+    const Table<proto::Adapter> &adapters() const { return this->adapterTable; }
+    const Table<proto::Service> &services() const { return this->serviceTable; }
+
+private:
+    uint64_t version = 0;
+    Table<proto::Pool> poolTable;
+    Table<proto::Tier> tierTable;
+    Table<proto::Member> memberTable;
+    Table<proto::Model> modelTable;
+    Table<proto::Adapter> adapterTable;
+    Table<proto::Service> serviceTable;
+    // Credential digest to member name.
+    Table<std::string> credentialTable;
+};
+
+} // namespace tray
