--- /dev/null
+++ b/src/edge/HttpInstanceSource.cpp
@@ -0,0 +1,117 @@
+// Maps the JSON form of the instance list.
+#include "edge/HttpInstanceSource.h"
+
+#include <boost/json.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+std::string textAt(const json::object &object, std::string_view key)
+{
+    const auto *field = object.if_contains(key);
+    return field != nullptr && field->is_string() ? std::string(field->as_string()) : std::string();
+}
+
+Result<proto::InstanceList> parseList(const std::string &body)
+{
+    boost::system::error_code failure;
+    const auto parsed = json::parse(body, failure);
+    const auto *object = failure ? nullptr : parsed.if_object();
+    const auto *rows = object == nullptr ? nullptr : object->if_contains("instances");
+    const auto *revision = object == nullptr ? nullptr : object->if_contains("revision");
+    if (rows == nullptr || !rows->is_array() || revision == nullptr || !revision->is_number())
+        return Error{ErrorKind::PlatformUnavailable, "instance list: answer is not valid"};
+    proto::InstanceList list;
+    list.set_revision(revision->to_number<uint64_t>(failure));
+    for (const auto &row : rows->as_array()) {
+        if (!row.is_object())
+            continue;
+        const auto &fields = row.as_object();
+        auto &entry = *list.add_instances();
+        entry.set_id(textAt(fields, "id"));
+        entry.set_role(textAt(fields, "role"));
+        entry.set_data_centre(textAt(fields, "data_centre"));
+        entry.set_region(textAt(fields, "region"));
+        entry.set_leaving(textAt(fields, "state") == "leaving");
+        entry.set_control_address(textAt(fields, "control"));
+        entry.set_data_address(textAt(fields, "data"));
+        entry.set_upstream(textAt(fields, "upstream"));
+    }
+    return list;
+}
+
+HttpRequest addRequest(const proto::InstanceEntry &entry)
+{
+    json::object body;
+    body["id"] = entry.id();
+    body["role"] = entry.role();
+    body["data_centre"] = entry.data_centre();
+    body["region"] = entry.region();
+    body["state"] = entry.leaving() ? "leaving" : "live";
+    body["control"] = entry.control_address();
+    body["data"] = entry.data_address();
+    body["upstream"] = entry.upstream();
+    HttpRequest request;
+    request.method = "PUT";
+    request.target = "/v1/instances/" + entry.id();
+    request.headers = contentType("application/json");
+    request.body = json::serialize(body);
+    return request;
+}
+
+} // namespace
+
+HttpInstanceSource::HttpInstanceSource(HttpClient &client, Address address, Duration timeout,
+                                       Metrics &metrics)
+    : client(client), address(std::move(address)), timeout(timeout),
+      calls(metrics.counter("tray_platform_calls", "call=\"instances\""))
+{}
+
+asio::awaitable<Result<proto::InstanceList>> HttpInstanceSource::read()
+{
+    this->calls.add();
+    HttpRequest request;
+    request.target = "/v1/instances";
+    const auto answer =
+        co_await this->client.request(this->address, std::move(request), this->timeout);
+    if (!isOk(answer))
+        co_return Error{ErrorKind::PlatformUnavailable, error(answer).message};
+    if (value(answer).status != 200)
+        co_return Error{ErrorKind::PlatformUnavailable,
+                        "instance list: status " + std::to_string(value(answer).status)};
+    co_return parseList(value(answer).body);
+}
+
+asio::awaitable<Result<Unit>> HttpInstanceSource::add(proto::InstanceEntry entry)
+{
+    return this->change(addRequest(entry));
+}
+
+asio::awaitable<Result<Unit>> HttpInstanceSource::remove(std::string id)
+{
+    HttpRequest request;
+    request.method = "DELETE";
+    request.target = "/v1/instances/" + id;
+    return this->change(std::move(request));
+}
+
+asio::awaitable<Result<Unit>> HttpInstanceSource::change(HttpRequest request)
+{
+    this->calls.add();
+    const auto answer =
+        co_await this->client.request(this->address, std::move(request), this->timeout);
+    if (!isOk(answer))
+        co_return Error{ErrorKind::PlatformUnavailable, error(answer).message};
+    const int status = value(answer).status;
+    // An entry that is already gone needs no removal.
+    if (status != 404 && (status < 200 || status > 299))
+        co_return Error{ErrorKind::PlatformUnavailable,
+                        "instance list: status " + std::to_string(status)};
+    co_return Unit{};
+}
+
+} // namespace tray
