--- /dev/null
+++ b/src/routing/SuspectTable.cpp
@@ -0,0 +1,80 @@
+// Suspect table.
+#include "routing/SuspectTable.h"
+
+#include <algorithm>
+
+namespace tray {
+
+void SuspectTable::crash(uint64_t contentDigest, const std::string &upstream, Instant now)
+{
+    auto &row = this->rows[contentDigest];
+    if (row.until <= now)
+        row = {};
+    const auto [known, first] = row.upstreams.try_emplace(upstream, now);
+    if (!first && now - known->second < SameCrash)
+        return;
+    known->second = now;
+    ++row.crashes;
+    row.until = now + Memory;
+    row.changedAt = now;
+    this->bound();
+}
+
+void SuspectTable::merge(const proto::Suspect &suspect, Instant now)
+{
+    const auto until = now + milliseconds(suspect.remaining_ms());
+    if (until <= now)
+        return;
+    auto &row = this->rows[suspect.content_digest()];
+    if (row.until <= now)
+        row = {};
+    const auto before = row.upstreams.size();
+    for (const auto &upstream : suspect.upstreams())
+        row.upstreams.try_emplace(upstream, now);
+    const auto crashes =
+        std::max({row.crashes, suspect.crashes(), static_cast<uint32_t>(row.upstreams.size())});
+    if (crashes != row.crashes || row.upstreams.size() != before)
+        row.changedAt = now;
+    row.crashes = crashes;
+    row.until = std::max(row.until, until);
+    this->bound();
+}
+
+uint32_t SuspectTable::crashesOf(uint64_t contentDigest, Instant now) const
+{
+    const auto found = this->rows.find(contentDigest);
+    return found == this->rows.end() || found->second.until <= now ? 0 : found->second.crashes;
+}
+
+std::vector<proto::Suspect> SuspectTable::changed(Instant now, bool all) const
+{
+    std::vector<proto::Suspect> suspects;
+    for (const auto &[digest, row] : this->rows) {
+        if (row.until <= now || (!all && row.changedAt + PassOn <= now))
+            continue;
+        auto &suspect = suspects.emplace_back();
+        suspect.set_content_digest(digest);
+        suspect.set_crashes(row.crashes);
+        suspect.set_remaining_ms(static_cast<uint32_t>(toMs(row.until - now)));
+        for (const auto &[upstream, crashedAt] : row.upstreams)
+            suspect.add_upstreams(upstream);
+    }
+    return suspects;
+}
+
+void SuspectTable::expire(Instant now)
+{
+    std::erase_if(this->rows, [&](const auto &row) { return row.second.until <= now; });
+}
+
+void SuspectTable::bound()
+{
+    while (this->rows.size() > MaxSuspects) {
+        this->rows.erase(std::min_element(this->rows.begin(), this->rows.end(),
+                                          [](const auto &left, const auto &right) {
+                                              return left.second.changedAt < right.second.changedAt;
+                                          }));
+    }
+}
+
+} // namespace tray
