Add the control node and trayctl

Change: ControlNode registers, syncs over the relay tree, and as a relay watches the platform; it spreads configuration, statuses, wishes, suspects and demand, and tells when its state is stale. trayctl submits, checks and follows tickets, lists objects, drains upstreams and shows the time line. Result: two nodes and a stand-in platform agree on a ticket, a status and a suspect in the test; submissions survive lost answers and an outage in the test.

--- /dev/null
+++ b/src/ctl/TicketSubmitter.cpp
@@ -0,0 +1,159 @@
+// Submission of tickets.
+#include "ctl/TicketSubmitter.h"
+
+#include "base/Hash.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto FirstWait = milliseconds(20);
+constexpr auto LongestWait = milliseconds(500);
+
+/// A failure after which the same call makes sense.
+bool isPassing(ErrorKind kind)
+{
+    return kind == ErrorKind::PlatformUnavailable || kind == ErrorKind::Overloaded ||
+           kind == ErrorKind::OutcomeUnknown || kind == ErrorKind::Timeout;
+}
+
+} // namespace
+
+TicketSubmitter::TicketSubmitter(ObjectApi &api, std::function<double()> random)
+    : api(api), random(std::move(random))
+{}
+
+asio::awaitable<Result<TicketBoard>> TicketSubmitter::readBoard()
+{
+    const auto stored = co_await this->api.read(std::string(HeadKey));
+    proto::Head head;
+    if (isOk(stored)) {
+        if (!head.ParseFromString(value(stored).value))
+            co_return Error{ErrorKind::Internal, "the head is damaged"};
+        this->headObjectVersion = value(stored).version;
+    } else if (error(stored).kind == ErrorKind::NotFound) {
+        this->headObjectVersion = 0;
+    } else {
+        co_return error(stored);
+    }
+    SectionBytes sections;
+    for (const uint64_t digest : missingSections(head, sections)) {
+        auto section = co_await this->api.read(sectionKey(digest));
+        if (!isOk(section))
+            co_return error(section);
+        sections[digest] = std::move(value(section).value);
+    }
+    const auto objects = readObjects(head, sections);
+    if (!isOk(objects))
+        co_return error(objects);
+    co_return TicketBoard(std::move(head), value(objects));
+}
+
+asio::awaitable<Result<TicketPlan>> TicketSubmitter::check(proto::Ticket ticket,
+                                                           std::vector<EngineRoom> engines)
+{
+    const auto board = co_await this->readBoard();
+    if (!isOk(board))
+        co_return error(board);
+    co_return value(board).plan(ticket, engines, newNonce());
+}
+
+asio::awaitable<Result<TicketAcceptance>>
+TicketSubmitter::submit(proto::Ticket ticket, std::vector<EngineRoom> engines, Instant deadline)
+{
+    Backoff backoff(FirstWait, LongestWait);
+    bool unclear = false;
+    while (true) {
+        auto attempt = co_await this->attempt(ticket, engines);
+        if (attempt.step == Step::Accepted)
+            co_return attempt.acceptance;
+        if (attempt.step == Step::Refused)
+            co_return attempt.problem;
+        unclear = unclear || attempt.step == Step::Unclear;
+        const auto wait = backoff.next(this->random());
+        if (std::chrono::steady_clock::now() + wait >= deadline) {
+            co_return Error{unclear ? ErrorKind::OutcomeUnknown : ErrorKind::PlatformUnavailable,
+                            attempt.problem.message};
+        }
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        timer.expires_after(wait);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+TicketSubmitter::Attempt TicketSubmitter::failed(const Error &problem)
+{
+    Attempt result;
+    // A section that vanished or a damaged head will not mend by waiting.
+    result.step = isPassing(problem.kind) ? Step::Again : Step::Refused;
+    result.problem = problem;
+    return result;
+}
+
+asio::awaitable<TicketSubmitter::Attempt> TicketSubmitter::attempt(proto::Ticket ticket,
+                                                                   std::vector<EngineRoom> engines)
+{
+    const auto board = co_await this->readBoard();
+    if (!isOk(board))
+        co_return failed(error(board));
+    const auto plan = value(board).plan(ticket, engines, newNonce());
+    if (!isOk(plan))
+        co_return failed(error(plan));
+    Attempt result;
+    result.acceptance = {value(plan).headVersion, value(plan).alreadyAccepted};
+    if (value(plan).alreadyAccepted) {
+        result.step = Step::Accepted;
+        co_return result;
+    }
+    const auto sections = co_await this->writeSections(value(plan).sections);
+    if (!isOk(sections))
+        co_return failed(error(sections));
+    const auto written = co_await this->writeHead(value(plan).head);
+    result.step = written.step;
+    result.problem = written.problem;
+    co_return result;
+}
+
+asio::awaitable<TicketSubmitter::Attempt> TicketSubmitter::writeHead(proto::Head head)
+{
+    Attempt result;
+    auto bytes = head.SerializeAsString();
+    const auto written =
+        co_await this->api.write(std::string(HeadKey), std::move(bytes), this->headObjectVersion);
+    if (isOk(written)) {
+        result.step = Step::Accepted;
+        co_return result;
+    }
+    const auto kind = error(written).kind;
+    // After a conflict, the ticket is checked against the one that came first.
+    if (kind != ErrorKind::VersionConflict && kind != ErrorKind::OutcomeUnknown)
+        co_return failed(error(written));
+    result.problem = error(written);
+    if (kind == ErrorKind::VersionConflict)
+        co_return result;
+    result.step = Step::Unclear;
+    const auto reread = co_await this->readBoard();
+    if (isOk(reread) && value(reread).head().writer_nonce() == head.writer_nonce())
+        result.step = Step::Accepted;
+    co_return result;
+}
+
+asio::awaitable<Result<Unit>> TicketSubmitter::writeSections(const SectionBytes &sections)
+{
+    for (const auto &[digest, bytes] : sections) {
+        const auto written = co_await this->api.write(sectionKey(digest), bytes, 0);
+        // Sections are named by their content, so one that exists is the same.
+        if (!isOk(written) && error(written).kind != ErrorKind::VersionConflict)
+            co_return error(written);
+    }
+    co_return Unit{};
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/node/ControlNode.cpp
@@ -0,0 +1,217 @@
+// Public calls of the control node.
+#include "node/ControlNodeImpl.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Attempts to tell the platform of a planned stop. The status travels over the tree as well.
+constexpr int LeavingAttempts = 5;
+
+} // namespace
+
+ControlNode::ControlNode(asio::io_context &context, NodeIdentity identity,
+                         const proto::PlatformSection &platform,
+                         const proto::ControlSection &control, Metrics &metrics, EventRing &events)
+    : impl(std::make_shared<Impl>(context, std::move(identity), platform, control, metrics, events))
+{
+    const std::weak_ptr<Impl> weak = this->impl;
+    const auto gauge = [&](const std::string &name, auto read) {
+        metrics.gauge(name, [weak, read] {
+            const auto self = weak.lock();
+            return self && self->client ? static_cast<double>(read(*self)) : 0.0;
+        });
+    };
+    gauge("tray_control_bytes_sent",
+          [](const Impl &node) { return node.client->bytesSent() + node.serverSent; });
+    gauge("tray_control_bytes_received",
+          [](const Impl &node) { return node.client->bytesReceived() + node.serverReceived; });
+    gauge("tray_head_version", [](const Impl &node) {
+        const std::lock_guard lock(node.mutex);
+        return node.state.headVersion();
+    });
+}
+
+ControlNode::~ControlNode()
+{
+    this->stop();
+    this->impl->server.reset();
+    this->impl->client.reset();
+}
+
+Result<Address> ControlNode::listen()
+{
+    return this->impl->listen();
+}
+
+void ControlNode::start(const Address &dataAddress)
+{
+    auto &node = *this->impl;
+    {
+        const std::lock_guard lock(node.mutex);
+        node.entry.set_data_address(toString(dataAddress));
+        node.state.setSelf(node.entry);
+    }
+    const auto spawn = [&](Impl::Task task) {
+        asio::co_spawn(node.strand, std::move(task), asio::detached);
+    };
+    spawn(node.registerLoop(this->impl));
+    spawn(node.syncLoop(this->impl));
+    spawn(node.instanceLoop(this->impl));
+    spawn(node.watchLoop(this->impl, std::string(HeadKey)));
+    spawn(node.watchLoop(this->impl, "placement/"));
+}
+
+asio::awaitable<void> ControlNode::announceLeaving()
+{
+    const auto node = this->impl;
+    {
+        const std::lock_guard lock(node->mutex);
+        node->entry.set_leaving(true);
+        node->state.setSelf(node->entry);
+    }
+    node->wake();
+    Backoff backoff(milliseconds(50), milliseconds(400));
+    for (int attempt = 0; attempt < LeavingAttempts; ++attempt) {
+        const auto removed = co_await node->source.remove(node->identity.instance);
+        if (isOk(removed))
+            co_return;
+        co_await node->pause(backoff.next(node->random()));
+    }
+}
+
+void ControlNode::stop()
+{
+    if (!this->impl->stopping.exchange(true))
+        this->impl->wake();
+}
+
+const NodeIdentity &ControlNode::identity() const
+{
+    return this->impl->identity;
+}
+
+ObjectApi &ControlNode::objectApi()
+{
+    return this->impl->api;
+}
+
+std::shared_ptr<const Catalogue> ControlNode::catalogue() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.catalogue();
+}
+
+void ControlNode::noteHeadVersion(uint64_t seen)
+{
+    this->impl->noteHead(seen);
+}
+
+asio::awaitable<bool> ControlNode::awaitHeadVersion(uint64_t wanted, Instant deadline)
+{
+    const auto node = this->impl;
+    node->noteHead(wanted);
+    while (this->headVersion() < wanted) {
+        if (node->now() >= deadline || node->stopping)
+            co_return false;
+        co_await node->pause(milliseconds(5));
+    }
+    co_return true;
+}
+
+bool ControlNode::isFresh(Instant now) const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.isFresh(now);
+}
+
+bool ControlNode::isPlatformOut() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.isPlatformOut(this->impl->now());
+}
+
+std::shared_ptr<const UpstreamStatuses> ControlNode::statuses() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.statuses();
+}
+
+void ControlNode::setOwnStatus(proto::UpstreamStatus status)
+{
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        this->impl->state.setOwnStatus(std::move(status));
+    }
+    this->impl->wake();
+}
+
+std::shared_ptr<const proto::InstanceList> ControlNode::instances() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.instances();
+}
+
+std::optional<proto::Wish::Upstream> ControlNode::wishFor(const std::string &upstream) const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    const auto &wishes = this->impl->state.wishes();
+    const auto found = wishes.find(this->impl->identity.region);
+    if (found == wishes.end())
+        return std::nullopt;
+    for (const auto &row : found->second.upstreams()) {
+        if (row.upstream() == upstream)
+            return row;
+    }
+    return std::nullopt;
+}
+
+void ControlNode::addDemand(const proto::Demand &demand)
+{
+    const std::lock_guard lock(this->impl->mutex);
+    this->impl->state.demand().addUp(demand);
+}
+
+std::vector<proto::Demand> ControlNode::takeDemand()
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.demand().takeOwn();
+}
+
+void ControlNode::reportCrash(uint64_t contentDigest, const std::string &upstream, Instant now)
+{
+    {
+        const std::lock_guard lock(this->impl->mutex);
+        this->impl->state.suspects().crash(contentDigest, upstream, now);
+    }
+    this->impl->events.add(wallNow(), "suspect", upstream, "an engine died while it ran a request");
+    this->impl->wake();
+}
+
+uint32_t ControlNode::crashesOf(uint64_t contentDigest, Instant now) const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->state.suspects().crashesOf(contentDigest, now);
+}
+
+void ControlNode::setHandler(proto::ControlRequest::BodyCase kind, Handler handler)
+{
+    const std::lock_guard lock(this->impl->mutex);
+    this->impl->handlers[kind] = std::move(handler);
+}
+
+asio::awaitable<Result<proto::ControlReply>>
+ControlNode::call(Address peer, proto::ControlRequest request, Duration timeout)
+{
+    return this->impl->call(std::move(peer), std::move(request), timeout);
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/node/NodeState.h
@@ -0,0 +1,160 @@
+// State that a control node shares with its neighbours, and the rules by which it changes. Pure: it
+// knows neither sockets nor clocks.
+#pragma once
+
+#include "base/Time.h"
+#include "catalogue/Catalogue.h"
+#include "catalogue/Sections.h"
+#include "membership/RelayTree.h"
+#include "membership/StatusTable.h"
+#include "node/ControlNode.h"
+#include "node/DemandFlow.h"
+#include "routing/SuspectTable.h"
+
+#include "control.pb.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tray {
+
+/// Configuration, instances, statuses, wishes, suspects, demand and freshness of one process.
+/// Not thread-safe.
+class NodeState
+{
+public:
+    /// A child that has not polled for this long is checked, and its upstream marked as lost.
+    static constexpr Duration ChildSilence = std::chrono::seconds(5);
+    /// A child that has not polled for this long is not counted in the head in force.
+    static constexpr Duration ChildCounted = std::chrono::seconds(3);
+    /// Longer silence of the platform than a relay sees in health: it reads the list every second.
+    static constexpr Duration PlatformQuiet = milliseconds(1200);
+
+    /// The journal is a random number that tells this process's positions from those of an earlier
+    /// one with the same id.
+    NodeState(NodeIdentity identity, uint64_t journal, Duration staleAfter);
+
+    // Exchange with neighbours.
+
+    /// Request for the parent. Takes the demand out; undoRequest() puts it back.
+    proto::SyncRequest makeRequest(const std::string &parent, Instant now);
+    void undoRequest(const proto::SyncRequest &request);
+    /// Request that only asks for head, instances, wishes and contact with the platform.
+    proto::SyncRequest makeQuery() const;
+    /// Answer for a child, or for a query.
+    proto::SyncReply answer(const proto::SyncRequest &request, Instant now);
+    /// Takes a parent's reply over. Returns true if the parent has to be asked again at once,
+    /// because it had to be told about its new incarnation.
+    bool applyReply(const std::string &parent, const proto::SyncRequest &request,
+                    const proto::SyncReply &reply, Instant sentAt, Instant now);
+    /// Takes the reply to a query of another relay over.
+    void applyPeer(const std::string &peer, const proto::SyncReply &reply, Instant sentAt,
+                   Instant now);
+    /// The parent did not answer.
+    void parentFailed(const std::string &parent, Instant now);
+    /// The process has no parent that answers: demand is shared out from here.
+    void actAsRoot(Instant now);
+    /// Statuses of neighbours that have gone silent, for a direct check. Each is returned once.
+    std::vector<StatusTable::Status> takeSilent(Instant now);
+    void markLost(const StatusTable::Status &seen);
+
+    // Configuration.
+
+    /// Offers a head; older ones than the present and the pending head are ignored.
+    void offerHead(const proto::Head &head);
+    /// Digests that are missing before the pending head can be in force.
+    std::vector<uint64_t> missing() const;
+    /// Takes a section over that matches its digest, and puts the pending head in force once it is
+    /// complete. Returns true if the configuration in force changed.
+    bool addSections(const std::vector<std::string> &sections);
+    std::vector<std::string> sections(const proto::SectionsRequest &request) const;
+    std::shared_ptr<const Catalogue> catalogue() const { return this->snapshot; }
+    uint64_t headVersion() const { return this->snapshot->headVersion(); }
+    uint64_t highestHead() const { return this->highest; }
+    void noteHead(uint64_t seen) { this->highest = std::max(this->highest, seen); }
+
+    // Platform and freshness.
+
+    void platformHeard(Instant at);
+    void setInstances(const proto::InstanceList &list);
+    void setWish(const proto::Wish &wish);
+    bool isFresh(Instant now) const;
+    bool isPlatformOut(Instant now) const;
+    Instant platformHeardAt() const { return this->heardPlatform; }
+
+    // Own contributions and views.
+
+    void setOwnStatus(proto::UpstreamStatus status);
+    void setSelf(const proto::InstanceEntry &entry);
+    const RelayTree &tree() const { return this->relayTree; }
+    std::shared_ptr<const UpstreamStatuses> statuses() const;
+    std::shared_ptr<const proto::InstanceList> instances() const { return this->instanceList; }
+    const std::map<std::string, proto::Wish> &wishes() const { return this->wishTable; }
+    proto::InForce whole(Instant now) const;
+    DemandFlow &demand() { return this->demandFlow; }
+    SuspectTable &suspects() { return this->suspectTable; }
+    const SuspectTable &suspects() const { return this->suspectTable; }
+
+private:
+    struct Child
+    {
+        proto::InForce inForce;
+        Instant heardAt{};
+        bool relay = false;
+    };
+    struct Parent
+    {
+        std::string id;
+        uint64_t journal = 0;
+        // Position in the parent's journal up to which its changes are known here.
+        uint64_t cursor = 0;
+        // Position in the own table up to which the parent knows the changes.
+        uint64_t sentUp = 0;
+        uint64_t sending = 0;
+    };
+
+    bool commitIfComplete();
+    void applyShared(const proto::SyncReply &reply, Instant sentAt);
+    void cureOwn();
+    void touchStatuses() { this->statusView.reset(); }
+    proto::InForce aggregate(Instant now) const;
+    bool hasParent() const { return !this->parent.id.empty(); }
+
+    const NodeIdentity identity;
+    const uint64_t journal;
+    const Duration staleAfter;
+
+    std::shared_ptr<const Catalogue> snapshot = std::make_shared<const Catalogue>();
+    proto::Head head;
+    std::optional<proto::Head> pending;
+    // Sections of the present and the pending head.
+    SectionBytes sectionBytes;
+    uint64_t highest = 0;
+
+    proto::InstanceEntry self;
+    std::shared_ptr<const proto::InstanceList> instanceList;
+    RelayTree relayTree;
+    StatusTable table;
+    mutable std::shared_ptr<const UpstreamStatuses> statusView;
+    proto::UpstreamStatus ownStatus;
+    std::map<std::string, proto::Wish> wishTable;
+    SuspectTable suspectTable;
+    DemandFlow demandFlow;
+
+    std::map<std::string, Child> children;
+    Parent parent;
+    // Parents that stopped to answer, and when they were heard last.
+    std::map<std::string, Instant> failedParents;
+    proto::InForce wholeFromParent;
+
+    Instant heardPlatform{};
+    Instant heardParent{};
+    bool parentSaysOut = false;
+    // Answers of other relays to queries: when, and whether they had contact with the platform.
+    std::map<std::string, std::pair<Instant, bool>> peerContact;
+};
+
+} // namespace tray
