Spread statuses by who vouches for them, and test the relay tree

Cause: the property test of status deltas found two faults. A mark of loss whose maker restarted stayed with those who had heard it (52 cases). A status that a restarted node had first heard from above was not sent up after its child repeated it (146 cases). A process that changed its parent also sent its whole table up. Change: the table keeps on which side a status was heard. Only own statuses, children's and marks of loss go up; a status that a child takes over counts as a change. A reply is applied to the poll it belongs to. Thirty nodes follow tickets within 4 s, also with a dead relay, with a relay cut from the platform, and after an outage.

--- a/src/membership/StatusTable.cpp
+++ b/src/membership/StatusTable.cpp
@@ -14,44 +14,68 @@
 
 } // namespace
 
-bool StatusTable::apply(const proto::UpstreamStatus &status, const std::string &origin)
+bool StatusTable::apply(const proto::UpstreamStatus &status, Side side, const std::string &origin)
 {
     auto &row = this->rows[status.upstream()];
     if (row.status) {
         const auto present = rankOf(*row.status);
         const auto given = rankOf(status);
-        // A neighbour that repeats what is known has taken the upstream over from another one that
-        // may be dead by now.
-        if (given == present)
+        if (given < present)
+            return false;
+        if (given == present) {
+            if (side != Side::Child || row.side == Side::Own)
+                return false;
+            // The status now has to go up from here, so it counts as a change of this table.
+            const bool heardFromChild = row.side == Side::Child;
+            row.side = side;
             row.origin = origin;
-        if (given <= present)
+            if (!heardFromChild)
+                this->store(row, status);
             return false;
+        }
     }
-    row.origin = origin;
+    row.side = side;
+    row.origin = side == Side::Child ? origin : std::string();
     this->store(row, status);
     return true;
 }
 
 std::vector<StatusTable::Status> StatusTable::changedAfter(uint64_t position,
-                                                           const std::string &exceptOrigin) const
+                                                           const std::string &exceptChild) const
 {
     std::vector<Status> changed;
     for (auto it = this->journal.upper_bound(position); it != this->journal.end(); ++it) {
         const auto &row = this->rows.at(it->second);
-        if (exceptOrigin.empty() || row.origin != exceptOrigin)
+        if (exceptChild.empty() || row.origin != exceptChild)
             changed.push_back(row.status);
     }
     return changed;
 }
 
-std::vector<StatusTable::Status> StatusTable::heardFrom(const std::string &origin) const
+std::vector<StatusTable::Status> StatusTable::changedBelow(uint64_t position) const
 {
-    std::vector<Status> statuses;
-    for (const auto &[name, row] : this->rows) {
-        if (row.origin == origin && !row.status->lost())
-            statuses.push_back(row.status);
+    std::vector<Status> changed;
+    for (auto it = this->journal.upper_bound(position); it != this->journal.end(); ++it) {
+        const auto &row = this->rows.at(it->second);
+        // A mark of loss may have no one else who knows it, once its maker has restarted.
+        if (row.side != Side::Parent || row.status->lost())
+            changed.push_back(row.status);
     }
-    return statuses;
+    return changed;
+}
+
+std::vector<StatusTable::Status> StatusTable::release(const std::string &child)
+{
+    std::vector<Status> released;
+    for (auto &[name, row] : this->rows) {
+        if (row.side != Side::Child || row.origin != child)
+            continue;
+        row.side = Side::Parent;
+        row.origin.clear();
+        if (!row.status->lost())
+            released.push_back(row.status);
+    }
+    return released;
 }
 
 bool StatusTable::markLost(const Status &seen)
@@ -62,7 +86,8 @@
     auto status = *seen;
     status.set_lost(true);
     status.set_liveness(status.liveness() + 1);
-    // The neighbour has to hear of the mark, to cure it if it is wrong.
+    // The mark goes to everyone, also to the process that can cure it.
+    found->second.side = Side::Own;
     found->second.origin.clear();
     this->store(found->second, std::move(status));
     return true;
--- a/src/membership/StatusTable.h
+++ b/src/membership/StatusTable.h
@@ -19,14 +19,21 @@
 public:
     using Status = std::shared_ptr<const proto::UpstreamStatus>;
 
-    /// Takes a status over from a neighbour ("" for the own process). Returns true if it is newer.
-    bool apply(const proto::UpstreamStatus &status, const std::string &origin);
+    /// Where a status was heard.
+    enum class Side { Own, Child, Parent };
+
+    /// Takes a status over from a neighbour, or the own one with an empty origin. Returns true if
+    /// it is newer. A child that repeats what is known is from then on the one who vouches for it.
+    bool apply(const proto::UpstreamStatus &status, Side side, const std::string &origin);
     /// Position of the last change.
     uint64_t position() const { return this->lastPosition; }
-    /// Statuses changed after a position, without those that came from a neighbour itself.
-    std::vector<Status> changedAfter(uint64_t position, const std::string &exceptOrigin) const;
-    /// Statuses that were last heard from a neighbour and are not marked as lost.
-    std::vector<Status> heardFrom(const std::string &origin) const;
+    /// Statuses changed after a position, without those that came from a child itself.
+    std::vector<Status> changedAfter(uint64_t position, const std::string &exceptChild) const;
+    /// Own statuses, those of children, and marks of loss, that changed after a position. A parent
+    /// hears all others on other ways, so a new parent is not sent the whole table.
+    std::vector<Status> changedBelow(uint64_t position) const;
+    /// Statuses that a child vouched for and that are not marked as lost; it no longer does.
+    std::vector<Status> release(const std::string &child);
     /// Marks an upstream as lost unless its status has changed since it was seen. The process that
     /// owns the status cures a wrong mark by a higher liveness.
     bool markLost(const Status &seen);
@@ -51,6 +58,8 @@
     struct Row
     {
         Status status;
+        Side side = Side::Own;
+        // Child that vouches for the status; empty for other sides.
         std::string origin;
         uint64_t position = 0;
     };
--- a/src/node/NodeState.cpp
+++ b/src/node/NodeState.cpp
@@ -23,32 +23,35 @@
     this->relayTree = RelayTree(*this->instanceList, this->self);
 }
 
-proto::SyncRequest NodeState::makeRequest(const std::string &parentId, Instant now)
+NodeState::Poll NodeState::makePoll(const std::string &parentId, Instant now)
 {
     if (this->parent.id != parentId) {
         this->parent = {};
         this->parent.id = parentId;
     }
-    auto request = this->makeQuery();
+    Poll poll{parentId, this->makeQuery(), this->table.position(), now};
+    auto &request = poll.request;
     request.set_instance(this->identity.instance);
     request.set_relay(this->relayTree.isRelay());
     request.set_journal(this->parent.journal);
     request.set_cursor(this->parent.cursor);
     *request.mutable_in_force() = this->aggregate(now);
-    this->parent.sending = this->table.position();
-    for (const auto &status : this->table.changedAfter(this->parent.sentUp, parentId))
+    for (const auto &status : this->table.changedBelow(this->parent.sentUp))
         *request.add_statuses() = *status;
     for (auto &demand : this->demandFlow.takeUp())
         *request.add_demand() = std::move(demand);
     for (auto &suspect : this->suspectTable.changed(now, this->parent.journal == 0))
         *request.add_suspects() = std::move(suspect);
-    return request;
+    return poll;
 }
 
-void NodeState::undoRequest(const proto::SyncRequest &request)
+void NodeState::pollFailed(const Poll &poll, Instant now)
 {
-    for (const auto &demand : request.demand())
+    for (const auto &demand : poll.request.demand())
         this->demandFlow.addUp(demand);
+    this->failedParents.try_emplace(poll.parent, now);
+    if (this->parent.id == poll.parent)
+        this->parent = {};
 }
 
 proto::SyncRequest NodeState::makeQuery() const
@@ -85,10 +88,8 @@
     const auto &id = request.instance();
     this->children[id] = {request.in_force(), now, request.relay()};
     this->noteHead(request.head_version());
-    for (const auto &status : request.statuses()) {
-        if (this->table.apply(status, id))
-            this->touchStatuses();
-    }
+    for (const auto &status : request.statuses())
+        this->takeStatus(status, StatusTable::Side::Child, id);
     this->cureOwn();
     for (const auto &demand : request.demand())
         this->demandFlow.addUp(demand);
@@ -111,35 +112,25 @@
     return reply;
 }
 
-bool NodeState::applyReply(const std::string &parentId, const proto::SyncRequest &request,
-                           const proto::SyncReply &reply, Instant sentAt, Instant now)
+bool NodeState::applyReply(const Poll &poll, const proto::SyncReply &reply, Instant now)
 {
-    this->applyShared(reply, sentAt);
-    this->failedParents.erase(parentId);
-    this->heardParent = std::max(this->heardParent, sentAt);
+    this->applyShared(reply, poll.sentAt);
+    this->failedParents.erase(poll.parent);
+    this->heardParent = std::max(this->heardParent, poll.sentAt);
     this->parentSaysOut = reply.platform_out();
     this->wholeFromParent = reply.whole();
-    for (const auto &status : reply.statuses()) {
-        if (this->table.apply(status, parentId))
-            this->touchStatuses();
-    }
+    for (const auto &status : reply.statuses())
+        this->takeStatus(status, StatusTable::Side::Parent, "");
     this->cureOwn();
     for (const auto &suspect : reply.suspects())
         this->suspectTable.merge(suspect, now);
-    std::vector<std::string> relays;
-    for (const auto &[id, child] : this->children) {
-        if (child.relay)
-            relays.push_back(id);
-    }
-    for (const auto &demand : reply.demand())
-        this->demandFlow.shareOut(demand, relays);
-    if (this->parent.id != parentId)
+    this->shareOut(reply.demand());
+    if (this->parent.id != poll.parent)
         return false;
-    const bool restarted = request.journal() != 0 && reply.journal() != request.journal();
+    const bool restarted = poll.request.journal() != 0 && reply.journal() != poll.request.journal();
     this->parent.journal = reply.journal();
     this->parent.cursor = reply.cursor();
-    // A restarted parent has forgotten what it was told before this request.
-    this->parent.sentUp = restarted ? 0 : this->parent.sending;
+    this->parent.sentUp = restarted ? 0 : poll.position;
     return restarted;
 }
 
@@ -163,23 +154,31 @@
     this->platformHeard(sentAt - milliseconds(reply.platform_age_ms()));
 }
 
-void NodeState::parentFailed(const std::string &parentId, Instant now)
+void NodeState::actAsRoot()
 {
-    this->failedParents.try_emplace(parentId, now);
-    if (this->parent.id == parentId)
-        this->parent = {};
+    this->parent = {};
+    google::protobuf::RepeatedPtrField<proto::Demand> all;
+    for (auto &demand : this->demandFlow.takeUp())
+        *all.Add() = std::move(demand);
+    this->shareOut(all);
 }
 
-void NodeState::actAsRoot(Instant)
+void NodeState::shareOut(const google::protobuf::RepeatedPtrField<proto::Demand> &demand)
 {
-    this->parent = {};
     std::vector<std::string> relays;
     for (const auto &[id, child] : this->children) {
         if (child.relay)
             relays.push_back(id);
     }
-    for (const auto &demand : this->demandFlow.takeUp())
-        this->demandFlow.shareOut(demand, relays);
+    for (const auto &row : demand)
+        this->demandFlow.shareOut(row, relays);
+}
+
+void NodeState::takeStatus(const proto::UpstreamStatus &status, StatusTable::Side side,
+                           const std::string &origin)
+{
+    if (this->table.apply(status, side, origin))
+        this->statusView.reset();
 }
 
 std::vector<StatusTable::Status> NodeState::takeSilent(Instant now)
@@ -189,8 +188,8 @@
     for (const auto &[id, child] : this->children) {
         if (now - child.heardAt < ChildSilence)
             continue;
-        const auto heard = this->table.heardFrom(id);
-        silent.insert(silent.end(), heard.begin(), heard.end());
+        const auto released = this->table.release(id);
+        silent.insert(silent.end(), released.begin(), released.end());
         gone.push_back(id);
     }
     for (const auto &id : gone) {
@@ -212,7 +211,7 @@
 void NodeState::markLost(const StatusTable::Status &seen)
 {
     if (this->table.markLost(seen))
-        this->touchStatuses();
+        this->statusView.reset();
     this->cureOwn();
 }
 
@@ -325,8 +324,7 @@
 void NodeState::setOwnStatus(proto::UpstreamStatus status)
 {
     this->ownStatus = std::move(status);
-    if (this->table.apply(this->ownStatus, ""))
-        this->touchStatuses();
+    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "");
     this->cureOwn();
 }
 
@@ -340,8 +338,7 @@
         present->sequence() != this->ownStatus.sequence())
         return;
     this->ownStatus.set_liveness(present->liveness() + 1);
-    if (this->table.apply(this->ownStatus, ""))
-        this->touchStatuses();
+    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "");
 }
 
 void NodeState::setSelf(const proto::InstanceEntry &entry)
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -39,24 +39,32 @@
 
     // Exchange with neighbours.
 
-    /// Request for the parent. Takes the demand out; undoRequest() puts it back.
-    proto::SyncRequest makeRequest(const std::string &parent, Instant now);
-    void undoRequest(const proto::SyncRequest &request);
+    /// Request to a parent, and what is known here when it is sent.
+    struct Poll
+    {
+        std::string parent;
+        proto::SyncRequest request;
+        /// Position in the own status table that the request covers.
+        uint64_t position = 0;
+        Instant sentAt{};
+    };
+
+    /// Request for the parent. Takes the demand out; pollFailed() puts it back.
+    Poll makePoll(const std::string &parent, Instant now);
+    /// The parent did not answer.
+    void pollFailed(const Poll &poll, Instant now);
     /// Request that only asks for head, instances, wishes and contact with the platform.
     proto::SyncRequest makeQuery() const;
     /// Answer for a child, or for a query.
     proto::SyncReply answer(const proto::SyncRequest &request, Instant now);
     /// Takes a parent's reply over. Returns true if the parent has to be asked again at once,
-    /// because it had to be told about its new incarnation.
-    bool applyReply(const std::string &parent, const proto::SyncRequest &request,
-                    const proto::SyncReply &reply, Instant sentAt, Instant now);
+    /// because it has started afresh and knows nothing of what it was told before.
+    bool applyReply(const Poll &poll, const proto::SyncReply &reply, Instant now);
     /// Takes the reply to a query of another relay over.
     void applyPeer(const std::string &peer, const proto::SyncReply &reply, Instant sentAt,
                    Instant now);
-    /// The parent did not answer.
-    void parentFailed(const std::string &parent, Instant now);
     /// The process has no parent that answers: demand is shared out from here.
-    void actAsRoot(Instant now);
+    void actAsRoot();
     /// Statuses of neighbours that have gone silent, for a direct check. Each is returned once.
     std::vector<StatusTable::Status> takeSilent(Instant now);
     void markLost(const StatusTable::Status &seen);
@@ -113,13 +121,14 @@
         uint64_t cursor = 0;
         // Position in the own table up to which the parent knows the changes.
         uint64_t sentUp = 0;
-        uint64_t sending = 0;
     };
 
     bool commitIfComplete();
     void applyShared(const proto::SyncReply &reply, Instant sentAt);
     void cureOwn();
-    void touchStatuses() { this->statusView.reset(); }
+    void takeStatus(const proto::UpstreamStatus &status, StatusTable::Side side,
+                    const std::string &origin);
+    void shareOut(const google::protobuf::RepeatedPtrField<proto::Demand> &demand);
     proto::InForce aggregate(Instant now) const;
     bool hasParent() const { return !this->parent.id.empty(); }
 
--- a/src/node/NodeSync.cpp
+++ b/src/node/NodeSync.cpp
@@ -70,20 +70,21 @@
 {
     const milliseconds interval(self->settings.sync_interval_ms());
     while (!self->stopping) {
+        const auto startedAt = self->now();
+        self->woken = false;
         const bool again = co_await self->syncOnce();
         self->startChecks(self->now());
         co_await self->queryPeers();
         if (!self->woken && !again) {
             // Jitter keeps the children of one parent from polling in step.
             const double factor = 0.9 + 0.2 * self->random();
-            self->wakeTimer.expires_after(std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(interval) * factor));
+            const auto wait = std::chrono::duration<double>(interval) * factor;
+            self->wakeTimer.expires_after(std::chrono::duration_cast<Duration>(wait));
             co_await self->wakeTimer.async_wait(Await);
         }
-        if (self->woken) {
-            self->woken = false;
-            co_await self->pause(ShortestInterval);
-        }
+        const auto rest = startedAt + ShortestInterval - self->now();
+        if (rest > Duration::zero())
+            co_await self->pause(rest);
     }
 }
 
@@ -96,7 +97,7 @@
         const std::lock_guard lock(this->mutex);
         this->relaying = this->state.tree().isRelay() || chosen == nullptr;
         if (chosen == nullptr)
-            this->state.actAsRoot(this->now());
+            this->state.actAsRoot();
     }
     if (chosen == nullptr)
         co_return false;
@@ -111,29 +112,29 @@
         this->choice.failed(parent.id(), sentAt, this->random());
         co_return true;
     }
+    NodeState::Poll poll;
     proto::ControlRequest request;
     uint64_t headBefore = 0;
     {
         const std::lock_guard lock(this->mutex);
-        *request.mutable_sync() = this->state.makeRequest(parent.id(), sentAt);
+        poll = this->state.makePoll(parent.id(), sentAt);
         headBefore = this->state.headVersion();
     }
-    const auto reply = co_await this->call(value(address), request,
+    *request.mutable_sync() = poll.request;
+    const auto reply = co_await this->call(value(address), std::move(request),
                                            milliseconds(this->settings.request_timeout_ms()));
     const auto now = this->now();
     if (!isOk(reply) || !value(reply).has_sync()) {
         this->choice.failed(parent.id(), now, this->random());
         const std::lock_guard lock(this->mutex);
-        this->state.undoRequest(request.sync());
-        this->state.parentFailed(parent.id(), now);
+        this->state.pollFailed(poll, now);
         co_return true;
     }
     this->choice.succeeded(parent.id());
     bool again = false;
     {
         const std::lock_guard lock(this->mutex);
-        again =
-            this->state.applyReply(parent.id(), request.sync(), value(reply).sync(), sentAt, now);
+        again = this->state.applyReply(poll, value(reply).sync(), now);
     }
     co_await this->fetchSections(value(address));
     this->noteChange(headBefore);
--- a/tests/node/ControlNodeTest.cpp
+++ b/tests/node/ControlNodeTest.cpp
@@ -2,8 +2,12 @@
 #include "node/NodeCluster.h"
 
 #include "ctl/TicketSubmitter.h"
+#include "membership/RelayTree.h"
 
+#include <algorithm>
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
+#include <spdlog/spdlog.h>
 
 using namespace tray;
 using namespace tray::test;
@@ -55,3 +59,164 @@
     CHECK(first->node->isFresh(std::chrono::steady_clock::now()));
     CHECK(second->node->isFresh(std::chrono::steady_clock::now()));
 }
+
+namespace {
+
+NodeIdentity clusterIdentity(int number)
+{
+    return {"node" + std::to_string(number), "dc" + std::to_string(number % 3),
+            number % 3 == 2 ? "south" : "north", "entry", ""};
+}
+
+/// Thirty nodes in three data centres of two regions. One relay reaches the platform over an own
+/// listener, so that it can be cut off alone.
+struct Cluster
+{
+    static constexpr int Size = 30;
+
+    TestPlatform platform;
+    Address lonelyListener = platform.addListener();
+    // The tree depends on the identities only.
+    const size_t lonely = findRelay();
+    std::vector<std::unique_ptr<TestNode>> nodes;
+
+    Cluster()
+    {
+        for (int i = 0; i < Size; ++i) {
+            const bool own = static_cast<size_t>(i) == this->lonely;
+            this->nodes.push_back(
+                startNode(clusterIdentity(i), own ? this->lonelyListener : this->platform.address));
+        }
+        REQUIRE(eventually(std::chrono::seconds(10), [&] {
+            return this->all([](ControlNode &node) {
+                return node.instances()->instances_size() == Size &&
+                       node.isFresh(std::chrono::steady_clock::now());
+            });
+        }));
+    }
+
+    bool all(const std::function<bool(ControlNode &)> &holds)
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [&](const auto &made) { return !made->node || holds(*made->node); });
+    }
+
+    /// Number of the first relay.
+    static size_t findRelay()
+    {
+        proto::InstanceList list;
+        for (int i = 0; i < Size; ++i) {
+            const auto identity = clusterIdentity(i);
+            auto &entry = *list.add_instances();
+            entry.set_id(identity.instance);
+            entry.set_data_centre(identity.dataCentre);
+            entry.set_region(identity.region);
+        }
+        for (int i = 0; i < Size; ++i) {
+            if (RelayTree(list, list.instances(i)).isRelay())
+                return static_cast<size_t>(i);
+        }
+        return 0;
+    }
+
+    /// A node that works in all cases.
+    size_t other() const { return this->lonely == 0 ? 1 : 0; }
+
+    /// Submits a ticket; returns the head version that it made.
+    uint64_t submit(uint64_t number)
+    {
+        auto &made = *this->nodes[this->other()];
+        TicketSubmitter submitter(made.node->objectApi(), [] { return 0.5; });
+        const auto accepted = made.wait(submitter.submit(
+            tierTicket(number), {}, std::chrono::steady_clock::now() + std::chrono::seconds(5)));
+        REQUIRE(isOk(accepted));
+        return value(accepted).headVersion;
+    }
+
+    bool inForceWithin(uint64_t head, Duration limit)
+    {
+        return eventually(limit, [&] {
+            return this->all([&](ControlNode &node) { return node.headVersion() >= head; });
+        });
+    }
+};
+
+constexpr auto InForceLimit = std::chrono::seconds(4);
+
+} // namespace
+
+TEST_CASE("Thirty nodes follow tickets through faults")
+{
+    spdlog::set_level(spdlog::level::off);
+    Cluster cluster;
+    SUBCASE("a ticket is in force in all nodes in time, and the aggregate says so")
+    {
+        const auto head = cluster.submit(1);
+        CHECK(cluster.inForceWithin(head, InForceLimit));
+        proto::ControlRequest request;
+        request.mutable_status();
+        auto &asked = *cluster.nodes[cluster.other()];
+        CHECK(eventually(std::chrono::seconds(5), [&] {
+            const auto reply = asked.wait(asked.node->call(cluster.nodes[cluster.lonely]->control,
+                                                           request, std::chrono::seconds(1)));
+            return isOk(reply) && value(reply).status().whole().processes() == Cluster::Size &&
+                   value(reply).status().whole().lowest_head() == head;
+        }));
+    }
+    SUBCASE("a dead relay does not delay a ticket beyond the limit")
+    {
+        cluster.nodes[cluster.lonely]->kill();
+        const auto head = cluster.submit(1);
+        CHECK(cluster.inForceWithin(head, InForceLimit));
+    }
+    SUBCASE("a relay that is cut off from the platform follows over its peers")
+    {
+        cluster.platform.platform.setCut(cluster.lonelyListener, true);
+        const auto head = cluster.submit(1);
+        CHECK(cluster.inForceWithin(head, InForceLimit));
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        CHECK(cluster.nodes[cluster.lonely]->node->isFresh(std::chrono::steady_clock::now()));
+        CHECK_FALSE(cluster.nodes[cluster.lonely]->node->isPlatformOut());
+    }
+    SUBCASE("a leaving instance is known to all in time")
+    {
+        auto &leaving = *cluster.nodes[9];
+        const std::string id = leaving.node->identity().instance;
+        leaving.wait(leaving.node->announceLeaving());
+        CHECK(eventually(std::chrono::seconds(3), [&] {
+            return cluster.all([&](ControlNode &node) {
+                const auto list = node.instances();
+                return std::any_of(
+                    list->instances().begin(), list->instances().end(),
+                    [&](const auto &entry) { return entry.id() == id && entry.leaving(); });
+            });
+        }));
+    }
+    SUBCASE("an outage of the platform for all leaves all nodes fresh, and few calls follow it")
+    {
+        boost::json::object fault;
+        fault["outage"] = true;
+        cluster.platform.fault(fault);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+        bool fresh = true;
+        while (std::chrono::steady_clock::now() < until) {
+            fresh = fresh && cluster.all([](ControlNode &node) {
+                return node.isFresh(std::chrono::steady_clock::now());
+            });
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        CHECK(fresh);
+        CHECK(cluster.all([](ControlNode &node) { return node.isPlatformOut(); }));
+        const auto reads = [&] {
+            return cluster.platform.platform.stats().at("reads").to_number<int64_t>();
+        };
+        const auto before = reads();
+        fault["outage"] = false;
+        cluster.platform.fault(fault);
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        // 6 relays, each with a list read and two watches that begin with a list.
+        CHECK(reads() - before <= 60);
+        const auto head = cluster.submit(1);
+        CHECK(cluster.inForceWithin(head, InForceLimit));
+    }
+}
--- /dev/null
+++ b/tests/node/NodeStateTest.cpp
@@ -0,0 +1,212 @@
+// State exchange between neighbours: deltas under loss, duplication and restarts; freshness.
+#include "node/NodeState.h"
+
+#include "support/Property.h"
+
+using namespace tray;
+
+namespace {
+
+constexpr auto Stale = std::chrono::seconds(3);
+constexpr int Nodes = 5;
+
+NodeIdentity identityOf(int number)
+{
+    const std::string id = "n" + std::to_string(number);
+    return {id, "dc", "r", "agent", "u" + std::to_string(number)};
+}
+
+/// A tree of five nodes: node 0 is the root, 1 and 2 its children, 3 and 4 below either of them.
+struct World
+{
+    std::vector<std::unique_ptr<NodeState>> nodes;
+    std::vector<uint64_t> epochs = std::vector<uint64_t>(Nodes, 0);
+    std::vector<uint64_t> sequences = std::vector<uint64_t>(Nodes, 0);
+    std::vector<int> parents = {-1, 0, 0, 1, 2};
+    uint64_t journal = 0;
+    Instant now{std::chrono::hours(1)};
+
+    World()
+    {
+        for (int i = 0; i < Nodes; ++i) {
+            this->nodes.emplace_back();
+            this->restart(i);
+        }
+    }
+
+    void restart(int i)
+    {
+        const auto at = static_cast<size_t>(i);
+        this->nodes[at] = std::make_unique<NodeState>(identityOf(i), ++this->journal, Stale);
+        ++this->epochs[at];
+        this->sequences[at] = 0;
+        this->publish(i);
+    }
+
+    void publish(int i)
+    {
+        const auto at = static_cast<size_t>(i);
+        proto::UpstreamStatus status;
+        status.set_upstream("u" + std::to_string(i));
+        status.set_instance("n" + std::to_string(i));
+        status.set_epoch(this->epochs[at]);
+        status.set_sequence(++this->sequences[at]);
+        this->nodes[at]->setOwnStatus(status);
+    }
+
+    /// One poll of the parent. Lost requests and replies are dropped; a repeated request reaches
+    /// the parent twice, the second time after the reply.
+    void poll(int i, bool requestLost, bool replyLost, bool repeated)
+    {
+        this->now += milliseconds(100);
+        auto &child = *this->nodes[static_cast<size_t>(i)];
+        const int parentNumber = this->parents[static_cast<size_t>(i)];
+        if (parentNumber < 0)
+            return;
+        auto &parent = *this->nodes[static_cast<size_t>(parentNumber)];
+        const auto poll = child.makePoll("n" + std::to_string(parentNumber), this->now);
+        if (requestLost) {
+            child.pollFailed(poll, this->now);
+            return;
+        }
+        const auto reply = parent.answer(poll.request, this->now);
+        if (repeated)
+            (void)parent.answer(poll.request, this->now);
+        if (replyLost)
+            child.pollFailed(poll, this->now);
+        else
+            child.applyReply(poll, reply, this->now);
+    }
+};
+
+} // namespace
+
+TEST_CASE("Status deltas bring everyone to the newest epoch and sequence")
+{
+    // Guards against: a lost or repeated message, a restarted parent or a change of parents that
+    // leaves an old status standing somewhere for good.
+    test::checkProperty("status deltas", 20261206, 300, [] {
+        using Step = std::tuple<int, int, int>;
+        const auto steps = *rc::gen::scale(
+            2, rc::gen::container<std::vector<Step>>(rc::gen::tuple(
+                   rc::gen::inRange(0, 10), rc::gen::inRange(0, Nodes), rc::gen::inRange(0, 8))));
+        World world;
+        for (const auto &[action, node, detail] : steps) {
+            if (action == 0)
+                world.restart(node);
+            else if (action == 1)
+                world.publish(node);
+            else if (action == 2 && node >= 3)
+                world.parents[static_cast<size_t>(node)] = 1 + detail % 2;
+            else if (action == 3) {
+                // Silent children are found out and marked, rightly or wrongly.
+                world.now += NodeState::ChildSilence;
+                auto &state = *world.nodes[static_cast<size_t>(node)];
+                for (const auto &status : state.takeSilent(world.now))
+                    state.markLost(status);
+            } else
+                world.poll(node, detail == 0, detail == 1, detail == 2);
+        }
+        // Wrong marks of loss take a way up and a way down to be cured.
+        for (int round = 0; round < 8; ++round) {
+            for (int i = Nodes - 1; i > 0; --i)
+                world.poll(i, false, false, false);
+        }
+        for (int i = 0; i < Nodes; ++i) {
+            const auto statuses = *world.nodes[static_cast<size_t>(i)]->statuses();
+            RC_ASSERT(statuses.size() == static_cast<size_t>(Nodes));
+            for (const auto &status : statuses) {
+                const auto owner = static_cast<size_t>(status->upstream()[1] - '0');
+                RC_ASSERT(status->epoch() == world.epochs[owner]);
+                RC_ASSERT(status->sequence() == world.sequences[owner]);
+                RC_ASSERT(!status->lost());
+            }
+        }
+    });
+}
+
+TEST_CASE("A node knows how fresh its state is")
+{
+    World world;
+    auto &root = *world.nodes[0];
+    auto &child = *world.nodes[1];
+    root.platformHeard(world.now);
+    world.poll(1, false, false, false);
+    const auto heard = world.now - milliseconds(100);
+    SUBCASE("contact with the platform is passed on with its age")
+    {
+        CHECK(child.isFresh(heard + Stale));
+        CHECK_FALSE(child.isFresh(heard + Stale + milliseconds(1)));
+    }
+    SUBCASE("a process that is cut off is not fresh, even if it suspects an outage")
+    {
+        world.now = heard + Stale + milliseconds(1);
+        CHECK_FALSE(root.isFresh(world.now));
+        CHECK_FALSE(root.isPlatformOut(world.now));
+    }
+    SUBCASE("an outage for all keeps processes fresh")
+    {
+        world.now = heard + Stale * 2;
+        proto::SyncReply peer;
+        peer.set_platform_age_ms(5000);
+        root.applyPeer("relay", peer, world.now, world.now);
+        CHECK(root.isPlatformOut(world.now));
+        world.poll(1, false, false, false);
+        CHECK(child.isPlatformOut(world.now));
+        CHECK(child.isFresh(world.now));
+        SUBCASE("but not one that missed a ticket accepted before")
+        {
+            child.noteHead(9);
+            CHECK_FALSE(child.isFresh(world.now));
+        }
+    }
+    SUBCASE("a peer with contact lends its freshness")
+    {
+        world.now = heard + Stale * 2;
+        proto::SyncReply peer;
+        peer.set_platform_age_ms(100);
+        root.applyPeer("relay", peer, world.now, world.now);
+        CHECK(root.isFresh(world.now));
+    }
+}
+
+TEST_CASE("A node never goes back to an older head")
+{
+    World world;
+    auto &node = *world.nodes[0];
+    proto::Head head;
+    head.set_version(2);
+    node.offerHead(head);
+    CHECK(node.headVersion() == 2);
+    head.set_version(1);
+    node.offerHead(head);
+    CHECK(node.headVersion() == 2);
+    // A head whose sections are not there yet is not in force.
+    head.set_version(3);
+    head.add_section_digests(sectionDigest("x"));
+    node.offerHead(head);
+    CHECK(node.headVersion() == 2);
+    CHECK(node.missing().size() == 1);
+    CHECK_FALSE(node.addSections({"wrong"}));
+    CHECK(node.headVersion() == 2);
+}
+
+TEST_CASE("Demand reaches the planners of all relays once")
+{
+    World world;
+    proto::Demand demand;
+    demand.set_name("llm");
+    demand.set_requests(3);
+    world.nodes[3]->demand().addUp(demand);
+    for (int i = Nodes - 1; i > 0; --i)
+        world.poll(i, false, false, false);
+    world.nodes[0]->actAsRoot();
+    for (int i = 1; i < Nodes; ++i)
+        world.poll(i, false, false, false);
+    for (size_t i = 0; i < 3; ++i) {
+        const auto rows = world.nodes[i]->demand().takeOwn();
+        REQUIRE(rows.size() == 1);
+        CHECK(rows[0].requests() == 3);
+        CHECK(world.nodes[i]->demand().takeOwn().empty());
+    }
+}
