--- /dev/null
+++ b/src/net/Json.cpp
@@ -0,0 +1,2 @@
+// The one translation unit that compiles Boost.JSON, which Debian ships as headers.
+#include <boost/json/src.hpp>
