Add the claim shard: group commit, sealed periods, takeover

Cause: non-idempotent requests may run at most once, and one object per request would exceed the platform's write limit. Change: ClaimShard collects claims for up to 50 ms and commits them with one conditional update of the head; at most 10 writes a second of any object of the shard. A sealed period is named by the version of the head that it holds, so every owner that seals a version writes the same content. A refused begin whose write may still take effect therefore asks the entry instance to release it.

--- /dev/null
+++ b/src/claims/ClaimShard.cpp
@@ -0,0 +1,497 @@
+// Queue, takeover and group commit of one claim shard.
+#include "claims/ClaimShard.h"
+
+#include <algorithm>
+
+namespace tray {
+
+namespace {
+
+// Bounds the work of one commit; periods end far more slowly.
+constexpr int DroppedPeriodsPerCommit = 4;
+
+proto::ClaimReply makeReply(proto::ClaimVerdict verdict)
+{
+    proto::ClaimReply reply;
+    reply.set_verdict(verdict);
+    return reply;
+}
+
+} // namespace
+
+ClaimShard::ClaimShard(uint32_t shard, std::string owner, ClaimShardSettings settings,
+                       NonceSource nonces)
+    : shard(shard), owner(std::move(owner)), settings(settings), nonces(std::move(nonces)),
+      table(settings.retentionMs), answers(settings.answerMemoryBytes),
+      periods(settings.retentionMs)
+{}
+
+// Events
+
+void ClaimShard::begin(const proto::ClaimBegin &begin, uint64_t waiter, Instant now, WallMs wall)
+{
+    if (this->answerFromTable(begin, waiter, now, wall) || this->joinPending(begin, waiter))
+        return;
+    if (now < this->outageUntil || this->queue.bytes() > this->settings.queueBytes) {
+        this->replyTo(waiter, makeReply(proto::CLAIM_VERDICT_UNAVAILABLE));
+        return;
+    }
+    proto::ClaimRecord record;
+    record.set_key(begin.key());
+    record.set_body_digest(begin.body_digest());
+    record.set_claim_id(begin.claim_id());
+    this->enqueue(Kind::Begin, std::move(record), waiter, now);
+    this->step(now, wall);
+}
+
+// Another owner may have changed any verdict but a finished one, so the others need a fresh table.
+bool ClaimShard::answerFromTable(const proto::ClaimBegin &begin, uint64_t waiter, Instant now,
+                                 WallMs wall)
+{
+    if (!this->loaded)
+        return false;
+    ClaimDecision decision = decideBegin(begin, this->table.find(begin.key(), wall), wall);
+    if (decision.write)
+        return false;
+    const bool isFresh = now < this->confirmedAt + this->settings.confirmLimit;
+    if (!isFresh && decision.reply.verdict() != proto::CLAIM_VERDICT_FINISHED) {
+        if (this->phase == Phase::Ready && this->writing == Writing::Nothing)
+            this->phase = Phase::Unread;
+        return false;
+    }
+    this->replyTo(waiter, std::move(decision.reply));
+    return true;
+}
+
+// Joins a claim of the same key that waits for its commit.
+bool ClaimShard::joinPending(const proto::ClaimBegin &begin, uint64_t waiter)
+{
+    const OperationPtr other = this->queue.find(Kind::Begin, begin.key());
+    if (other == nullptr)
+        return false;
+    if (other->record.claim_id() == begin.claim_id())
+        other->waiters.push_back(waiter);
+    else if (other->record.body_digest() == begin.body_digest())
+        this->replyTo(waiter, makeReply(proto::CLAIM_VERDICT_IN_PROGRESS));
+    else
+        this->replyTo(waiter, makeReply(proto::CLAIM_VERDICT_BODY_DIFFERS));
+    return true;
+}
+
+void ClaimShard::finish(const proto::ClaimFinish &finish, uint64_t waiter, Instant now, WallMs wall)
+{
+    proto::ClaimRecord record = finish.record();
+    const OperationPtr same = this->queue.find(Kind::Finish, record.key());
+    if (same != nullptr && same->record.claim_id() == record.claim_id()) {
+        same->waiters.push_back(waiter);
+        return;
+    }
+    if (record.answer().size() > this->settings.answerBytes ||
+        this->queue.bytes() > this->settings.queueBytes) {
+        this->answers.put(record.claim_id(), std::move(*record.mutable_answer()));
+        record.clear_answer();
+        record.set_answer_dropped(true);
+    }
+    this->enqueue(Kind::Finish, std::move(record), waiter, now);
+    this->step(now, wall);
+}
+
+void ClaimShard::release(const proto::ClaimRelease &release, uint64_t waiter, Instant now,
+                         WallMs wall)
+{
+    const OperationPtr same = this->queue.find(Kind::Release, release.key());
+    if (same != nullptr && same->record.claim_id() == release.claim_id()) {
+        same->waiters.push_back(waiter);
+        return;
+    }
+    this->dropQueuedBegin(release);
+    proto::ClaimRecord record;
+    record.set_key(release.key());
+    record.set_claim_id(release.claim_id());
+    this->enqueue(Kind::Release, std::move(record), waiter, now);
+    this->step(now, wall);
+}
+
+void ClaimShard::onRead(uint64_t call, const ReadResult &result, Instant now, WallMs wall)
+{
+    const auto period = this->periodCalls.find(call);
+    if (this->phase == Phase::ReadingHead && call == this->headCall) {
+        this->onHeadRead(result, now, wall);
+    } else if (this->phase == Phase::ReadingPeriods && period != this->periodCalls.end()) {
+        const uint64_t number = period->second;
+        this->periodCalls.erase(period);
+        this->onPeriodRead(number, result, now);
+    }
+    this->step(now, wall);
+}
+
+void ClaimShard::onWritten(uint64_t call, const Result<uint64_t> &result, Instant now, WallMs wall)
+{
+    if (call != this->writeCall || this->writing == Writing::Nothing)
+        return;
+    const Writing ended = std::exchange(this->writing, Writing::Nothing);
+    if (ended == Writing::Period)
+        this->onPeriodWritten(result, now);
+    else
+        this->onHeadWritten(result, now, wall);
+    this->step(now, wall);
+}
+
+std::vector<ClaimAction> ClaimShard::takeActions()
+{
+    return std::exchange(this->actions, {});
+}
+
+bool ClaimShard::isIdle() const
+{
+    return this->queue.isIdle() && this->writing == Writing::Nothing &&
+           this->phase != Phase::ReadingHead && this->phase != Phase::ReadingPeriods;
+}
+
+// Queue
+
+void ClaimShard::enqueue(Kind kind, proto::ClaimRecord record, uint64_t waiter, Instant now)
+{
+    auto operation = std::make_shared<ClaimOperation>();
+    operation->kind = kind;
+    operation->record = std::move(record);
+    operation->waiters.push_back(waiter);
+    operation->since = now;
+    this->queue.add(std::move(operation));
+}
+
+void ClaimShard::dropQueuedBegin(const proto::ClaimRelease &release)
+{
+    const OperationPtr begin = this->queue.find(Kind::Begin, release.key());
+    if (begin == nullptr || begin->inWrite || begin->record.claim_id() != release.claim_id())
+        return;
+    // The release that follows also settles a write that may still take effect.
+    this->replyAll(*begin, makeReply(proto::CLAIM_VERDICT_UNAVAILABLE));
+    this->queue.remove(begin);
+}
+
+void ClaimShard::requeue(ClaimHeadWrite write, bool mayBeWritten)
+{
+    const auto &operations = write.committing();
+    for (auto entry = operations.rbegin(); entry != operations.rend(); ++entry) {
+        entry->first->mayBeWritten |= mayBeWritten;
+        this->queue.putBack(entry->first);
+    }
+}
+
+// Refuses all claims that wait. Finishes and releases stay until they are committed. Only an entry
+// instance may release: the same claim may have been granted through another owner meanwhile, so
+// releasing it here could run the request twice.
+void ClaimShard::refuseWaiters()
+{
+    std::deque<OperationPtr> waiting = this->queue.takeAll();
+    for (auto entry = waiting.rbegin(); entry != waiting.rend(); ++entry) {
+        const OperationPtr &operation = *entry;
+        proto::ClaimReply refusal = makeReply(proto::CLAIM_VERDICT_UNAVAILABLE);
+        if (operation->kind == Kind::Begin && operation->mayBeWritten)
+            refusal.mutable_record()->set_state(proto::CLAIM_STATE_GRANTED);
+        this->replyAll(*operation, refusal);
+        if (operation->kind == Kind::Begin)
+            this->queue.forget(operation);
+        else
+            this->queue.putBack(operation);
+    }
+}
+
+void ClaimShard::replyAll(ClaimOperation &operation, const proto::ClaimReply &reply)
+{
+    for (const uint64_t waiter : operation.waiters)
+        this->replyTo(waiter, reply);
+    operation.waiters.clear();
+}
+
+void ClaimShard::replyTo(uint64_t waiter, proto::ClaimReply reply)
+{
+    if (reply.has_record() && reply.record().answer_dropped()) {
+        if (auto answer = this->answers.find(reply.record().claim_id())) {
+            reply.mutable_record()->set_answer(std::move(*answer));
+            reply.mutable_record()->set_answer_dropped(false);
+        }
+    }
+    ClaimAction action;
+    action.kind = ClaimAction::Kind::Reply;
+    action.id = waiter;
+    action.reply = std::move(reply);
+    this->actions.push_back(std::move(action));
+}
+
+// Reading
+
+void ClaimShard::readHead()
+{
+    this->phase = Phase::ReadingHead;
+    this->headCall = this->call(ClaimAction::Kind::Read, this->objectKey());
+}
+
+void ClaimShard::onHeadRead(const ReadResult &result, Instant now, WallMs wall)
+{
+    proto::ClaimShardHead head;
+    uint64_t headVersion = 0;
+    // A head that was there before cannot vanish; granting without it could run requests again.
+    bool good = !isOk(result) && error(result).kind == ErrorKind::NotFound && this->version == 0;
+    if (isOk(result)) {
+        headVersion = value(result).second;
+        good = head.ParseFromString(value(result).first);
+    }
+    const bool wasUnsettled = std::exchange(this->unsettled, false);
+    if (good && wasUnsettled && head.writer_nonce() == this->headWrite.head().writer_nonce()) {
+        this->phase = Phase::Ready;
+        this->onCommitted(std::move(this->headWrite), headVersion, now, wall);
+        return;
+    }
+    if (wasUnsettled)
+        this->requeue(std::move(this->headWrite), true);
+    if (good)
+        this->adoptHead(std::move(head), headVersion, now);
+    else
+        this->enterOutage(now);
+}
+
+void ClaimShard::adoptHead(proto::ClaimShardHead head, uint64_t newVersion, Instant now)
+{
+    if (this->loaded && newVersion == this->version) {
+        this->confirmedAt = now;
+        this->phase = Phase::Ready;
+        return;
+    }
+    this->newHead = std::move(head);
+    this->newVersion = newVersion;
+    std::deque<uint64_t> missing;
+    for (const uint64_t period : this->newHead.sealed()) {
+        if (!this->periods.contains(period))
+            missing.push_back(period);
+    }
+    this->loader.start(std::move(missing));
+    this->periodCalls.clear();
+    this->phase = Phase::ReadingPeriods;
+    this->readPeriods(now);
+}
+
+void ClaimShard::readPeriods(Instant now)
+{
+    while (const auto period = this->loader.nextToRead(this->settings.parallelReads))
+        this->periodCalls[this->call(ClaimAction::Kind::Read, this->periodKey(*period))] = *period;
+    if (this->loader.isDone())
+        this->finishReading(now);
+}
+
+void ClaimShard::onPeriodRead(uint64_t period, const ReadResult &result, Instant now)
+{
+    PeriodLoader::Loaded loaded;
+    if (!isOk(result) || !loaded.content.ParseFromString(value(result).first)) {
+        // Not found means that a newer head has dropped the period: the head is read again.
+        this->enterOutage(now);
+        return;
+    }
+    loaded.period = period;
+    loaded.objectVersion = value(result).second;
+    this->loader.put(std::move(loaded));
+    while (const auto next = this->loader.takeNext()) {
+        for (const proto::ClaimRecord &record : next->content.records())
+            this->table.apply(record);
+        this->periods.add(next->period, next->content.records(), next->objectVersion);
+    }
+    this->readPeriods(now);
+}
+
+// Records of the former head are still in the table; they are also in the new head or in one of its
+// sealed periods, which were applied after them.
+void ClaimShard::finishReading(Instant now)
+{
+    this->confirmedAt = now;
+    for (const proto::ClaimRecord &record : this->newHead.records())
+        this->table.apply(record);
+    this->committed = std::move(this->newHead);
+    this->version = this->newVersion;
+    this->sealedVersion.reset();
+    this->periods.retain(this->committed.sealed());
+    this->loaded = true;
+    this->phase = Phase::Ready;
+}
+
+// Writing
+
+void ClaimShard::step(Instant now, WallMs wall)
+{
+    this->timer.reset();
+    const bool reading = this->phase == Phase::ReadingHead || this->phase == Phase::ReadingPeriods;
+    if (this->writing != Writing::Nothing || reading || this->queue.isEmpty())
+        return;
+    if (now < this->outageUntil) {
+        this->timer = this->outageUntil;
+    } else if (this->phase == Phase::Unread) {
+        this->readHead();
+    } else if (this->isWriteDue(now)) {
+        if (this->mustSeal(wall))
+            this->writePeriod(now);
+        else
+            this->writeHead(now, wall);
+    }
+}
+
+bool ClaimShard::isWriteDue(Instant now)
+{
+    const Instant collected = this->queue.front()->since + this->settings.collectDelay;
+    // The commit that empties a sealed head follows at once; the next one waits twice as long.
+    const Instant due = this->sealedVersion ? now : std::max(collected, this->nextWriteAt);
+    if (now < due)
+        this->timer = due;
+    return now >= due;
+}
+
+bool ClaimShard::mustSeal(WallMs wall) const
+{
+    if (this->committed.records_size() == 0 || this->sealedVersion)
+        return false;
+    return wall / this->settings.periodMs != this->committed.period() ||
+           this->committed.ByteSizeLong() > this->settings.sealBytes;
+}
+
+// A sealed period is named by the version of the head whose records it holds, so every owner that
+// seals this version writes the same content.
+void ClaimShard::writePeriod(Instant now)
+{
+    proto::ClaimPeriod period;
+    *period.mutable_records() = this->committed.records();
+    this->writing = Writing::Period;
+    this->writeCall = this->call(ClaimAction::Kind::Write, this->periodKey(this->version));
+    this->actions.back().value = period.SerializeAsString();
+    this->countWrite(now);
+}
+
+void ClaimShard::onPeriodWritten(const Result<uint64_t> &result, Instant now)
+{
+    const bool exists = !isOk(result) && error(result).kind == ErrorKind::VersionConflict;
+    const bool isUnclear = !isOk(result) && error(result).kind == ErrorKind::OutcomeUnknown;
+    if (isUnclear && !std::exchange(this->sealWasUnclear, true))
+        return; // Writing the same content again is safe, so the next step just repeats it.
+    this->sealWasUnclear = false;
+    if (!isOk(result) && !exists) {
+        this->enterOutage(now);
+        return;
+    }
+    this->sealedVersion = this->version;
+    this->periods.add(this->version, this->committed.records(), exists ? 0 : value(result));
+}
+
+void ClaimShard::writeHead(Instant now, WallMs wall)
+{
+    ClaimHeadWrite write = this->makeHead(wall);
+    this->fillHead(write, wall);
+    if (write.committing().empty())
+        return;
+    this->headWrite = std::move(write);
+    this->writing = Writing::Head;
+    this->writeCall = this->call(ClaimAction::Kind::Write, this->objectKey());
+    this->actions.back().value = this->headWrite.head().SerializeAsString();
+    this->actions.back().expectedVersion = this->version;
+    this->countWrite(now);
+}
+
+ClaimHeadWrite ClaimShard::makeHead(WallMs wall)
+{
+    ClaimHeadWrite write(this->committed, this->sealedVersion);
+    write.dropPeriods(
+        this->periods.countExpired(this->committed.sealed(), wall, DroppedPeriodsPerCommit));
+    proto::ClaimShardHead &head = write.head();
+    if (head.records_size() == 0)
+        head.set_period(wall / this->settings.periodMs);
+    if (head.owner() != this->owner) {
+        head.set_owner(this->owner);
+        head.set_epoch(head.epoch() + 1);
+    }
+    head.set_writer_nonce(this->nonces());
+    return write;
+}
+
+void ClaimShard::fillHead(ClaimHeadWrite &write, WallMs wall)
+{
+    while (!this->queue.isEmpty() &&
+           write.add(this->queue.front(), this->table, wall, this->settings.headBytes))
+        this->queue.takeFront();
+    for (auto &[operation, reply] : write.takeSettled()) {
+        this->replyAll(*operation, reply);
+        this->queue.forget(operation);
+    }
+}
+
+void ClaimShard::onHeadWritten(const Result<uint64_t> &result, Instant now, WallMs wall)
+{
+    if (isOk(result)) {
+        this->onCommitted(std::move(this->headWrite), value(result), now, wall);
+        return;
+    }
+    const ErrorKind kind = error(result).kind;
+    if (kind == ErrorKind::VersionConflict) {
+        // Another owner has written, or an earlier write of this one took effect late.
+        this->requeue(std::move(this->headWrite), false);
+        this->phase = Phase::Unread;
+    } else if (kind == ErrorKind::PlatformUnavailable || kind == ErrorKind::Overloaded) {
+        this->requeue(std::move(this->headWrite), false);
+        this->enterOutage(now);
+    } else {
+        this->unsettled = true;
+        this->readHead();
+    }
+}
+
+void ClaimShard::onCommitted(ClaimHeadWrite write, uint64_t newVersion, Instant now, WallMs wall)
+{
+    this->confirmedAt = now;
+    this->committed = std::move(write.head());
+    this->version = newVersion;
+    this->loaded = true;
+    this->sealedVersion.reset();
+    for (const proto::ClaimRecord &record : write.records())
+        this->table.apply(record);
+    for (const auto &[operation, reply] : write.committing()) {
+        this->replyAll(*operation, reply);
+        this->queue.forget(operation);
+    }
+    for (const uint64_t period : write.droppedPeriods()) {
+        this->call(ClaimAction::Kind::Remove, this->periodKey(period));
+        this->actions.back().expectedVersion = this->periods.remove(period);
+        this->nextWriteAt += this->settings.commitInterval;
+    }
+    this->table.purge(wall);
+}
+
+void ClaimShard::enterOutage(Instant now)
+{
+    if (this->phase != Phase::Ready)
+        this->phase = Phase::Unread;
+    this->outageUntil = now + this->settings.outageBackoff;
+    this->refuseWaiters();
+}
+
+void ClaimShard::countWrite(Instant now)
+{
+    this->nextWriteAt = std::max(now, this->nextWriteAt) + this->settings.commitInterval;
+}
+
+std::string ClaimShard::objectKey() const
+{
+    return "claims/" + std::to_string(this->shard);
+}
+
+std::string ClaimShard::periodKey(uint64_t period) const
+{
+    return this->objectKey() + "/" + std::to_string(period);
+}
+
+uint64_t ClaimShard::call(ClaimAction::Kind kind, std::string key)
+{
+    ClaimAction action;
+    action.kind = kind;
+    action.id = ++this->lastCall;
+    action.key = std::move(key);
+    this->actions.push_back(std::move(action));
+    return this->lastCall;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/claims/ClaimShard.h
@@ -0,0 +1,183 @@
+// One claim shard as its owner runs it: a state machine that collects claims and commits them in
+// groups.
+#pragma once
+
+#include "base/Result.h"
+#include "claims/ClaimAnswers.h"
+#include "claims/ClaimHeadWrite.h"
+#include "claims/ClaimQueue.h"
+#include "claims/ClaimRules.h"
+#include "claims/ClaimTable.h"
+#include "claims/PeriodLoader.h"
+#include "claims/SealedPeriods.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tray {
+
+/// Limits of a claim shard.
+struct ClaimShardSettings
+{
+    /// Longest time that a claim waits for others before it is written.
+    Duration collectDelay = milliseconds(50);
+    /// Mean time between two writes of any object of the shard; 16 shards at 100 ms stay below 160
+    /// writes a second.
+    Duration commitInterval = milliseconds(100);
+    /// Time without calls after the platform was found to be out.
+    Duration outageBackoff = milliseconds(250);
+    /// A verdict that another owner may have changed is given without a read of the head only if
+    /// the head was read or written this recently.
+    Duration confirmLimit = std::chrono::seconds(1);
+    uint64_t periodMs = 10000;
+    uint64_t retentionMs = 600000;
+    /// Largest answer that is stored inside a record, in bytes.
+    size_t answerBytes = 4096;
+    /// Memory for larger answers, in bytes.
+    size_t answerMemoryBytes = 64u << 20;
+    /// A head of this size is sealed before its period ends, in bytes.
+    size_t sealBytes = 500000;
+    /// Largest head, in bytes; the object API refuses objects above 1 MB.
+    size_t headBytes = 900000;
+    /// New claims are refused while more than this waits for a commit, in bytes.
+    size_t queueBytes = 800000;
+    /// Sealed periods read at once during a takeover.
+    size_t parallelReads = 8;
+};
+
+/// Something that the owner of a shard is to do.
+struct ClaimAction
+{
+    enum class Kind { Read, Write, Remove, Reply };
+
+    Kind kind = Kind::Reply;
+    /// Identity of the call (Read, Write) whose result is passed back, or of the waiter (Reply).
+    uint64_t id = 0;
+    /// Object to read, write or remove.
+    std::string key;
+    std::string value;
+    uint64_t expectedVersion = 0;
+    proto::ClaimReply reply;
+};
+
+/// Owner's side of one claim shard. The head object is the only commit point: a claim is granted
+/// only after a conditional update of the head that holds it. Pure: time is an argument, and calls
+/// to the object API are actions whose results come back as events.
+class ClaimShard
+{
+public:
+    using NonceSource = std::function<uint64_t()>;
+    /// Value and version of an object.
+    using ReadResult = Result<std::pair<std::string, uint64_t>>;
+
+    ClaimShard(uint32_t shard, std::string owner, ClaimShardSettings settings, NonceSource nonces);
+
+    /// Events from entry instances. The waiter is named by one reply action. A refused begin whose
+    /// reply holds a record in state granted may still be granted by a write on its way; the entry
+    /// instance must release it. A release is settled if its reply holds a record.
+    void begin(const proto::ClaimBegin &begin, uint64_t waiter, Instant now, WallMs wall);
+    void finish(const proto::ClaimFinish &finish, uint64_t waiter, Instant now, WallMs wall);
+    void release(const proto::ClaimRelease &release, uint64_t waiter, Instant now, WallMs wall);
+    /// The time named by nextTimer() has come.
+    void onTimer(Instant now, WallMs wall) { this->step(now, wall); }
+    /// Results of calls, with the errors of ObjectApi.
+    void onRead(uint64_t call, const ReadResult &result, Instant now, WallMs wall);
+    void onWritten(uint64_t call, const Result<uint64_t> &result, Instant now, WallMs wall);
+
+    /// Actions since the last call, in order.
+    std::vector<ClaimAction> takeActions();
+    /// Time at which onTimer() is to be called, if any.
+    std::optional<Instant> nextTimer() const { return this->timer; }
+    /// Nothing waits for a commit and no call is outstanding.
+    bool isIdle() const;
+    /// Committed records in memory.
+    size_t recordCount() const { return this->table.size(); }
+
+private:
+    using Kind = ClaimOperationKind;
+    using OperationPtr = ClaimOperationPtr;
+
+    enum class Phase { Unread, ReadingHead, ReadingPeriods, Ready };
+    enum class Writing { Nothing, Period, Head };
+
+    void enqueue(Kind kind, proto::ClaimRecord record, uint64_t waiter, Instant now);
+    void dropQueuedBegin(const proto::ClaimRelease &release);
+    void requeue(ClaimHeadWrite write, bool mayBeWritten);
+    void refuseWaiters();
+    bool answerFromTable(const proto::ClaimBegin &begin, uint64_t waiter, Instant now, WallMs wall);
+    bool joinPending(const proto::ClaimBegin &begin, uint64_t waiter);
+    void replyAll(ClaimOperation &operation, const proto::ClaimReply &reply);
+    void replyTo(uint64_t waiter, proto::ClaimReply reply);
+
+    void readHead();
+    void onHeadRead(const ReadResult &result, Instant now, WallMs wall);
+    void adoptHead(proto::ClaimShardHead head, uint64_t newVersion, Instant now);
+    void readPeriods(Instant now);
+    void onPeriodRead(uint64_t period, const ReadResult &result, Instant now);
+    void finishReading(Instant now);
+
+    void step(Instant now, WallMs wall);
+    bool isWriteDue(Instant now);
+    bool mustSeal(WallMs wall) const;
+    void writePeriod(Instant now);
+    void writeHead(Instant now, WallMs wall);
+    ClaimHeadWrite makeHead(WallMs wall);
+    void fillHead(ClaimHeadWrite &write, WallMs wall);
+    void onPeriodWritten(const Result<uint64_t> &result, Instant now);
+    void onHeadWritten(const Result<uint64_t> &result, Instant now, WallMs wall);
+    void onCommitted(ClaimHeadWrite write, uint64_t newVersion, Instant now, WallMs wall);
+    void enterOutage(Instant now);
+    void countWrite(Instant now);
+    std::string objectKey() const;
+    std::string periodKey(uint64_t period) const;
+    uint64_t call(ClaimAction::Kind kind, std::string key);
+
+    const uint32_t shard;
+    const std::string owner;
+    const ClaimShardSettings settings;
+    const NonceSource nonces;
+
+    Phase phase = Phase::Unread;
+    // The table reflects at least one whole head; it stays usable while a newer one is read.
+    bool loaded = false;
+    // When the head was last read or committed here.
+    Instant confirmedAt{};
+    // Head as last read or committed, and its version; 0 while the object does not exist.
+    proto::ClaimShardHead committed;
+    uint64_t version = 0;
+    ClaimTable table;
+    ClaimAnswers answers;
+    // Sealed periods whose records are in the table.
+    SealedPeriods periods;
+
+    ClaimQueue queue;
+
+    Writing writing = Writing::Nothing;
+    uint64_t writeCall = 0;
+    ClaimHeadWrite headWrite;
+    // headWrite ended without a clear result; the head is reread to settle it.
+    bool unsettled = false;
+    // Version of the head whose records are sealed but still in the head.
+    std::optional<uint64_t> sealedVersion;
+    // The last write of a sealed period had no clear result.
+    bool sealWasUnclear = false;
+
+    uint64_t headCall = 0;
+    // Head whose sealed periods are being read, and the calls that read them.
+    proto::ClaimShardHead newHead;
+    uint64_t newVersion = 0;
+    PeriodLoader loader;
+    std::map<uint64_t, uint64_t> periodCalls;
+
+    uint64_t lastCall = 0;
+    Instant nextWriteAt{};
+    Instant outageUntil{};
+    std::optional<Instant> timer;
+    std::vector<ClaimAction> actions;
+};
+
+} // namespace tray
