Add routing and the entry instance

Cause: callers need one HTTP address in front of all upstreams, with retries that are safe. Change: upstream views, least-loaded and predictive routing, retry budget, state machines of attempts and requests; tray-entry with callers' API, authentication, attempts over pooled data channels with resume, claims of non-idempotent requests, suspects, drain. FrameChannel::rebind() moves an idle channel to the strand that takes it from the pool. The HTTP path is compiled, but not yet run.

--- /dev/null
+++ b/src/entry/AttemptRunner.cpp
@@ -0,0 +1,181 @@
+// Data channel side of an attempt.
+#include "entry/AttemptRunner.h"
+
+#include <boost/asio/this_coro.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Frame with the identity of another one and no body.
+proto::Frame frameLike(const proto::Frame &frame)
+{
+    proto::Frame other;
+    other.set_request_id(frame.request_id());
+    other.set_attempt_number(frame.attempt_number());
+    other.set_head_version(frame.head_version());
+    return other;
+}
+
+const proto::Load *loadOf(const proto::Frame &frame)
+{
+    switch (frame.body_case()) {
+    case proto::Frame::kAdmitted:
+        return frame.admitted().has_load() ? &frame.admitted().load() : nullptr;
+    case proto::Frame::kRefused:
+        return frame.refused().has_load() ? &frame.refused().load() : nullptr;
+    case proto::Frame::kEnd:
+        return frame.end().has_load() ? &frame.end().load() : nullptr;
+    case proto::Frame::kFailed:
+        return frame.failed().has_load() ? &frame.failed().load() : nullptr;
+    case proto::Frame::kHeartbeat:
+        return frame.heartbeat().has_load() ? &frame.heartbeat().load() : nullptr;
+    default:
+        return nullptr;
+    }
+}
+
+} // namespace
+
+struct AttemptRunner::Progress
+{
+    AttemptMachine machine;
+    std::unique_ptr<FrameChannel> channel;
+    uint64_t acknowledged = 0;
+};
+
+asio::awaitable<AttemptOutcome> AttemptRunner::run(AttemptJob &job, AnswerSink &sink)
+{
+    Progress progress{AttemptMachine(job.frame.request_id(), job.frame.attempt_number()), {}};
+    auto &machine = progress.machine;
+    const auto executor = co_await asio::this_coro::executor;
+    progress.channel = this->pool.take(toString(job.address), executor, clockNow());
+    AttemptStep step = progress.channel ? machine.onConnected() : AttemptStep::Dial;
+    while (step != AttemptStep::Finish) {
+        if (clockNow() >= job.limit) {
+            step = machine.onGivenUp(ErrorKind::Timeout, "the answer did not arrive in time");
+            break;
+        }
+        if (step == AttemptStep::Dial) {
+            step = co_await this->dial(job, progress);
+        } else if (step == AttemptStep::SendAttempt) {
+            const auto sent = co_await progress.channel->send(job.frame, Silence);
+            step = isOk(sent) ? AttemptStep::Receive : machine.onChannelLost();
+        } else if (step == AttemptStep::SendResume) {
+            step = co_await this->sendResume(job, progress);
+        } else {
+            step = co_await this->receive(job, progress, sink);
+        }
+    }
+    const auto &outcome = machine.outcome();
+    if (outcome.unreachable)
+        job.view->noteUnreachable(clockNow());
+    if (outcome.end == AttemptEnd::Lost && machine.isSent())
+        co_await this->cancel(job, progress);
+    this->metrics.resumes.add(machine.resumes());
+    this->metrics.droppedFrames.add(machine.droppedFrames());
+    job.answerBytes = machine.received();
+    // A channel that had to be cancelled may still bring frames of this attempt.
+    if (outcome.end != AttemptEnd::Lost)
+        job.channel = std::move(progress.channel);
+    co_return outcome;
+}
+
+asio::awaitable<AttemptStep> AttemptRunner::dial(AttemptJob &job, Progress &progress)
+{
+    progress.channel.reset();
+    const auto executor = co_await asio::this_coro::executor;
+    auto connected = co_await FrameChannel::connect(executor, job.address, Silence);
+    if (!isOk(connected))
+        co_return progress.machine.onConnectFailed();
+    progress.channel = std::move(value(connected));
+    co_return progress.machine.onConnected();
+}
+
+asio::awaitable<AttemptStep> AttemptRunner::sendResume(AttemptJob &job, Progress &progress)
+{
+    auto frame = frameLike(job.frame);
+    frame.mutable_resume()->set_offset(progress.machine.received());
+    const auto sent = co_await progress.channel->send(frame, Silence);
+    co_return isOk(sent) ? AttemptStep::Receive : progress.machine.onChannelLost();
+}
+
+asio::awaitable<AttemptStep> AttemptRunner::receive(AttemptJob &job, Progress &progress,
+                                                    AnswerSink &sink)
+{
+    auto &machine = progress.machine;
+    const Duration left = std::max<Duration>(job.limit - clockNow(), milliseconds(1));
+    auto received = co_await progress.channel->receive(std::min<Duration>(Silence, left));
+    const auto now = clockNow();
+    if (!isOk(received)) {
+        if (now >= job.limit)
+            co_return machine.onGivenUp(ErrorKind::Timeout, "the answer did not arrive in time");
+        co_return machine.onChannelLost();
+    }
+    auto &frame = value(received);
+    const bool isData = frame.body_case() == proto::Frame::kData;
+    if (!isData)
+        this->noteFrame(job, frame, now);
+    const bool isHeartbeat = frame.body_case() == proto::Frame::kHeartbeat;
+    auto step = machine.onFrame(frame);
+    bool isWanted = !(isHeartbeat && sink.isAbandoned());
+    if (auto head = machine.takeHead(); head && isWanted) {
+        proto::ResponseHead taken = std::move(*head);
+        isWanted = co_await sink.onHead(std::move(taken));
+    }
+    if (auto data = machine.takeData(); !data.empty() && isWanted)
+        isWanted = co_await sink.onData(std::move(data));
+    if (!isWanted && step != AttemptStep::Finish)
+        co_return machine.onGivenUp(ErrorKind::Cancelled, "the caller has closed its connection");
+    if (step == AttemptStep::Receive &&
+        machine.received() - progress.acknowledged >= AcknowledgeBytes) {
+        progress.acknowledged = machine.received();
+        co_await this->acknowledge(job, *progress.channel, progress.acknowledged);
+    }
+    co_return step;
+}
+
+void AttemptRunner::noteFrame(const AttemptJob &job, const proto::Frame &frame, Instant now)
+{
+    job.view->noteReachable();
+    if (const auto *load = loadOf(frame))
+        job.view->noteLoad(*load, now);
+    if (frame.head_version() > job.frame.head_version())
+        this->state.noteHeadVersion(frame.head_version());
+}
+
+asio::awaitable<void> AttemptRunner::acknowledge(AttemptJob &job, FrameChannel &channel,
+                                                 uint64_t offset)
+{
+    auto frame = frameLike(job.frame);
+    frame.mutable_acknowledge()->set_offset(offset);
+    co_await channel.send(frame, Silence);
+}
+
+asio::awaitable<void> AttemptRunner::cancel(AttemptJob &job, Progress &progress)
+{
+    // Work that may not be repeated is left to run to its end.
+    if (!job.frame.attempt().idempotent() || !progress.channel)
+        co_return;
+    auto frame = frameLike(job.frame);
+    frame.mutable_cancel();
+    co_await progress.channel->send(frame, Silence);
+}
+
+asio::awaitable<void> AttemptRunner::release(AttemptJob &job)
+{
+    if (!job.channel)
+        co_return;
+    if (job.answerBytes > 0)
+        co_await this->acknowledge(job, *job.channel, job.answerBytes);
+    this->pool.put(toString(job.address), std::move(job.channel), clockNow());
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/ChannelPool.cpp
@@ -0,0 +1,50 @@
+// Pool of data channels.
+#include "entry/ChannelPool.h"
+
+#include "base/Hash.h"
+
+namespace tray {
+
+ChannelPool::Shard &ChannelPool::shardOf(const std::string &address)
+{
+    return this->shards[hash64(address) % ShardCount];
+}
+
+std::unique_ptr<FrameChannel> ChannelPool::take(const std::string &address,
+                                                const boost::asio::any_io_executor &executor,
+                                                Instant now)
+{
+    auto &shard = this->shardOf(address);
+    while (true) {
+        Idle idle;
+        {
+            const std::lock_guard lock(shard.mutex);
+            const auto found = shard.idle.find(address);
+            if (found == shard.idle.end() || found->second.empty())
+                return nullptr;
+            idle = std::move(found->second.back());
+            found->second.pop_back();
+        }
+        // Closing happens here, outside of the lock, when idle goes out of scope.
+        if (now - idle.since > MaxIdleTime || !idle.channel->isUsable())
+            continue;
+        if (auto channel = FrameChannel::rebind(std::move(idle.channel), executor))
+            return channel;
+    }
+}
+
+void ChannelPool::put(const std::string &address, std::unique_ptr<FrameChannel> channel,
+                      Instant now)
+{
+    auto &shard = this->shardOf(address);
+    Idle surplus;
+    const std::lock_guard lock(shard.mutex);
+    auto &idle = shard.idle[address];
+    if (!idle.empty() && (idle.size() >= MaxIdle || now - idle.front().since > MaxIdleTime)) {
+        surplus = std::move(idle.front());
+        idle.pop_front();
+    }
+    idle.push_back({std::move(channel), now});
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/ControlNodePorts.h
@@ -0,0 +1,68 @@
+// The entry's ports over the embedded control node.
+#pragma once
+
+#include "entry/EntryPorts.h"
+#include "node/ClaimClient.h"
+#include "node/ControlNode.h"
+
+namespace tray {
+
+/// StatePort over a ControlNode.
+class ControlNodeState : public StatePort
+{
+public:
+    explicit ControlNodeState(ControlNode &node) : node(node) {}
+
+    std::shared_ptr<const Catalogue> catalogue() const override { return this->node.catalogue(); }
+    RouteSources routeSources() const override
+    {
+        return {this->node.statuses(), this->node.instances()};
+    }
+    bool isFresh(Instant now) const override { return this->node.isFresh(now); }
+    void noteHeadVersion(uint64_t seen) override { this->node.noteHeadVersion(seen); }
+    void addDemand(const proto::Demand &demand) override { this->node.addDemand(demand); }
+    void reportCrash(uint64_t contentDigest, const std::string &upstream, Instant now) override
+    {
+        this->node.reportCrash(contentDigest, upstream, now);
+    }
+    uint32_t crashesOf(uint64_t contentDigest, Instant now) const override
+    {
+        return this->node.crashesOf(contentDigest, now);
+    }
+
+private:
+    ControlNode &node;
+};
+
+/// ClaimPort over a ClaimClient.
+class ControlNodeClaims : public ClaimPort
+{
+public:
+    explicit ControlNodeClaims(ControlNode &node) : client(node) {}
+
+    boost::asio::awaitable<proto::ClaimReply> begin(std::string member, std::string idempotencyKey,
+                                                    uint64_t bodyDigest, std::string claimId,
+                                                    Instant deadline) override
+    {
+        return this->client.begin(std::move(member), std::move(idempotencyKey), bodyDigest,
+                                  std::move(claimId), deadline);
+    }
+    boost::asio::awaitable<void> finish(std::string member, std::string idempotencyKey,
+                                        std::string claimId, int status, std::string contentType,
+                                        std::string answer) override
+    {
+        return this->client.finish(std::move(member), std::move(idempotencyKey), std::move(claimId),
+                                   status, std::move(contentType), std::move(answer));
+    }
+    boost::asio::awaitable<void> release(std::string member, std::string idempotencyKey,
+                                         std::string claimId) override
+    {
+        return this->client.release(std::move(member), std::move(idempotencyKey),
+                                    std::move(claimId));
+    }
+
+private:
+    ClaimClient client;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/EntryMain.cpp
@@ -0,0 +1,139 @@
+// tray-entry: entry instance for callers.
+#include "config/ProgramOptions.h"
+#include "entry/ControlNodePorts.h"
+#include "entry/EntryServer.h"
+#include "net/AdminServer.h"
+#include "net/Service.h"
+#include "observe/Log.h"
+
+#include "settings_entry.pb.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iostream>
+
+namespace {
+
+using namespace tray;
+namespace asio = boost::asio;
+
+EntryOptions optionsOf(const proto::EntrySettings &settings)
+{
+    const auto &entry = settings.entry();
+    EntryOptions options;
+    options.dataCentre = settings.instance().data_centre();
+    options.region = settings.instance().region();
+    options.routing = entry.routing();
+    options.retryPercent = entry.retry_percent();
+    options.limits.bodyBytes = entry.body_limit_bytes();
+    options.limits.headerBytes = entry.header_limit_bytes();
+    options.limits.requestTimeout = milliseconds(entry.header_timeout_ms());
+    options.bufferLimit = entry.answer_buffer_bytes();
+    options.lateAnswer = milliseconds(entry.late_answer_ms());
+    return options;
+}
+
+NodeIdentity identityOf(const proto::EntrySettings &settings)
+{
+    const auto &instance = settings.instance();
+    return {instance.id(), instance.data_centre(), instance.region(), "entry", ""};
+}
+
+/// All parts of the process.
+class EntryProcess
+{
+public:
+    explicit EntryProcess(const proto::EntrySettings &settings)
+        : settings(settings), node(this->context, identityOf(settings), settings.platform(),
+                                   settings.control(), this->metrics, this->events),
+          state(this->node), claims(this->node),
+          server(this->context, optionsOf(settings), this->state, this->claims, this->metrics),
+          admin(this->context, this->metrics, [this] { return this->isReady(); })
+    {}
+
+    Result<Unit> start()
+    {
+        this->metrics.gauge("tray_entry_in_flight",
+                            [this] { return static_cast<double>(this->server.inFlight()); });
+        const auto controlAddress = this->node.listen();
+        if (!isOk(controlAddress))
+            return error(controlAddress);
+        const auto address =
+            this->server.listen(value(parseAddress(this->settings.entry().listen())));
+        if (!isOk(address))
+            return error(address);
+        const auto adminAddress =
+            this->admin.listen(value(parseAddress(this->settings.admin().listen())));
+        if (!isOk(adminAddress))
+            return error(adminAddress);
+        this->node.start(value(address));
+        spdlog::info("event=listening callers={} admin={} control={}", toString(value(address)),
+                     toString(value(adminAddress)), toString(value(controlAddress)));
+        return Unit{};
+    }
+
+    bool run()
+    {
+        const auto &entry = this->settings.entry();
+        // The stop itself waits for the drain; the margin lets the last answers be written.
+        return runService(
+            this->context, entry.threads(), [this] { return this->stop(); },
+            milliseconds(entry.drain_grace_ms() + entry.drain_timeout_ms()) +
+                std::chrono::seconds(2));
+    }
+
+private:
+    bool isReady() const
+    {
+        return !this->stopping && this->node.isFresh(std::chrono::steady_clock::now());
+    }
+
+    asio::awaitable<void> stop()
+    {
+        this->stopping = true;
+        co_await this->node.announceLeaving();
+        // The balancer sends callers here until it has seen that readiness is withdrawn.
+        co_await this->pause(milliseconds(this->settings.entry().drain_grace_ms()));
+        this->server.drain();
+        while (this->server.inFlight() > 0)
+            co_await this->pause(milliseconds(10));
+        this->admin.drain();
+        this->node.stop();
+    }
+
+    asio::awaitable<void> pause(Duration duration)
+    {
+        asio::steady_timer timer(this->context, duration);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
+    const proto::EntrySettings settings;
+    asio::io_context context;
+    Metrics metrics;
+    EventRing events;
+    ControlNode node;
+    ControlNodeState state;
+    ControlNodeClaims claims;
+    EntryServer server;
+    AdminServer admin;
+    std::atomic<bool> stopping{false};
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    proto::EntrySettings settings;
+    if (const auto status = readProgramOptions(
+            argc, argv, "tray-entry", "Entry instance: takes callers' requests.", settings))
+        return *status;
+    setUpLog(settings.instance().id(), settings.log().level());
+    EntryProcess process(settings);
+    if (const auto started = process.start(); !isOk(started)) {
+        std::cerr << "tray-entry: " << error(started).message << "\n";
+        return ExitFailure;
+    }
+    return process.run() ? ExitOk : ExitFailure;
+}
--- /dev/null
+++ b/src/entry/EntryServer.h
@@ -0,0 +1,48 @@
+// HTTP server for callers.
+#pragma once
+
+#include "entry/Exchange.h"
+#include "net/HttpServer.h"
+
+namespace tray {
+
+/// Settings of the callers' side.
+struct EntryOptions
+{
+    std::string dataCentre;
+    std::string region;
+    std::string routing = "predictive";
+    unsigned retryPercent = 10;
+    HttpServerLimits limits;
+    size_t bufferLimit = 4u << 20;
+    Duration lateAnswer = std::chrono::seconds(30);
+};
+
+/// Takes callers' requests and routes them. All references must outlive the context's run.
+class EntryServer
+{
+public:
+    EntryServer(boost::asio::io_context &context, const EntryOptions &options, StatePort &state,
+                ClaimPort &claims, Metrics &metrics);
+
+    Result<Address> listen(const Address &address) { return this->server.listen(address); }
+    /// Stops to accept; requests in flight go on.
+    void drain() { this->server.drain(); }
+    size_t inFlight() const { return this->server.inFlight(); }
+
+private:
+    boost::asio::awaitable<void> serve(HttpRequest request, HttpResponder &responder);
+    HttpResponse listModels(const HttpRequest &request) const;
+
+    StatePort &state;
+    EntryMetrics metrics;
+    Router router;
+    RetryBudget budget;
+    ChannelPool pool;
+    AttemptRunner runner;
+    SuspectGate suspects;
+    EntryServices services;
+    HttpServer server;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/Exchange.cpp
@@ -0,0 +1,339 @@
+// Life of one request.
+#include "entry/Exchange.h"
+
+#include "base/Hash.h"
+#include "entry/ErrorReply.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::mt19937_64 &threadRandom()
+{
+    thread_local std::mt19937_64 random(newNonce());
+    return random;
+}
+
+asio::awaitable<void> sleepFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+AnswerMode modeOf(const CallerRequest &request, const EntryServices &services)
+{
+    return {request.call.stream, !request.idempotencyKey.empty(), services.bufferLimit};
+}
+
+} // namespace
+
+Exchange::Exchange(EntryServices &services, CallerRequest given, HttpResponder &responder)
+    : services(services), request(std::move(given)), responder(responder), requestId(newIdentity()),
+      machine(this->request.idempotent), callerAnswer(responder, modeOf(this->request, services))
+{}
+
+asio::awaitable<void> Exchange::run()
+{
+    const auto now = clockNow();
+    this->services.metrics.requests.add();
+    this->services.budget.noteFresh(now);
+    if (!this->services.state.isFresh(now)) {
+        Error stale{ErrorKind::Stale, "this instance has no fresh state of the system"};
+        co_await this->fail(std::move(stale), Ran::No);
+    } else if (this->request.idempotencyKey.empty()) {
+        co_await this->dispatch();
+    } else {
+        co_await this->runClaimed();
+    }
+    co_await this->services.runner.release(this->job);
+}
+
+asio::awaitable<void> Exchange::runClaimed()
+{
+    const std::string claimId = newIdentity();
+    const proto::ClaimReply reply = co_await this->awaitClaim(claimId);
+    Error failure;
+    switch (reply.verdict()) {
+    case proto::CLAIM_VERDICT_GRANTED: {
+        const auto end = co_await this->dispatch();
+        co_await this->settleClaim(claimId, end);
+        co_return;
+    }
+    case proto::CLAIM_VERDICT_FINISHED:
+        co_await this->replay(reply.record());
+        co_return;
+    case proto::CLAIM_VERDICT_IN_PROGRESS:
+        failure = {ErrorKind::InProgress, "a request with this idempotency key has not finished"};
+        break;
+    case proto::CLAIM_VERDICT_BODY_DIFFERS:
+        failure = {ErrorKind::IdempotencyConflict,
+                   "this idempotency key was used with another request"};
+        break;
+    default:
+        failure = {ErrorKind::PlatformUnavailable, "the request cannot be claimed now"};
+        break;
+    }
+    const auto ran = errorAnswer(failure.kind).ran;
+    co_await this->fail(std::move(failure), ran);
+}
+
+asio::awaitable<proto::ClaimReply> Exchange::awaitClaim(std::string claimId)
+{
+    while (true) {
+        auto reply = co_await this->services.claims.begin(
+            this->request.member, this->request.idempotencyKey, this->request.claimDigest, claimId,
+            this->request.deadline);
+        if (reply.verdict() != proto::CLAIM_VERDICT_IN_PROGRESS ||
+            clockNow() + ClaimPoll >= this->request.deadline || this->responder.isPeerGone())
+            co_return reply;
+        co_await sleepFor(ClaimPoll);
+    }
+}
+
+asio::awaitable<void> Exchange::settleClaim(std::string claimId, End end)
+{
+    auto &claims = this->services.claims;
+    if (end == End::Answered && this->callerAnswer.hasCopy()) {
+        auto copy = this->callerAnswer.takeCopy();
+        co_await claims.finish(this->request.member, this->request.idempotencyKey, claimId,
+                               this->callerAnswer.status(), this->callerAnswer.contentType(),
+                               std::move(copy));
+    } else if (end == End::Failed && this->machine.ran() == Ran::No) {
+        co_await claims.release(this->request.member, this->request.idempotencyKey, claimId);
+    }
+}
+
+asio::awaitable<void> Exchange::replay(proto::ClaimRecord record)
+{
+    if (record.answer_dropped()) {
+        Error expired{ErrorKind::AnswerExpired, "the request ran; its answer is no longer kept"};
+        co_await this->fail(std::move(expired), Ran::Yes);
+        co_return;
+    }
+    this->services.metrics.replayedAnswers.add();
+    auto response = makeResponse(static_cast<int>(record.status()), record.content_type(),
+                                 std::move(*record.mutable_answer()));
+    response.headers.emplace_back("Idempotent-Replayed", "true");
+    const auto now = clockNow();
+    co_await this->responder.respond(std::move(response));
+    this->services.metrics.countAnswer(this->request.tierName, now <= this->request.deadline,
+                                       now - this->request.arrived);
+}
+
+asio::awaitable<Exchange::End> Exchange::dispatch()
+{
+    while (true) {
+        const auto now = clockNow();
+        const auto crashes = this->services.state.crashesOf(this->request.contentDigest, now);
+        if (crashes >= 2) {
+            Error refused{ErrorKind::SuspectRefused,
+                          "this request has crashed two upstreams and is not run again"};
+            co_return co_await this->fail(std::move(refused), this->machine.ran());
+        }
+        if (now >= this->request.deadline) {
+            Error late{ErrorKind::Timeout, "the deadline of the tier has passed"};
+            co_return co_await this->fail(std::move(late), this->machine.ran());
+        }
+        const bool isSuspect = crashes == 1;
+        if (isSuspect && !this->services.suspects.enter(this->request.contentDigest)) {
+            Error alone{ErrorKind::Overloaded,
+                        "the same request runs already and is suspected of a crash"};
+            co_return co_await this->fail(std::move(alone), this->machine.ran());
+        }
+        auto choice = this->route(now);
+        RequestStep step = RequestStep::GiveUp;
+        if (choice)
+            step = co_await this->attempt(std::move(*choice), isSuspect);
+        if (isSuspect)
+            this->services.suspects.leave(this->request.contentDigest);
+        if (step == RequestStep::Answer)
+            co_return co_await this->answer();
+        if (step == RequestStep::Retry)
+            continue;
+        if (step == RequestStep::Abort) {
+            this->services.metrics.abortedStreams.add();
+            this->services.metrics.countError(this->request.tierName, ErrorKind::StreamBroken);
+            this->countDemand(false, true);
+            this->responder.abort();
+            co_return End::Aborted;
+        }
+        Error failure = this->machine.failure();
+        if (this->machine.attemptCount() == 0)
+            failure = {ErrorKind::NoReplica, "no upstream can take the request now"};
+        co_return co_await this->fail(std::move(failure), this->machine.ran());
+    }
+}
+
+std::optional<RouteChoice> Exchange::route(Instant now)
+{
+    RouteTarget target;
+    target.pool = this->request.pool;
+    if (this->request.model != nullptr) {
+        target.model = this->request.call.model;
+        target.adapter = this->request.call.adapter;
+        target.version = this->request.model->version();
+    } else {
+        target.service = this->request.service;
+    }
+    RouteQuery query;
+    query.tierRank = this->request.tier->rank();
+    query.remaining = this->request.deadline - now;
+    query.promptTokens = this->request.call.promptTokens;
+    query.maxTokens = this->request.call.maxTokens;
+    query.prefixDigests = this->request.call.prefixDigests;
+    query.prefixTokens = this->request.call.prefixTokens;
+    query.homeRegion = this->request.homeRegion;
+    // About four bytes a token, and the framing of a stream around each.
+    query.bytes = this->request.http.body.size() + uint64_t{query.maxTokens} * 4;
+    return this->services.router.choose(target, query, this->services.state.routeSources(),
+                                        this->excluded, now, threadRandom());
+}
+
+asio::awaitable<RequestStep> Exchange::attempt(RouteChoice choice, bool isSuspect)
+{
+    const auto sentAt = clockNow();
+    const auto late = std::min<Duration>(this->services.lateAnswer,
+                                         milliseconds(this->request.tier->deadline_ms()));
+    this->job = AttemptJob{};
+    this->job.frame = this->makeFrame(this->machine.beginAttempt(), isSuspect, sentAt);
+    this->job.view = choice.view;
+    this->job.limit = this->request.deadline + late;
+    auto address = parseAddress(choice.status->data_address());
+    AttemptOutcome outcome;
+    choice.view->noteSent(this->request.call.prefixDigests);
+    this->services.metrics.attempts.add();
+    if (isOk(address)) {
+        this->job.address = value(address);
+        outcome = co_await this->services.runner.run(this->job, this->callerAnswer);
+    } else {
+        outcome.end = AttemptEnd::NotRun;
+        outcome.kind = ErrorKind::UpstreamUnreachable;
+        outcome.message = error(address).message;
+    }
+    this->noteOutcome(choice, outcome, sentAt);
+    if (outcome.engineLost)
+        co_await this->awaitCrashCount();
+    const auto now = clockNow();
+    AttemptFacts facts;
+    facts.answerStarted = this->callerAnswer.isStarted();
+    facts.withinDeadline = now < this->request.deadline;
+    if (!facts.answerStarted && facts.withinDeadline && this->machine.mayRetry(outcome)) {
+        facts.budgetAllows = this->services.budget.take(now);
+        (facts.budgetAllows ? this->services.metrics.retries : this->services.metrics.retriesDenied)
+            .add();
+    }
+    const auto step = this->machine.onOutcome(outcome, facts);
+    if (step == RequestStep::Retry) {
+        co_await this->services.runner.release(this->job);
+        this->callerAnswer.reset();
+    }
+    co_return step;
+}
+
+void Exchange::noteOutcome(const RouteChoice &choice, const AttemptOutcome &outcome, Instant sentAt)
+{
+    const auto now = clockNow();
+    const bool isWhole = outcome.end == AttemptEnd::Whole;
+    choice.view->noteEnded(isWhole ? now - sentAt : Duration::zero());
+    if (outcome.kind == ErrorKind::Draining)
+        choice.view->noteDraining(now);
+    if (outcome.engineLost)
+        this->services.state.reportCrash(this->request.contentDigest, choice.view->name(), now);
+    if (choice.status->region() != this->services.region)
+        this->services.metrics.linkBytes.add(this->request.http.body.size() +
+                                             this->job.answerBytes);
+    // An agent that never saw the attempt can take it again under the next number.
+    if (!isWhole && outcome.kind != ErrorKind::NeverSeen)
+        this->excluded.push_back(choice.view->name());
+}
+
+asio::awaitable<void> Exchange::awaitCrashCount()
+{
+    const auto limit = std::min(clockNow() + std::chrono::seconds(1), this->request.deadline);
+    while (clockNow() < limit &&
+           this->services.state.crashesOf(this->request.contentDigest, clockNow()) == 0)
+        co_await sleepFor(milliseconds(10));
+}
+
+proto::Frame Exchange::makeFrame(uint32_t attemptNumber, bool isSuspect, Instant now) const
+{
+    proto::Frame frame;
+    frame.set_request_id(this->requestId);
+    frame.set_attempt_number(attemptNumber);
+    frame.set_head_version(this->request.catalogue->headVersion());
+    auto &attempt = *frame.mutable_attempt();
+    attempt.set_member(this->request.member);
+    attempt.set_tier_rank(this->request.tier->rank());
+    const auto remaining = toMs(this->request.deadline - now);
+    attempt.set_remaining_ms(static_cast<uint32_t>(std::max<int64_t>(remaining, 1)));
+    attempt.set_model(this->request.call.model);
+    attempt.set_adapter(this->request.call.adapter);
+    attempt.set_service(this->request.service);
+    attempt.set_method(this->request.http.method);
+    attempt.set_target(this->request.http.target);
+    for (const auto &[name, text] : forwardedHeaders(this->request.http.headers)) {
+        auto &header = *attempt.add_headers();
+        header.set_name(name);
+        header.set_value(text);
+    }
+    attempt.set_body(this->request.http.body);
+    attempt.set_stream(this->request.call.stream);
+    attempt.set_idempotent(this->request.idempotent);
+    attempt.set_prompt_tokens(this->request.call.promptTokens);
+    attempt.set_max_tokens(this->request.call.maxTokens);
+    attempt.set_content_digest(this->request.contentDigest);
+    attempt.set_suspect(isSuspect);
+    for (const uint64_t digest : this->request.call.prefixDigests)
+        attempt.add_prefix_digests(digest);
+    return frame;
+}
+
+asio::awaitable<Exchange::End> Exchange::answer()
+{
+    co_await this->callerAnswer.complete();
+    const auto now = clockNow();
+    const bool inTime = now <= this->request.deadline;
+    this->services.metrics.countAnswer(this->request.tierName, inTime, now - this->request.arrived);
+    this->countDemand(false, !inTime);
+    co_return End::Answered;
+}
+
+asio::awaitable<Exchange::End> Exchange::fail(Error error, Ran ran)
+{
+    this->services.metrics.countError(this->request.tierName, error.kind);
+    this->countDemand(ran == Ran::No, true);
+    HttpResponse response = errorReply(error, ran);
+    co_await this->responder.respond(std::move(response));
+    co_return End::Failed;
+}
+
+void Exchange::countDemand(bool isRefused, bool isMissed)
+{
+    proto::Demand demand;
+    demand.set_requests(1);
+    demand.set_tokens(this->request.call.promptTokens + this->request.call.maxTokens);
+    demand.set_refused(isRefused ? 1 : 0);
+    demand.set_missed(isMissed ? 1 : 0);
+    demand.set_region(this->services.region);
+    demand.set_name(this->request.model != nullptr ? this->request.call.model
+                                                   : this->request.service);
+    this->services.state.addDemand(demand);
+    if (!this->request.call.adapter.empty()) {
+        demand.set_name(this->request.call.adapter);
+        this->services.state.addDemand(demand);
+    }
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/Exchange.h
@@ -0,0 +1,72 @@
+// One request of a caller: claim, attempts, answer.
+#pragma once
+
+#include "entry/AttemptRunner.h"
+#include "entry/CallerAnswer.h"
+#include "entry/CallerRequest.h"
+#include "entry/SuspectGate.h"
+#include "routing/RequestMachine.h"
+#include "routing/RetryBudget.h"
+#include "routing/Router.h"
+
+namespace tray {
+
+/// What all exchanges of a process share.
+struct EntryServices
+{
+    StatePort &state;
+    ClaimPort &claims;
+    Router &router;
+    RetryBudget &budget;
+    ChannelPool &pool;
+    AttemptRunner &runner;
+    SuspectGate &suspects;
+    EntryMetrics &metrics;
+    std::string region;
+    size_t bufferLimit = 4u << 20;
+    /// Time after the deadline in which an admitted request may still be answered, at most the
+    /// tier's deadline once more.
+    Duration lateAnswer = std::chrono::seconds(30);
+};
+
+/// Runs one request to its final answer.
+class Exchange
+{
+public:
+    /// Interval at which the claim of an unfinished request is asked for again.
+    static constexpr Duration ClaimPoll = milliseconds(250);
+
+    Exchange(EntryServices &services, CallerRequest request, HttpResponder &responder);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    enum class End : uint8_t { Answered, Failed, Aborted };
+
+    boost::asio::awaitable<void> runClaimed();
+    boost::asio::awaitable<proto::ClaimReply> awaitClaim(std::string claimId);
+    boost::asio::awaitable<void> settleClaim(std::string claimId, End end);
+    boost::asio::awaitable<void> replay(proto::ClaimRecord record);
+    /// Dispatches until there is an answer or none can be had; sends the answer or the error.
+    boost::asio::awaitable<End> dispatch();
+    boost::asio::awaitable<RequestStep> attempt(RouteChoice choice, bool isSuspect);
+    boost::asio::awaitable<void> awaitCrashCount();
+    boost::asio::awaitable<End> answer();
+    boost::asio::awaitable<End> fail(Error error, Ran ran);
+    std::optional<RouteChoice> route(Instant now);
+    proto::Frame makeFrame(uint32_t attemptNumber, bool isSuspect, Instant now) const;
+    void noteOutcome(const RouteChoice &choice, const AttemptOutcome &outcome, Instant sentAt);
+    void countDemand(bool isRefused, bool isMissed);
+
+    EntryServices &services;
+    CallerRequest request;
+    HttpResponder &responder;
+    const std::string requestId;
+    RequestMachine machine;
+    CallerAnswer callerAnswer;
+    // Upstreams that were tried and are not to be tried again.
+    std::vector<std::string> excluded;
+    AttemptJob job;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/entry/JsonLibrary.cpp
@@ -0,0 +1,2 @@
+// The one translation unit that compiles Boost.JSON, which is used as a header-only library.
+#include <boost/json/src.hpp>
--- a/src/net/FrameChannel.cpp
+++ b/src/net/FrameChannel.cpp
@@ -62,6 +62,26 @@
     co_return std::make_unique<FrameChannel>(stream.release_socket());
 }
 
+std::unique_ptr<FrameChannel> FrameChannel::rebind(std::unique_ptr<FrameChannel> channel,
+                                                   asio::any_io_executor executor)
+{
+    beast::error_code code;
+    auto &socket = channel->impl->stream.socket();
+    const auto protocol = socket.local_endpoint(code).protocol();
+    if (code)
+        return nullptr;
+    const auto handle = socket.release(code);
+    if (code)
+        return nullptr;
+    tcp::socket moved(executor);
+    moved.assign(protocol, handle, code);
+    if (code) {
+        ::close(handle);
+        return nullptr;
+    }
+    return std::make_unique<FrameChannel>(std::move(moved));
+}
+
 asio::awaitable<Result<proto::Frame>> FrameChannel::receive(Duration silence)
 {
     auto &state = *this->impl;
--- a/src/net/FrameChannel.h
+++ b/src/net/FrameChannel.h
@@ -32,6 +32,11 @@
     static boost::asio::awaitable<Result<std::unique_ptr<FrameChannel>>>
     connect(boost::asio::any_io_executor executor, Address address, Duration timeout);
 
+    /// Moves an idle channel to another executor, so that a pool can serve any strand. The channel
+    /// must be usable. Null if the operating system refuses.
+    static std::unique_ptr<FrameChannel> rebind(std::unique_ptr<FrameChannel> channel,
+                                                boost::asio::any_io_executor executor);
+
     /// Next frame. Fails with Timeout after the given silence, StreamBroken if the connection ends
     /// or a frame is not valid.
     boost::asio::awaitable<Result<proto::Frame>> receive(Duration silence);
--- /dev/null
+++ b/src/routing/AnswerDigest.h
@@ -0,0 +1,25 @@
+// Digest of an answer's bytes that is computed while they arrive.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace tray {
+
+/// Equals hash64() with seed 0 over all bytes added so far.
+class AnswerDigest
+{
+public:
+    AnswerDigest();
+    ~AnswerDigest();
+
+    void add(std::string_view bytes);
+    uint64_t value() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/routing/AttemptMachine.cpp
@@ -0,0 +1,173 @@
+// Rules of one attempt.
+#include "routing/AttemptMachine.h"
+
+#include <cassert>
+
+namespace tray {
+
+namespace {
+
+ErrorKind kindOf(uint32_t number)
+{
+    const auto kind = static_cast<ErrorKind>(number);
+    // The table maps numbers that this version does not know to Internal.
+    return errorAnswer(kind).kind == ErrorKind::None ? ErrorKind::Internal : errorAnswer(kind).kind;
+}
+
+} // namespace
+
+AttemptMachine::AttemptMachine(std::string requestId, uint32_t attemptNumber)
+    : requestId(std::move(requestId)), attemptNumber(attemptNumber)
+{}
+
+AttemptStep AttemptMachine::finish(AttemptEnd end, ErrorKind kind, std::string message)
+{
+    this->finished = true;
+    this->result.end = end;
+    this->result.kind = kind;
+    this->result.message = std::move(message);
+    return AttemptStep::Finish;
+}
+
+AttemptStep AttemptMachine::lose(std::string message)
+{
+    this->result.mayHaveRun = this->sent;
+    return this->finish(AttemptEnd::Lost, ErrorKind::StreamBroken, std::move(message));
+}
+
+AttemptStep AttemptMachine::onConnected()
+{
+    assert(!this->finished);
+    if (!this->sent) {
+        this->sent = true;
+        return AttemptStep::SendAttempt;
+    }
+    ++this->resumeCount;
+    ++this->quietResumes;
+    return AttemptStep::SendResume;
+}
+
+AttemptStep AttemptMachine::onConnectFailed()
+{
+    assert(!this->finished);
+    this->result.unreachable = true;
+    if (!this->sent)
+        return this->finish(AttemptEnd::NotRun, ErrorKind::UpstreamUnreachable,
+                            "the upstream cannot be reached");
+    return this->lose("the upstream cannot be reached any more");
+}
+
+AttemptStep AttemptMachine::onChannelLost()
+{
+    assert(!this->finished);
+    if (this->quietResumes < MaxQuietResumes)
+        return AttemptStep::Dial;
+    this->result.unreachable = true;
+    return this->lose("the upstream is silent on fresh connections");
+}
+
+AttemptStep AttemptMachine::onGivenUp(ErrorKind kind, std::string message)
+{
+    assert(!this->finished);
+    this->result.mayHaveRun = this->sent;
+    return this->finish(this->sent ? AttemptEnd::Lost : AttemptEnd::NotRun, kind,
+                        std::move(message));
+}
+
+AttemptStep AttemptMachine::onGap()
+{
+    if (++this->gaps <= MaxGaps)
+        return AttemptStep::Dial;
+    return this->lose("the answer has gaps");
+}
+
+AttemptStep AttemptMachine::onFrame(proto::Frame &frame)
+{
+    assert(!this->finished);
+    if (!this->sent || frame.request_id() != this->requestId ||
+        frame.attempt_number() != this->attemptNumber) {
+        ++this->dropped;
+        return AttemptStep::Receive;
+    }
+    this->quietResumes = 0;
+    switch (frame.body_case()) {
+    case proto::Frame::kAdmitted:
+    case proto::Frame::kHeartbeat:
+        return AttemptStep::Receive;
+    case proto::Frame::kRefused:
+        return this->onRefused(frame.refused());
+    case proto::Frame::kHead:
+        if (!this->hasHead) {
+            this->hasHead = true;
+            this->head = std::move(*frame.mutable_head());
+        }
+        return AttemptStep::Receive;
+    case proto::Frame::kData:
+        return this->onData(*frame.mutable_data());
+    case proto::Frame::kEnd:
+        return this->onEnd(frame.end());
+    case proto::Frame::kFailed:
+        return this->onFailed(frame.failed());
+    default:
+        ++this->dropped;
+        return AttemptStep::Receive;
+    }
+}
+
+AttemptStep AttemptMachine::onData(proto::ResponseData &frame)
+{
+    if (!this->hasHead || frame.offset() > this->receivedBytes)
+        return this->onGap();
+    const uint64_t known = this->receivedBytes - frame.offset();
+    if (known >= frame.data().size()) {
+        ++this->dropped;
+        return AttemptStep::Receive;
+    }
+    if (known > 0)
+        frame.mutable_data()->erase(0, known);
+    this->digest.add(frame.data());
+    this->receivedBytes += frame.data().size();
+    if (this->data.empty())
+        this->data = std::move(*frame.mutable_data());
+    else
+        this->data += frame.data();
+    return AttemptStep::Receive;
+}
+
+AttemptStep AttemptMachine::onEnd(const proto::ResponseEnd &end)
+{
+    if (!this->hasHead || end.total_bytes() > this->receivedBytes)
+        return this->onGap();
+    if (end.total_bytes() < this->receivedBytes || end.digest() != this->digest.value())
+        return this->lose("the answer is damaged");
+    this->result.mayHaveRun = true;
+    return this->finish(AttemptEnd::Whole, ErrorKind::None, {});
+}
+
+AttemptStep AttemptMachine::onRefused(const proto::Refused &refused)
+{
+    this->result.retryAfterMs = static_cast<int>(refused.retry_after_ms());
+    // A refusal after a part of the answer contradicts itself; the part proves that it ran.
+    if (this->hasHead)
+        return this->lose("the attempt was refused after its answer had begun");
+    return this->finish(AttemptEnd::NotRun, kindOf(refused.error_kind()), refused.message());
+}
+
+AttemptStep AttemptMachine::onFailed(const proto::Failed &failed)
+{
+    this->result.mayHaveRun = failed.may_have_run() || this->hasHead || failed.engine_lost();
+    this->result.engineLost = failed.engine_lost();
+    return this->finish(AttemptEnd::Failed, kindOf(failed.error_kind()), failed.message());
+}
+
+std::optional<proto::ResponseHead> AttemptMachine::takeHead()
+{
+    return std::exchange(this->head, std::nullopt);
+}
+
+std::string AttemptMachine::takeData()
+{
+    return std::exchange(this->data, {});
+}
+
+} // namespace tray
