Tell a restarted agent's "never seen" from a true one

Cause: an agent that was restarted after it dispatched an attempt knows nothing of it, and its "never seen" made the entry call the request "not run" and send it again. "Never seen" counts as not run only from the epoch that the attempt was sent to, and never after a sign of admission. The entry's driver class is renamed, since the agent has an AttemptRunner too.

--- a/src/entry/AttemptRunner.cpp
+++ b/src/entry/AttemptDriver.cpp
@@ -1,5 +1,5 @@
 // Data channel side of an attempt.
-#include "entry/AttemptRunner.h"
+#include "entry/AttemptDriver.h"
 
 #include <boost/asio/this_coro.hpp>
 
@@ -44,16 +44,17 @@
 
 } // namespace
 
-struct AttemptRunner::Progress
+struct AttemptDriver::Progress
 {
     AttemptMachine machine;
     std::unique_ptr<FrameChannel> channel;
     uint64_t acknowledged = 0;
 };
 
-asio::awaitable<AttemptOutcome> AttemptRunner::run(AttemptJob &job, AnswerSink &sink)
+asio::awaitable<AttemptOutcome> AttemptDriver::run(AttemptJob &job, AnswerSink &sink)
 {
-    Progress progress{AttemptMachine(job.frame.request_id(), job.frame.attempt_number()), {}};
+    Progress progress{
+        AttemptMachine(job.frame.request_id(), job.frame.attempt_number(), job.agentEpoch), {}};
     auto &machine = progress.machine;
     const auto executor = co_await asio::this_coro::executor;
     progress.channel = this->pool.take(toString(job.address), executor, clockNow());
@@ -88,7 +89,7 @@
     co_return outcome;
 }
 
-asio::awaitable<AttemptStep> AttemptRunner::dial(AttemptJob &job, Progress &progress)
+asio::awaitable<AttemptStep> AttemptDriver::dial(AttemptJob &job, Progress &progress)
 {
     progress.channel.reset();
     const auto executor = co_await asio::this_coro::executor;
@@ -99,7 +100,7 @@
     co_return progress.machine.onConnected();
 }
 
-asio::awaitable<AttemptStep> AttemptRunner::sendResume(AttemptJob &job, Progress &progress)
+asio::awaitable<AttemptStep> AttemptDriver::sendResume(AttemptJob &job, Progress &progress)
 {
     auto frame = frameLike(job.frame);
     frame.mutable_resume()->set_offset(progress.machine.received());
@@ -107,7 +108,7 @@
     co_return isOk(sent) ? AttemptStep::Receive : progress.machine.onChannelLost();
 }
 
-asio::awaitable<AttemptStep> AttemptRunner::receive(AttemptJob &job, Progress &progress,
+asio::awaitable<AttemptStep> AttemptDriver::receive(AttemptJob &job, Progress &progress,
                                                     AnswerSink &sink)
 {
     auto &machine = progress.machine;
@@ -142,7 +143,7 @@
     co_return step;
 }
 
-void AttemptRunner::noteFrame(const AttemptJob &job, const proto::Frame &frame, Instant now)
+void AttemptDriver::noteFrame(const AttemptJob &job, const proto::Frame &frame, Instant now)
 {
     job.view->noteReachable();
     if (const auto *load = loadOf(frame))
@@ -151,7 +152,7 @@
         this->state.noteHeadVersion(frame.head_version());
 }
 
-asio::awaitable<void> AttemptRunner::acknowledge(AttemptJob &job, FrameChannel &channel,
+asio::awaitable<void> AttemptDriver::acknowledge(AttemptJob &job, FrameChannel &channel,
                                                  uint64_t offset)
 {
     auto frame = frameLike(job.frame);
@@ -159,7 +160,7 @@
     co_await channel.send(frame, Silence);
 }
 
-asio::awaitable<void> AttemptRunner::cancel(AttemptJob &job, Progress &progress)
+asio::awaitable<void> AttemptDriver::cancel(AttemptJob &job, Progress &progress)
 {
     // Work that may not be repeated is left to run to its end.
     if (!job.frame.attempt().idempotent() || !progress.channel)
@@ -169,7 +170,7 @@
     co_await progress.channel->send(frame, Silence);
 }
 
-asio::awaitable<void> AttemptRunner::release(AttemptJob &job)
+asio::awaitable<void> AttemptDriver::release(AttemptJob &job)
 {
     if (!job.channel)
         co_return;
--- a/src/entry/AttemptRunner.h
+++ b/src/entry/AttemptDriver.h
@@ -15,16 +15,18 @@
     /// Complete frame with an Attempt body.
     proto::Frame frame;
     Address address;
+    /// Epoch of the agent, from its status.
+    uint64_t agentEpoch = 0;
     std::shared_ptr<UpstreamView> view;
     /// The attempt is given up at this time.
     Instant limit{};
-    /// Channel that brought the whole answer; give it to AttemptRunner::release().
+    /// Channel that brought the whole answer; give it to AttemptDriver::release().
     std::unique_ptr<FrameChannel> channel;
     uint64_t answerBytes = 0;
 };
 
-/// Runs attempts. One runner serves all requests of a process.
-class AttemptRunner
+/// Runs attempts. One driver serves all requests of a process.
+class AttemptDriver
 {
 public:
     /// Longest silence of a connection; agents send heartbeats every 250 ms.
@@ -32,7 +34,7 @@
     /// Bytes after which the agent is told that it may forget what was received.
     static constexpr uint64_t AcknowledgeBytes = 256 * 1024;
 
-    AttemptRunner(ChannelPool &pool, StatePort &state, EntryMetrics &metrics)
+    AttemptDriver(ChannelPool &pool, StatePort &state, EntryMetrics &metrics)
         : pool(pool), state(state), metrics(metrics)
     {}
 
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -39,7 +39,7 @@
     Router router;
     RetryBudget budget;
     ChannelPool pool;
-    AttemptRunner runner;
+    AttemptDriver driver;
     SuspectGate suspects;
     EntryServices services;
     HttpServer server;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -57,7 +57,7 @@
     } else {
         co_await this->runClaimed();
     }
-    co_await this->services.runner.release(this->job);
+    co_await this->services.driver.release(this->job);
 }
 
 asio::awaitable<void> Exchange::runClaimed()
@@ -209,6 +209,7 @@
     this->job = AttemptJob{};
     this->job.frame = this->makeFrame(this->machine.beginAttempt(), isSuspect, sentAt);
     this->job.view = choice.view;
+    this->job.agentEpoch = choice.status->epoch();
     this->job.limit = this->request.deadline + late;
     auto address = parseAddress(choice.status->data_address());
     AttemptOutcome outcome;
@@ -216,7 +217,7 @@
     this->services.metrics.attempts.add();
     if (isOk(address)) {
         this->job.address = value(address);
-        outcome = co_await this->services.runner.run(this->job, this->callerAnswer);
+        outcome = co_await this->services.driver.run(this->job, this->callerAnswer);
     } else {
         outcome.end = AttemptEnd::NotRun;
         outcome.kind = ErrorKind::UpstreamUnreachable;
@@ -236,7 +237,7 @@
     }
     const auto step = this->machine.onOutcome(outcome, facts);
     if (step == RequestStep::Retry) {
-        co_await this->services.runner.release(this->job);
+        co_await this->services.driver.release(this->job);
         this->callerAnswer.reset();
     }
     co_return step;
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -1,7 +1,7 @@
 // One request of a caller: claim, attempts, answer.
 #pragma once
 
-#include "entry/AttemptRunner.h"
+#include "entry/AttemptDriver.h"
 #include "entry/CallerAnswer.h"
 #include "entry/CallerRequest.h"
 #include "entry/SuspectGate.h"
@@ -19,7 +19,7 @@
     Router &router;
     RetryBudget &budget;
     ChannelPool &pool;
-    AttemptRunner &runner;
+    AttemptDriver &driver;
     SuspectGate &suspects;
     EntryMetrics &metrics;
     std::string region;
--- a/src/routing/AttemptMachine.cpp
+++ b/src/routing/AttemptMachine.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-AttemptMachine::AttemptMachine(std::string requestId, uint32_t attemptNumber)
-    : requestId(std::move(requestId)), attemptNumber(attemptNumber)
+AttemptMachine::AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch)
+    : requestId(std::move(requestId)), attemptNumber(attemptNumber), agentEpoch(agentEpoch)
 {}
 
 AttemptStep AttemptMachine::finish(AttemptEnd end, ErrorKind kind, std::string message)
@@ -93,9 +93,10 @@
     switch (frame.body_case()) {
     case proto::Frame::kAdmitted:
     case proto::Frame::kHeartbeat:
+        this->isKnown = true;
         return AttemptStep::Receive;
     case proto::Frame::kRefused:
-        return this->onRefused(frame.refused());
+        return this->onRefused(frame.refused(), frame.epoch());
     case proto::Frame::kHead:
         if (!this->hasHead) {
             this->hasHead = true;
@@ -144,13 +145,17 @@
     return this->finish(AttemptEnd::Whole, ErrorKind::None, {});
 }
 
-AttemptStep AttemptMachine::onRefused(const proto::Refused &refused)
+AttemptStep AttemptMachine::onRefused(const proto::Refused &refused, uint64_t epoch)
 {
     this->result.retryAfterMs = static_cast<int>(refused.retry_after_ms());
-    // A refusal after a part of the answer contradicts itself; the part proves that it ran.
+    const auto kind = kindOf(refused.error_kind());
+    // A part of the answer proves that the attempt ran, whatever a refusal says.
     if (this->hasHead)
         return this->lose("the attempt was refused after its answer had begun");
-    return this->finish(AttemptEnd::NotRun, kindOf(refused.error_kind()), refused.message());
+    // The agent that got the attempt cannot call it unknown; a successor can, and may be wrong.
+    if (kind == ErrorKind::NeverSeen && (this->isKnown || epoch != this->agentEpoch))
+        return this->lose("the agent was restarted after the attempt was sent");
+    return this->finish(AttemptEnd::NotRun, kind, refused.message());
 }
 
 AttemptStep AttemptMachine::onFailed(const proto::Failed &failed)
--- a/src/routing/AttemptMachine.h
+++ b/src/routing/AttemptMachine.h
@@ -63,7 +63,8 @@
     /// Resumes after gaps in the answer before the attempt counts as lost.
     static constexpr unsigned MaxGaps = 3;
 
-    AttemptMachine(std::string requestId, uint32_t attemptNumber);
+    /// agentEpoch is that of the agent the attempt is sent to, from its status.
+    AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch);
 
     AttemptStep onConnected();
     /// A connection could not be opened.
@@ -93,12 +94,13 @@
     AttemptStep lose(std::string message);
     AttemptStep onData(proto::ResponseData &data);
     AttemptStep onEnd(const proto::ResponseEnd &end);
-    AttemptStep onRefused(const proto::Refused &refused);
+    AttemptStep onRefused(const proto::Refused &refused, uint64_t epoch);
     AttemptStep onFailed(const proto::Failed &failed);
     AttemptStep onGap();
 
     const std::string requestId;
     const uint32_t attemptNumber;
+    const uint64_t agentEpoch;
     // Invariant: never goes back to false, so that the Attempt frame is sent at most once.
     bool sent = false;
     bool finished = false;
@@ -106,6 +108,8 @@
     AnswerDigest digest;
     uint64_t receivedBytes = 0;
     bool hasHead = false;
+    // The agent has shown that it knows the attempt.
+    bool isKnown = false;
     std::optional<proto::ResponseHead> head;
     std::string data;
     unsigned quietResumes = 0;
--- a/tests/routing/AttemptSimulation.h
+++ b/tests/routing/AttemptSimulation.h
@@ -53,8 +53,16 @@
             state = State::Refused;
     }
 
+    /// A successor starts; it knows none of the attempts, which may have run.
+    void restart()
+    {
+        this->states.clear();
+        ++this->epoch;
+    }
+
     std::map<uint32_t, State> states;
     unsigned executions = 0;
+    uint64_t epoch = 1;
 };
 
 /// Runs requests over simulated agents; each action of the machines meets a drawn fault.
@@ -103,14 +111,13 @@
 private:
     AttemptOutcome runAttempt(uint32_t number)
     {
-        AttemptMachine attempt("request", number);
+        AttemptMachine attempt("request", number, this->agent.epoch);
+        const unsigned executionsBefore = this->agent.executions;
         auto step = AttemptStep::Dial;
         for (int i = 0; i < 1000 && step != AttemptStep::Finish; ++i)
             step = this->act(attempt, number, step);
         const auto outcome = attempt.outcome();
-        const auto state = this->agent.states[number];
-        const bool ran =
-            state == SimulatedAgent::State::Running || state == SimulatedAgent::State::Failed;
+        const bool ran = this->agent.executions > executionsBefore;
         this->wrongOutcome = this->wrongOutcome || (ran && !outcome.mayHaveRun);
         return outcome;
     }
@@ -126,6 +133,11 @@
         case AttemptStep::SendResume:
             if (this->tape.draw(6) == 5)
                 return attempt.onChannelLost();
+            if (this->tape.draw(6) == 5) {
+                // Frames on connections to the old process end with it.
+                this->late.clear();
+                this->agent.restart();
+            }
             this->agent.onResume(number);
             this->position = attempt.received();
             return AttemptStep::Receive;
@@ -184,7 +196,8 @@
         switch (this->agent.states[number]) {
         case SimulatedAgent::State::NeverSeen:
         case SimulatedAgent::State::Refused:
-            frame.mutable_refused()->set_error_kind(static_cast<uint32_t>(ErrorKind::Overloaded));
+            frame.set_epoch(this->agent.epoch);
+            frame.mutable_refused()->set_error_kind(static_cast<uint32_t>(ErrorKind::NeverSeen));
             return frame;
         case SimulatedAgent::State::Failed:
             frame.mutable_failed()->set_error_kind(
--- a/tests/routing/RequestMachineTest.cpp
+++ b/tests/routing/RequestMachineTest.cpp
@@ -32,7 +32,7 @@
 
 TEST_CASE("An attempt resumes on fresh connections and ends in time")
 {
-    AttemptMachine machine("request", 1);
+    AttemptMachine machine("request", 1, 5);
     proto::Frame frame;
     frame.set_request_id("request");
     frame.set_attempt_number(1);
