--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -25,7 +25,7 @@
 mapfile -t models < <(seq -f 'advice-%02.0f' 1 17)
 wait_models "$entry" bench-arequipa-key 60 "${models[@]}"
 echo "== mixed load for 30 s, and a second ticket meanwhile"
-timeout 80 "$build/bin/tray-load" --config $directory/load.ini --set load.output=$out/report \
+timeout 80 "$build/bin/tray-load" --config $directory/load-steady.ini --set load.output=$out/report \
     --set load.max_failed=0.05 >"$out/report.txt" &
 load=$!
 sleep 10
--- a/tools/make-deployment.sh
+++ b/tools/make-deployment.sh
@@ -213,36 +213,43 @@
 
 total_engines=0
 for count in "${engines[@]}"; do total_engines=$((total_engines + count)); done
-{
-    cat <<END
-[load]
-name = $name
-seed = 1
-duration_s = 30
-accelerators = $((total_engines * 8))
-END
-    for d in "${!data_centres[@]}"; do
-        for ((n = 1; n <= entries[d]; n++)); do
-            printf '[entry.%s-%d]\naddress = %s.%d.%d:8080\ndata_centre = %s\n' \
-                "${data_centres[$d]}" "$n" "$network" $((d + 1)) "$n" "${data_centres[$d]}"
-        done
-    done
-    for entry in "${members[@]}"; do
-        IFS=: read -r member tier home <<<"$entry"
-        printf '[member.%s]\ncredential = %s-key\ntier = %s\n' "$member" "$member" "$tier"
+# Moves are counted by the agents of the engines.
+move_metrics=agent_orders_total
+agent_admins=
+for d in "${!data_centres[@]}"; do
+    for ((n = 1; n <= engines[d]; n++)); do
+        agent_admins+="${agent_admins:+,}$network.$((d + 1)).$((10 + n)):9000"
     done
-    local_member=${members[1]%%:*}
-    main_member=${members[0]%%:*}
-    silver_member=${members[3]%%:*}
-    cat <<END
+done
+
+# write_scenario NAME DURATION RATE_FACTOR BURST_FACTOR ROTATE_S: load scenario of the deployment; stdin is added.
+write_scenario() {
+    local scenario=$1 duration=$2 factor=$3 burst=$4 rotate=$5 d n entry member tier home
+    local local_member=${members[1]%%:*} main_member=${members[0]%%:*} silver_member=${members[3]%%:*}
+    rate() { awk "BEGIN { print $1 * $total_engines / 9 * $factor }"; }
+    {
+        printf '[load]\nname = %s-%s\nseed = 1\nduration_s = %s\nwarm_up_s = 5\naccelerators = %d\n' \
+            "$name" "$scenario" "$duration" $((total_engines * 8))
+        for d in "${!data_centres[@]}"; do
+            for ((n = 1; n <= entries[d]; n++)); do
+                printf '[entry.%s-%d]\naddress = %s.%d.%d:8080\ndata_centre = %s\n' \
+                    "${data_centres[$d]}" "$n" "$network" $((d + 1)) "$n" "${data_centres[$d]}"
+            done
+        done
+        for entry in "${members[@]}"; do
+            IFS=: read -r member tier home <<<"$entry"
+            printf '[member.%s]\ncredential = %s-key\ntier = %s\n' "$member" "$member" "$tier"
+        done
+        cat <<END
 [flow.questions]
 member = $main_member
 models = $(names "$model_prefix" "$models")
 skew = 0.8
-rate = 12
-burst_factor = 2
-burst_every_s = 10
-burst_length_s = 2
+rotate_s = $rotate
+rate = $(rate 16)
+burst_factor = $burst
+burst_every_s = 12
+burst_length_s = 4
 stream = true
 output_tokens = 30
 expectation_ms = 5000
@@ -251,27 +258,32 @@
 member = $local_member
 data_centre = ${data_centres[2]}
 models = $(names "$model_prefix" 4)
-rate = 4
+rate = $(rate 4)
 output_tokens = 30
 expectation_ms = 5000
 [flow.adapter-questions]
 member = $silver_member
 models = $(adapter_names)
-rate = 4
+skew = 0.5
+rotate_s = $rotate
+rate = $(rate 8)
+burst_factor = $burst
+burst_every_s = 12
+burst_length_s = 4
 output_tokens = 30
 expectation_ms = 10000
 [flow.reports]
 member = reports
 kind = completion
 models = $(names "$model_prefix" "$models")
-rate = 2
+rate = $(rate 4)
 output_tokens = 100
 expectation_ms = 30000
 [flow.lookups]
 member = $silver_member
 kind = service
 service = ${services[0]}
-rate = 20
+rate = $(rate 20)
 expectation_ms = 10000
 [flow.bookings]
 member = $silver_member
@@ -280,10 +292,41 @@
 method = POST
 path = new
 idempotency_key = true
-rate = 5
+rate = $(rate 5)
 expectation_ms = 10000
 [counter.link_bytes]
 addresses = $relay_host:9000
 metrics = relay_bytes_total
+[counter.moves]
+addresses = $agent_admins
+metrics = $move_metrics
+END
+        cat
+    } | write "load-$scenario"
+}
+
+write_scenario steady 30 1 1 0 </dev/null
+write_scenario burst 30 1 5 0 </dev/null
+write_scenario shift 30 1.5 1 4 </dev/null
+write_scenario engine-dies 30 1 1 0 <<END
+[fault.engine-dies]
+at_s = 12
+address = $network.1.11:9001
+body = '{"die":true}'
+END
+write_scenario store-out 30 1 1 8 <<END
+[fault.store-out]
+at_s = 8
+address = $network.0.2:9000
+body = '{"outage":true}'
+END
+write_scenario link-cut 30 1 1 0 <<END
+[fault.link-cut]
+at_s = 10
+address = $relay_host:9000
+body = '{"cut":true}'
+[fault.link-back]
+at_s = 20
+address = $relay_host:9000
+body = '{"cut":false}'
 END
-} | write load
