--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -89,6 +89,8 @@
 asio::awaitable<void> LoadRun::runFault(std::string name)
 {
     const auto &fault = this->scenario.faults.at(name).fault();
+    if (fault.at_s() > this->scenario.load.duration_s())
+        co_return;
     co_await this->sleepUntil(this->start + fromSeconds(fault.at_s()));
     spdlog::info("event=fault name={} pid={} address={}", name, fault.pid(), fault.address());
     if (fault.pid() > 0)
