Add memory ledger, reconciler, admission queue and the agent (first version)

Cause: engines and services need their process that admits, dispatches and orders. Change: ledger and reconciler, admission by tier and deadline, engine and service ports, data server with resume, fencing of unseen attempts, takeover by epoch.

--- /dev/null
+++ b/src/agent/Agent.cpp
@@ -0,0 +1,290 @@
+// The agent's process: start, loops and graceful stop.
+#include "agent/Agent.h"
+
+#include "edge/HttpEnginePort.h"
+#include "edge/HttpServicePort.h"
+#include "edge/ObjectApi.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+constexpr auto EpochRetry = milliseconds(500);
+// A newer epoch also shows in refused orders; the object is read for engines that ignore tokens.
+constexpr auto EpochCheck = std::chrono::seconds(15);
+constexpr auto ServiceCheck = milliseconds(500);
+
+NodeIdentity identityOf(const proto::AgentSettings &settings)
+{
+    NodeIdentity identity;
+    identity.instance = settings.instance().id();
+    identity.dataCentre = settings.instance().data_centre();
+    identity.region = settings.instance().region();
+    identity.role = "agent";
+    identity.upstream = settings.upstream().name();
+    return identity;
+}
+
+asio::awaitable<void> pauseFor(asio::io_context &context, Duration time)
+{
+    asio::steady_timer timer(context, time);
+    co_await timer.async_wait(Await);
+}
+
+} // namespace
+
+Agent::Agent(asio::io_context &context, const proto::AgentSettings &settings)
+    : context(context), settings(settings), guard(context),
+      node(context, identityOf(settings), settings.platform(), settings.control(), this->metrics,
+           this->events),
+      epoch(this->node.objectApi(), settings.upstream().name(), settings.instance().id()),
+      ticker(context)
+{
+    this->makeUpstream();
+}
+
+Agent::~Agent() = default;
+
+void Agent::makeUpstream()
+{
+    const auto &upstream = this->settings.upstream();
+    const Address address = value(parseAddress(upstream.address()));
+    UpstreamPorts ports;
+    if (upstream.kind() == "engine") {
+        this->engine = std::make_unique<HttpEnginePort>(this->context, address);
+        EngineTimes times;
+        times.reportInterval = milliseconds(this->settings.agent().report_interval_ms());
+        this->controller = std::make_unique<EngineController>(
+            this->context, *this->engine, upstream.name(), upstream.pool(), times,
+            this->engineHooks(), this->metrics);
+        ports.controller = this->controller.get();
+        ports.engine = this->engine.get();
+    } else {
+        this->service = std::make_unique<HttpServicePort>(this->context, address);
+        ports.service = this->service.get();
+    }
+    AdmissionLimits limits;
+    limits.concurrency = upstream.concurrency();
+    this->runner = std::make_unique<AttemptRunner>(this->context, limits, ports,
+                                                   this->runnerHooks(), this->metrics);
+    this->dataServer = std::make_unique<DataServer>(
+        this->context, *this->runner, milliseconds(this->settings.agent().heartbeat_ms()),
+        this->metrics);
+    this->admin = std::make_unique<AdminServer>(this->context, this->metrics, [this] {
+        return !this->leaving && !this->runner->isDraining() && this->takesWork();
+    });
+    this->registerGauges();
+}
+
+void Agent::registerGauges()
+{
+    // The page is made on the context's thread, like everything that the gauges read.
+    this->metrics.gauge("agent_running", [this] { return this->runner->load().running(); });
+    this->metrics.gauge("agent_queued", [this] { return this->runner->load().queued(); });
+    if (!this->controller)
+        return;
+    this->metrics.gauge("agent_memory_charged_bytes", [this] {
+        return static_cast<double>(this->controller->ledger().charged());
+    });
+    this->metrics.gauge("agent_memory_bytes", [this] {
+        return static_cast<double>(this->controller->ledger().memoryBytes());
+    });
+    this->metrics.gauge("agent_items_infeasible", [this] {
+        return static_cast<double>(this->controller->lastDecision().infeasible.size());
+    });
+}
+
+RunnerHooks Agent::runnerHooks()
+{
+    RunnerHooks hooks;
+    hooks.headVersion = [this] { return this->node.headVersion(); };
+    hooks.noteHeadVersion = [this](uint64_t seen) { this->node.noteHeadVersion(seen); };
+    hooks.awaitHeadVersion = [this](uint64_t wanted, Instant deadline) {
+        return this->node.awaitHeadVersion(wanted, deadline);
+    };
+    hooks.takesWork = [this] { return this->takesWork(); };
+    hooks.specs = [this] { return this->specs(); };
+    hooks.reportCrash = [this](uint64_t digest) {
+        this->node.reportCrash(digest, this->settings.upstream().name(),
+                               std::chrono::steady_clock::now());
+    };
+    return hooks;
+}
+
+EngineHooks Agent::engineHooks()
+{
+    EngineHooks hooks;
+    hooks.specs = [this] { return this->specs(); };
+    hooks.statuses = [this] { return this->liveStatuses(); };
+    hooks.wish = [this] {
+        ItemWish wish;
+        if (const auto found = this->node.wishFor(this->settings.upstream().name())) {
+            wish.models.insert(found->models().begin(), found->models().end());
+            wish.adapters.insert(found->adapters().begin(), found->adapters().end());
+        }
+        return wish;
+    };
+    hooks.mayRepair = [this] {
+        // A process that has just started has not heard of all replicas yet.
+        return this->freshSince &&
+               std::chrono::steady_clock::now() - *this->freshSince > std::chrono::seconds(2);
+    };
+    hooks.demand = [this] { return this->runner->demand(); };
+    hooks.inUse = [this] { return this->runner->inUse(); };
+    hooks.onChange = [this] {
+        this->runner->pump();
+        this->publishStatus();
+    };
+    hooks.onStale = [this] { this->reportStale(); };
+    return hooks;
+}
+
+Result<Unit> Agent::start()
+{
+    if (auto held = this->guard.bind(value(parseAddress(this->settings.agent().guard_listen())));
+        !isOk(held))
+        return held;
+    auto control = this->node.listen();
+    if (!isOk(control))
+        return error(control);
+    this->boundControl = value(control);
+    auto data = this->dataServer->listen(value(parseAddress(this->settings.agent().listen())));
+    if (!isOk(data))
+        return error(data);
+    this->boundData = value(data);
+    auto adminBound = this->admin->listen(value(parseAddress(this->settings.admin().listen())));
+    if (!isOk(adminBound))
+        return error(adminBound);
+    this->boundAdmin = value(adminBound);
+    this->node.setHandler(proto::ControlRequest::kDrain, [this](proto::ControlRequest request,
+                                                                auto reply) {
+        asio::post(this->context, [this, drain = request.drain(), reply = std::move(reply)] {
+            this->handleDrain(drain, reply);
+        });
+    });
+    this->node.start(this->boundData);
+    asio::co_spawn(this->context, this->raiseEpoch(), asio::detached);
+    asio::co_spawn(this->context, this->tick(), asio::detached);
+    if (this->controller)
+        asio::co_spawn(this->context, this->controller->run(), asio::detached);
+    else
+        asio::co_spawn(this->context, this->watchService(), asio::detached);
+    return Unit{};
+}
+
+asio::awaitable<void> Agent::raiseEpoch()
+{
+    auto raised = co_await this->epoch.raise();
+    while (!isOk(raised) && !this->stopped) {
+        spdlog::info("event=epoch_not_raised error=\"{}\"", error(raised).message);
+        co_await pauseFor(this->context, EpochRetry);
+        raised = co_await this->epoch.raise();
+    }
+    if (this->stopped)
+        co_return;
+    spdlog::info("event=epoch_raised epoch={}", this->epoch.epoch());
+    if (this->controller)
+        this->controller->takeOver(this->epoch.epoch());
+    this->publishStatus();
+    co_await this->watchEpoch();
+}
+
+asio::awaitable<void> Agent::watchEpoch()
+{
+    while (!this->stopped) {
+        co_await pauseFor(this->context, EpochCheck);
+        const auto checked = co_await this->epoch.check();
+        if (!isOk(checked) && error(checked).kind == ErrorKind::Stale)
+            this->reportStale();
+    }
+}
+
+asio::awaitable<void> Agent::watchService()
+{
+    while (!this->stopped) {
+        const bool reachable = co_await this->service->isReachable(std::chrono::seconds(1));
+        if (reachable == this->serviceLost)
+            spdlog::info("event=service_reachable value={}", reachable);
+        this->serviceLost = !reachable;
+        this->publishStatus();
+        co_await pauseFor(this->context, ServiceCheck);
+    }
+}
+
+asio::awaitable<void> Agent::tick()
+{
+    while (!this->stopped) {
+        const Instant now = std::chrono::steady_clock::now();
+        if (!this->node.isFresh(now))
+            this->freshSince.reset();
+        else if (!this->freshSince)
+            this->freshSince = now;
+        this->runner->sweep();
+        this->ticker.expires_after(milliseconds(100));
+        co_await this->ticker.async_wait(Await);
+    }
+}
+
+bool Agent::takesWork() const
+{
+    return this->node.isFresh(std::chrono::steady_clock::now()) || this->node.isPlatformOut();
+}
+
+void Agent::reportStale()
+{
+    spdlog::error("event=agent_superseded upstream={}", this->settings.upstream().name());
+    if (this->onStale)
+        this->onStale();
+}
+
+void Agent::setDraining(bool nowDraining)
+{
+    this->runner->setDraining(nowDraining);
+    spdlog::info("event=draining value={}", nowDraining);
+    this->publishStatus();
+}
+
+void Agent::handleDrain(const proto::DrainRequest &request,
+                        const std::function<void(proto::ControlReply)> &reply)
+{
+    proto::ControlReply answer;
+    auto &drain = *answer.mutable_drain();
+    const bool isOurs = request.upstream() == this->settings.upstream().name();
+    drain.set_accepted(isOurs && !this->leaving);
+    if (!isOurs)
+        drain.set_message("this agent serves " + this->settings.upstream().name());
+    else if (this->leaving)
+        drain.set_message("the agent is stopping");
+    else
+        this->setDraining(!request.undo());
+    reply(std::move(answer));
+}
+
+asio::awaitable<void> Agent::stop()
+{
+    this->leaving = true;
+    this->setDraining(true);
+    co_await this->node.announceLeaving();
+    // Data connections stay open until the last answer was written and a resume can no longer
+    // come for it.
+    while (this->runner->open() > 0)
+        co_await pauseFor(this->context, milliseconds(20));
+    this->stopped = true;
+    if (this->controller)
+        this->controller->stop();
+    this->ticker.cancel();
+    this->dataServer->stop();
+    this->admin->drain();
+    this->node.stop();
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/agent/AgentMain.cpp
@@ -0,0 +1,40 @@
+// Program tray-agent.
+#include "agent/Agent.h"
+#include "config/ProgramOptions.h"
+#include "net/Service.h"
+#include "observe/Log.h"
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace tray;
+
+namespace {
+
+/// Exit status of an agent that a newer one has replaced.
+constexpr int ExitSuperseded = 3;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    proto::AgentSettings settings;
+    const auto status = readProgramOptions(argc, argv, "tray-agent",
+                                           "Serves one engine or plain service", settings);
+    if (status)
+        return *status;
+    setUpLog("tray-agent", settings.log().level());
+    boost::asio::io_context context(1);
+    Agent agent(context, settings);
+    // A superseded agent must not send one more order, so it does not stop gracefully.
+    agent.setOnStale([] { std::_Exit(ExitSuperseded); });
+    if (const auto started = agent.start(); !isOk(started)) {
+        std::cerr << "tray-agent: " << error(started).message << '\n';
+        return ExitFailure;
+    }
+    std::cout << "data=" << toString(agent.dataAddress())
+              << " admin=" << toString(agent.adminAddress()) << std::endl;
+    const auto limit = milliseconds(settings.agent().drain_timeout_ms());
+    const auto stop = [&agent] { return agent.stop(); };
+    return runService(context, 1, stop, limit) ? ExitOk : ExitFailure;
+}
--- /dev/null
+++ b/src/agent/AgentStatus.cpp
@@ -0,0 +1,128 @@
+// The agent's view of the configuration and the status that it publishes.
+#include "agent/Agent.h"
+
+namespace tray {
+
+namespace {
+
+// A status is repeated at this interval while another agent waits for a confirmation.
+constexpr auto RefreshInterval = std::chrono::seconds(1);
+
+std::shared_ptr<const ItemSpecs> specsOf(const Catalogue &catalogue, const std::string &pool)
+{
+    auto specs = std::make_shared<ItemSpecs>();
+    for (const auto &[name, model] : catalogue.models()) {
+        if (model.pool() != pool)
+            continue;
+        ModelSpec spec;
+        spec.version = model.version();
+        spec.bytes = model.weight_bytes();
+        spec.minReplicas = model.min_replicas();
+        spec.kvBytesPerToken = model.kv_bytes_per_token();
+        spec.maxContextTokens = model.max_context_tokens();
+        specs->models[name] = spec;
+    }
+    for (const auto &[name, adapter] : catalogue.adapters()) {
+        if (!specs->models.contains(adapter.base_model()))
+            continue;
+        specs->adapters[name] = {adapter.base_model(), adapter.version(), adapter.bytes()};
+    }
+    for (const auto &[name, service] : catalogue.services()) {
+        if (service.pool() == pool)
+            specs->services.insert(name);
+    }
+    return specs;
+}
+
+} // namespace
+
+std::shared_ptr<const ItemSpecs> Agent::specs()
+{
+    const auto catalogue = this->node.catalogue();
+    if (catalogue != this->cachedFor || !this->cachedSpecs) {
+        this->cachedFor = catalogue;
+        this->cachedSpecs = specsOf(*catalogue, this->settings.upstream().pool());
+    }
+    return this->cachedSpecs;
+}
+
+StatusList Agent::liveStatuses() const
+{
+    // A status of an agent that is not in the instance list any more tells nothing.
+    const auto statuses = this->node.statuses();
+    const auto instances = this->node.instances();
+    std::set<std::string> live;
+    for (const auto &entry : instances->instances()) {
+        if (!entry.leaving() && !entry.upstream().empty())
+            live.insert(entry.upstream());
+    }
+    StatusList found;
+    if (!statuses)
+        return found;
+    for (const auto &status : *statuses) {
+        if (live.empty() || live.contains(status->upstream()))
+            found.push_back(status);
+    }
+    return found;
+}
+
+proto::UpstreamStatus Agent::makeStatus() const
+{
+    const auto &upstream = this->settings.upstream();
+    proto::UpstreamStatus status;
+    status.set_upstream(upstream.name());
+    status.set_epoch(this->epoch.epoch());
+    status.set_pool(upstream.pool());
+    status.set_data_centre(this->settings.instance().data_centre());
+    status.set_region(this->settings.instance().region());
+    status.set_data_address(toString(this->boundData));
+    status.set_control_address(toString(this->boundControl));
+    status.set_service(this->controller == nullptr);
+    status.set_accelerators(upstream.accelerators());
+    status.set_concurrency(upstream.concurrency());
+    status.set_draining(this->runner->isDraining() || this->leaving);
+    status.set_instance(this->settings.instance().id());
+    status.set_lost(this->serviceLost);
+    if (!this->controller)
+        return status;
+    const auto &ledger = this->controller->ledger();
+    status.set_lost(this->controller->isLost() || !ledger.hasReport());
+    status.set_memory_bytes(ledger.memoryBytes());
+    status.set_fencing_obeyed(this->controller->obeysFencing());
+    for (const auto &[key, entry] : ledger.entries()) {
+        if (entry.phase == MemoryLedger::Phase::UnloadSent)
+            continue;
+        auto &item = *status.add_items();
+        item.set_name(key.name);
+        item.set_version(key.version);
+        item.set_adapter(key.kind == ItemKind::Adapter);
+        item.set_ready(entry.phase == MemoryLedger::Phase::Ready);
+    }
+    const auto &decision = this->controller->lastDecision();
+    for (const auto &name : decision.heldModels)
+        status.add_held_models(name);
+    for (const auto &name : decision.releasingModels)
+        status.add_releasing_models(name);
+    return status;
+}
+
+void Agent::publishStatus()
+{
+    // Without an epoch, this status could not replace the predecessor's.
+    if (this->epoch.epoch() == 0 || this->stopped)
+        return;
+    const Instant now = std::chrono::steady_clock::now();
+    auto status = this->makeStatus();
+    status.set_sequence(this->published.sequence());
+    const bool refresh = this->controller && this->controller->lastDecision().refreshStatus &&
+                         now - this->publishedAt >= RefreshInterval;
+    if (!refresh && this->published.sequence() > 0 &&
+        status.SerializeAsString() == this->published.SerializeAsString())
+        return;
+    status.set_sequence(this->published.sequence() + 1);
+    this->published = status;
+    this->publishedAt = now;
+    this->node.setOwnStatus(std::move(status));
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/agent/DataServer.cpp
@@ -0,0 +1,211 @@
+// Agent's side of the data channel.
+#include "agent/DataServer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Pooled channels stay open between attempts for this long.
+constexpr auto ChannelIdle = std::chrono::minutes(10);
+constexpr size_t MostDataBytes = 64u << 10;
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+uint32_t retryAfterOf(const Error &reason)
+{
+    const int given = reason.retryAfterMs;
+    return static_cast<uint32_t>(given > 0 ? given : errorAnswer(reason.kind).retryAfterMs);
+}
+
+} // namespace
+
+DataServer::DataServer(asio::io_context &context, AttemptRunner &runner, Duration heartbeat,
+                       Metrics &metrics)
+    : runner(runner), heartbeat(heartbeat), metrics(metrics),
+      server(context, [this](Channel channel) { return this->serve(std::move(channel)); })
+{}
+
+Result<Address> DataServer::listen(const Address &address)
+{
+    return this->server.listen(address);
+}
+
+asio::awaitable<void> DataServer::serve(Channel channel)
+{
+    Carried carried;
+    while (true) {
+        auto frame = co_await channel->receive(ChannelIdle);
+        if (!isOk(frame))
+            break;
+        this->runner.noteHeadVersion(value(frame).head_version());
+        if (!co_await this->handle(channel, value(std::move(frame)), carried))
+            break;
+    }
+    if (carried.record)
+        carried.record->detach(carried.connection, clockNow());
+    channel->close();
+}
+
+asio::awaitable<bool> DataServer::handle(Channel channel, proto::Frame frame, Carried &carried)
+{
+    const AttemptId id{frame.request_id(), frame.attempt_number()};
+    const bool opens = frame.has_attempt() || frame.has_resume();
+    if (!opens) {
+        // Frames about an attempt that this channel does not carry are late or crossed.
+        if (!carried.record || carried.record->id != id) {
+            this->metrics.counter("agent_mismatched_frames_total").add();
+            co_return true;
+        }
+        if (frame.has_cancel())
+            this->runner.cancel(carried.record);
+        if (frame.has_acknowledge())
+            carried.record->acknowledge(frame.acknowledge().offset());
+        co_return true;
+    }
+    // A channel carries one attempt at a time.
+    if (carried.record && !carried.record->isFinal() &&
+        carried.record->isCarriedBy(carried.connection))
+        co_return false;
+    const Instant now = clockNow();
+    uint64_t offset = 0;
+    AttemptTable::Lookup lookup;
+    if (frame.has_attempt()) {
+        lookup = this->runner.table().arrive(id, frame.attempt(), frame.head_version(), now);
+    } else {
+        offset = frame.resume().offset();
+        lookup = this->runner.table().resume(id, now);
+    }
+    if (!lookup.record)
+        co_return co_await this->refuseUnknown(channel, std::move(frame), lookup.mayHaveRun);
+    carried.record = lookup.record;
+    carried.connection = lookup.record->attach();
+    asio::co_spawn(channel->executor(),
+                   this->write(channel, lookup.record, carried.connection, offset),
+                   asio::detached);
+    if (lookup.isNew)
+        this->runner.accept(lookup.record);
+    co_return true;
+}
+
+asio::awaitable<bool> DataServer::refuseUnknown(Channel channel, proto::Frame about,
+                                                bool mayHaveRun)
+{
+    proto::Frame frame;
+    frame.set_request_id(about.request_id());
+    frame.set_attempt_number(about.attempt_number());
+    frame.set_head_version(this->runner.headVersion());
+    if (mayHaveRun) {
+        auto &failed = *frame.mutable_failed();
+        failed.set_error_kind(static_cast<uint32_t>(ErrorKind::AnswerExpired));
+        failed.set_message("the answer is no longer kept");
+        failed.set_may_have_run(true);
+        *failed.mutable_load() = this->runner.load();
+    } else {
+        auto &refused = *frame.mutable_refused();
+        refused.set_error_kind(static_cast<uint32_t>(ErrorKind::NeverSeen));
+        refused.set_message("the attempt was never seen and will not run here");
+        *refused.mutable_load() = this->runner.load();
+    }
+    co_return isOk(co_await channel->send(frame));
+}
+
+proto::Frame DataServer::frameFor(const AttemptRecord &record) const
+{
+    proto::Frame frame;
+    frame.set_request_id(record.id.requestId);
+    frame.set_attempt_number(record.id.number);
+    frame.set_head_version(this->runner.headVersion());
+    return frame;
+}
+
+bool DataServer::fillFinal(const AttemptRecord &record, uint64_t offset, proto::Frame &frame)
+{
+    if (!record.isFinal())
+        return false;
+    const auto &reason = record.reason();
+    if (record.stage() == AttemptStage::Refused) {
+        auto &refused = *frame.mutable_refused();
+        refused.set_error_kind(static_cast<uint32_t>(reason.kind));
+        refused.set_message(reason.message);
+        refused.set_retry_after_ms(retryAfterOf(reason));
+        *refused.mutable_load() = this->runner.load();
+    } else if (record.stage() == AttemptStage::Failed) {
+        auto &failed = *frame.mutable_failed();
+        failed.set_error_kind(static_cast<uint32_t>(reason.kind));
+        failed.set_message(reason.message);
+        failed.set_may_have_run(true);
+        failed.set_engine_lost(record.isEngineLost());
+        *failed.mutable_load() = this->runner.load();
+    } else {
+        if (offset < record.totalBytes())
+            return false;
+        auto &end = *frame.mutable_end();
+        end.set_total_bytes(record.totalBytes());
+        end.set_digest(record.digest());
+        *end.mutable_load() = this->runner.load();
+    }
+    return true;
+}
+
+asio::awaitable<void> DataServer::write(Channel channel, Record record, uint64_t connection,
+                                        uint64_t offset)
+{
+    bool admittedSent = false;
+    bool headSent = false;
+    Instant lastSent = clockNow();
+    while (record->isCarriedBy(connection)) {
+        proto::Frame frame = this->frameFor(*record);
+        bool last = false;
+        const bool passedAdmission = record->stage() != AttemptStage::Arrived &&
+                                     record->stage() != AttemptStage::Refused;
+        auto data = record->read(offset, MostDataBytes);
+        if (passedAdmission && !admittedSent) {
+            *frame.mutable_admitted()->mutable_load() = this->runner.load();
+            admittedSent = true;
+        } else if (record->head() && !headSent) {
+            *frame.mutable_head() = *record->head();
+            headSent = true;
+        } else if (!isOk(data)) {
+            auto &failed = *frame.mutable_failed();
+            failed.set_error_kind(static_cast<uint32_t>(ErrorKind::StreamBroken));
+            failed.set_message(error(data).message);
+            failed.set_may_have_run(true);
+            last = true;
+        } else if (!value(data).empty()) {
+            frame.mutable_data()->set_offset(offset);
+            offset += value(data).size();
+            frame.mutable_data()->set_data(value(std::move(data)));
+        } else if (this->fillFinal(*record, offset, frame)) {
+            last = true;
+        } else if (clockNow() - lastSent >= this->heartbeat) {
+            *frame.mutable_heartbeat()->mutable_load() = this->runner.load();
+        } else {
+            record->changed.expires_at(lastSent + this->heartbeat);
+            co_await record->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        const auto sent = co_await channel->send(frame);
+        if (!isOk(sent)) {
+            record->detach(connection, clockNow());
+            channel->close();
+            co_return;
+        }
+        lastSent = clockNow();
+        if (frame.has_data())
+            record->noteSent(offset);
+        if (last)
+            co_return;
+    }
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/edge/ServicePort.h
@@ -0,0 +1,26 @@
+// Narrow interface to a plain service.
+#pragma once
+
+#include "base/Result.h"
+#include "base/Time.h"
+#include "net/HttpClient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+
+namespace tray {
+
+/// Calls to one plain service. Errors are those of HttpClient.
+class ServicePort
+{
+public:
+    virtual ~ServicePort() = default;
+
+    /// Sends a request and returns once the header of the answer is there.
+    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>>
+    open(HttpRequest request, Duration timeout) = 0;
+    /// The service accepts connections.
+    virtual boost::asio::awaitable<bool> isReachable(Duration timeout) = 0;
+};
+
+} // namespace tray
