--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-AttemptRunner::AttemptRunner(asio::io_context &context, AdmissionLimits limits,
-                             UpstreamPorts ports, RunnerHooks hooks, Metrics &metrics)
+AttemptRunner::AttemptRunner(asio::io_context &context, AdmissionLimits limits, UpstreamPorts ports,
+                             RunnerHooks hooks, Metrics &metrics)
     : context(context), ports(ports), hooks(std::move(hooks)), metrics(metrics),
       attempts(context.get_executor()), queue(limits)
 {}
@@ -281,6 +281,8 @@
     if (this->ports.service != nullptr)
         co_return !co_await this->ports.service->isReachable(std::chrono::seconds(1));
     const bool answers = co_await this->ports.controller->readReport();
+    if (!answers)
+        this->ports.controller->markLost();
     co_return !answers || this->ports.controller->restarts() != restartsBefore;
 }
 
@@ -379,7 +381,8 @@
 {
     std::map<std::pair<ItemKind, std::string>, ItemDemand> found;
     const auto add = [&](ItemKind kind, const std::string &name, uint32_t rank) {
-        const auto [place, isNew] = found.try_emplace({kind, name}, ItemDemand{kind, name, rank, 0});
+        const auto [place, isNew] =
+            found.try_emplace({kind, name}, ItemDemand{kind, name, rank, 0});
         place->second.tierRank = std::min(place->second.tierRank, rank);
         ++place->second.waiting;
     };
--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -67,11 +67,8 @@
     const Instant now = std::chrono::steady_clock::now();
     if (!isOk(result)) {
         const bool closed = error(result).kind == ErrorKind::UpstreamUnreachable;
-        if (!this->lost && (closed || now - this->lastReport > this->times.lostAfter)) {
-            this->lost = true;
-            spdlog::warn("event=engine_lost upstream={} error=\"{}\"", this->upstream,
-                         error(result).message);
-        }
+        if (closed || now - this->lastReport > this->times.lostAfter)
+            this->markLost();
         co_return false;
     }
     // Two reads may cross; a report that was asked for before a newer one arrived tells nothing.
@@ -92,6 +89,13 @@
     co_return true;
 }
 
+void EngineController::markLost()
+{
+    if (!this->lost)
+        spdlog::warn("event=engine_lost upstream={}", this->upstream);
+    this->lost = true;
+}
+
 void EngineController::noteLoads(Instant now)
 {
     std::erase_if(this->loadsSince, [&](const auto &pair) {
@@ -125,8 +129,9 @@
     for (auto &order : this->decision.orders) {
         if (order.action == OrderAction::Load)
             this->loadsSince.try_emplace(order.key, now);
-        this->metrics.counter("agent_orders_total",
-                              "action=\"" + std::string(enumName(order.action)) + "\"").add();
+        this->metrics
+            .counter("agent_orders_total", "action=\"" + std::string(enumName(order.action)) + "\"")
+            .add();
         asio::co_spawn(this->context, this->sendOrder(order), asio::detached);
     }
 }
@@ -136,9 +141,8 @@
     const auto mark = this->memory.noteSent(order.key);
     const auto result = co_await this->port.order(order, this->times.callTimeout);
     if (isOk(result)) {
-        const bool restarted =
-            this->memory.noteAccepted(order.key, order.action, value(result),
-                                      this->fencingObeyed ? order.fencing : 0, mark);
+        const bool restarted = this->memory.noteAccepted(
+            order.key, order.action, value(result), this->fencingObeyed ? order.fencing : 0, mark);
         this->restartCount += restarted ? 1 : 0;
         co_return;
     }
@@ -213,8 +217,8 @@
 std::optional<Duration> EngineController::readyAfter(ItemKind kind, const std::string &name) const
 {
     const auto specs = this->hooks.specs();
-    const bool known = kind == ItemKind::Model ? specs->models.contains(name)
-                                               : specs->adapters.contains(name);
+    const bool known =
+        kind == ItemKind::Model ? specs->models.contains(name) : specs->adapters.contains(name);
     if (!known || this->lost || this->draining)
         return std::nullopt;
     if (this->readyVersion(kind, name))
--- a/src/agent/EngineController.h
+++ b/src/agent/EngineController.h
@@ -59,6 +59,8 @@
     const MemoryLedger &ledger() const { return this->memory; }
     const ReconcileOutput &lastDecision() const { return this->decision; }
     bool isLost() const { return this->lost; }
+    /// The engine cut a request and does not report; it gets no work until it reports again.
+    void markLost();
     bool obeysFencing() const { return this->fencingObeyed; }
     /// Restarts of the engine process that were noticed.
     uint64_t restarts() const { return this->restartCount; }
