--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -63,6 +63,7 @@
 asio::awaitable<bool> EngineController::readReport()
 {
     const uint64_t before = this->memory.lastSequence();
+    const Instant asked = std::chrono::steady_clock::now();
     const auto result = co_await this->port.report(this->times.callTimeout);
     const Instant now = std::chrono::steady_clock::now();
     if (!isOk(result)) {
@@ -71,6 +72,9 @@
             this->markLost();
         co_return false;
     }
+    // A report that was asked for before the engine was found dead tells nothing of it now.
+    if (this->lost && asked <= this->lostSince)
+        co_return false;
     // Two reads may cross; a report that was asked for before a newer one arrived tells nothing.
     const bool crossed = this->memory.lastSequence() != before;
     this->lastReport = now;
@@ -94,6 +98,7 @@
     if (!this->lost)
         spdlog::warn("event=engine_lost upstream={}", this->upstream);
     this->lost = true;
+    this->lostSince = std::chrono::steady_clock::now();
 }
 
 void EngineController::noteLoads(Instant now)
--- a/src/agent/EngineController.h
+++ b/src/agent/EngineController.h
@@ -97,6 +97,7 @@
     uint64_t restartCount = 0;
     std::string role;
     Instant lastReport;
+    Instant lostSince;
     // Loads that were ordered and are not ready, and the mean time of a load by kind.
     std::map<ItemKey, Instant> loadsSince;
     std::map<ItemKind, Duration> meanLoad{{ItemKind::Model, std::chrono::seconds(2)},
