--- a/src/agent/EngineController.h
+++ b/src/agent/EngineController.h
@@ -59,6 +59,8 @@
     const MemoryLedger &ledger() const { return this->memory; }
     const ReconcileOutput &lastDecision() const { return this->decision; }
     bool isLost() const { return this->lost; }
+    /// The engine cut a request and does not report; it gets no work until it reports again.
+    void markLost();
     bool obeysFencing() const { return this->fencingObeyed; }
     /// Restarts of the engine process that were noticed.
     uint64_t restarts() const { return this->restartCount; }
@@ -95,6 +97,7 @@
     uint64_t restartCount = 0;
     std::string role;
     Instant lastReport;
+    Instant lostSince;
     // Loads that were ordered and are not ready, and the mean time of a load by kind.
     std::map<ItemKey, Instant> loadsSince;
     std::map<ItemKind, Duration> meanLoad{{ItemKind::Model, std::chrono::seconds(2)},
