Check the control traffic of idle nodes

Guards against a sync that grows beyond 150 bytes an exchange or 8 KB/s a node while nothing changes.

--- a/tests/node/ControlNodeTest.cpp
+++ b/tests/node/ControlNodeTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <ctime>
 #include <doctest/doctest.h>
 #include <spdlog/spdlog.h>
 
@@ -219,4 +220,33 @@
         const auto head = cluster.submit(1);
         CHECK(cluster.inForceWithin(head, InForceLimit));
     }
+    SUBCASE("an idle node stays within the limits of control traffic")
+    {
+        // Lets the statuses and lists of the start settle.
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+        const auto bytes = [&](const TestNode &made) {
+            return metricOf(made, "tray_control_bytes_sent") +
+                   metricOf(made, "tray_control_bytes_received");
+        };
+        std::vector<double> before;
+        for (const auto &made : cluster.nodes)
+            before.push_back(bytes(*made));
+        const auto cpuBefore = std::clock();
+        constexpr double Seconds = 4;
+        std::this_thread::sleep_for(std::chrono::duration<double>(Seconds));
+        const double cpu = static_cast<double>(std::clock() - cpuBefore) / CLOCKS_PER_SEC;
+        double sum = 0;
+        double highest = 0;
+        for (size_t i = 0; i < cluster.nodes.size(); ++i) {
+            const double rate = (bytes(*cluster.nodes[i]) - before[i]) / Seconds;
+            sum += rate;
+            highest = std::max(highest, rate);
+        }
+        MESSAGE("bytes/s per node: mean ", sum / Cluster::Size, " highest ", highest,
+                "; CPU per node with its share of the stand-in: ",
+                cpu / Seconds / Cluster::Size * 100, "% of a core");
+        // Each exchange is counted at both ends.
+        CHECK(sum / Cluster::Size <= 2 * 2 * 150 * 1.1);
+        CHECK(highest <= 8000);
+    }
 }
--- a/tests/node/NodeCluster.h
+++ b/tests/node/NodeCluster.h
@@ -114,6 +114,14 @@
     return made;
 }
 
+/// Value of a metric without labels on a node's page; 0 if it is not there.
+inline double metricOf(const TestNode &made, const std::string &name)
+{
+    const std::string page = "\n" + made.metrics.page();
+    const auto at = page.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stod(page.substr(at + name.size() + 2));
+}
+
 /// Waits until a condition holds; false after the limit.
 inline bool eventually(Duration limit, const std::function<bool()> &holds)
 {
