--- a/fakes/FakePlatform.cpp
+++ b/fakes/FakePlatform.cpp
@@ -246,7 +246,7 @@
             return plain(400, "a write needs a condition");
         const uint64_t expected = match.empty() ? 0 : parseNumber(match);
         if (request.method == "DELETE")
-            return this->store.remove(key, expected) ? plain(204, "") : plain(412, "conflict");
+            return this->store.remove(key, expected) ? plain(200, "") : plain(412, "conflict");
         if (request.method != "PUT")
             return plain(405, "method");
         if (request.body.size() > MaxObjectBytes)
--- a/tests/node/ControlNodeTest.cpp
+++ b/tests/node/ControlNodeTest.cpp
@@ -61,6 +61,67 @@
     CHECK(second->node->isFresh(std::chrono::steady_clock::now()));
 }
 
+TEST_CASE("An agent that dies is marked as lost, and a wrong mark is cured")
+{
+    spdlog::set_level(spdlog::level::off);
+    TestPlatform platform;
+    std::vector<std::unique_ptr<TestNode>> nodes;
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "n" + std::to_string(i);
+        nodes.push_back(startNode({id, "dc", "r", "agent", "u" + id}, platform.address));
+        proto::UpstreamStatus status;
+        status.set_upstream("u" + id);
+        status.set_instance(id);
+        status.set_epoch(1);
+        status.set_sequence(1);
+        status.set_control_address(toString(nodes.back()->control));
+        nodes.back()->node->setOwnStatus(status);
+    }
+    const auto lost = [&](const TestNode &at, const std::string &upstream) {
+        const auto statuses = at.node->statuses();
+        return std::any_of(statuses->begin(), statuses->end(), [&](const auto &status) {
+            return status->upstream() == upstream && status->lost();
+        });
+    };
+    REQUIRE(eventually(std::chrono::seconds(5), [&] {
+        return std::all_of(nodes.begin(), nodes.end(),
+                           [](const auto &made) { return made->node->statuses()->size() == 4; });
+    }));
+    SUBCASE("whichever place in the tree it had")
+    {
+        for (size_t dead = 0; dead < 2; ++dead) {
+            const std::string upstream = "un" + std::to_string(dead);
+            nodes[dead]->kill();
+            CHECK(eventually(std::chrono::seconds(12), [&] {
+                return lost(*nodes[2], upstream) && lost(*nodes[3], upstream);
+            }));
+        }
+        CHECK_FALSE(lost(*nodes[2], "un3"));
+        CHECK_FALSE(lost(*nodes[3], "un2"));
+    }
+    SUBCASE("a mark that a peer made wrongly does not stay")
+    {
+        proto::ControlRequest request;
+        auto &sync = *request.mutable_sync();
+        sync.set_instance("stranger");
+        sync.mutable_in_force()->set_processes(1);
+        auto &status = *sync.add_statuses();
+        status.set_upstream("un3");
+        status.set_instance("n3");
+        status.set_epoch(1);
+        status.set_sequence(1);
+        status.set_liveness(1);
+        status.set_lost(true);
+        REQUIRE(isOk(nodes[0]->wait(
+            nodes[0]->node->call(nodes[1]->control, request, std::chrono::seconds(1)))));
+        REQUIRE(eventually(std::chrono::seconds(2), [&] { return lost(*nodes[1], "un3"); }));
+        CHECK(eventually(std::chrono::seconds(5), [&] {
+            return std::none_of(nodes.begin(), nodes.end(),
+                                [&](const auto &made) { return lost(*made, "un3"); });
+        }));
+    }
+}
+
 namespace {
 
 NodeIdentity clusterIdentity(int number)
