--- a/src/claims/ClaimShard.cpp
+++ b/src/claims/ClaimShard.cpp
@@ -17,6 +17,12 @@
     return reply;
 }
 
+bool hadNoEffect(ErrorKind kind)
+{
+    return kind == ErrorKind::PlatformUnavailable || kind == ErrorKind::Overloaded ||
+           kind == ErrorKind::BadRequest || kind == ErrorKind::BodyTooLarge;
+}
+
 } // namespace
 
 ClaimShard::ClaimShard(uint32_t shard, std::string owner, ClaimShardSettings settings,
@@ -431,7 +437,7 @@
         // Another owner has written, or an earlier write of this one took effect late.
         this->requeue(std::move(this->headWrite), false);
         this->phase = Phase::Unread;
-    } else if (kind == ErrorKind::PlatformUnavailable || kind == ErrorKind::Overloaded) {
+    } else if (hadNoEffect(kind)) {
         this->requeue(std::move(this->headWrite), false);
         this->enterOutage(now);
     } else {
