Add the placement planner

Cause: wishes for the engines were missing; loads on demand move models far too often. Change: DemandTracker keeps decayed rates by model and region, PlacementState accounts memory and expected load of a plan, PlannedPlanner keeps minimum replicas and adds a replica only where the gain over 60 s exceeds the cost of the loads. The strategy "on-demand" makes no wishes.

--- /dev/null
+++ b/tests/placement/PlannerTest.cpp
@@ -0,0 +1,284 @@
+// Properties of plans, and the rules for single moves.
+#include "placement/Planner.h"
+#include "support/Property.h"
+
+#include <random>
+
+namespace tray::test {
+
+namespace {
+
+constexpr uint64_t Gb = 1'000'000'000;
+
+/// Engines, models and demand that a plan is made for.
+struct Site
+{
+    std::vector<proto::CatalogueObject> objects;
+    std::vector<std::shared_ptr<const proto::UpstreamStatus>> statuses;
+    std::map<std::string, uint64_t> memory;
+    DemandTracker demand;
+    PlacementPlan present;
+    Instant now{std::chrono::hours(1)};
+
+    void addEngine(const std::string &name, uint64_t memoryBytes, const std::string &region)
+    {
+        auto status = std::make_shared<proto::UpstreamStatus>();
+        status->set_upstream(name);
+        status->set_pool("gpu");
+        status->set_region(region);
+        status->set_memory_bytes(memoryBytes);
+        status->set_concurrency(16);
+        this->memory[name] = memoryBytes;
+        this->statuses.push_back(std::move(status));
+    }
+
+    void addModel(const std::string &name, uint64_t bytes, uint32_t minimum, uint32_t tokens = 4000)
+    {
+        proto::CatalogueObject object;
+        object.set_name(name);
+        proto::Model &model = *object.mutable_model();
+        model.set_pool("gpu");
+        model.set_version("1");
+        model.set_weight_bytes(bytes);
+        model.set_min_replicas(minimum);
+        model.set_kv_bytes_per_token(100000);
+        model.set_max_context_tokens(tokens);
+        this->objects.push_back(object);
+    }
+
+    void addAdapter(const std::string &name, const std::string &base, uint64_t bytes)
+    {
+        proto::CatalogueObject object;
+        object.set_name(name);
+        object.mutable_adapter()->set_base_model(base);
+        object.mutable_adapter()->set_bytes(bytes);
+        this->objects.push_back(object);
+    }
+
+    /// Lets a demand stand for some seconds.
+    void ask(const std::map<std::pair<std::string, std::string>, uint32_t> &tokens, int seconds)
+    {
+        for (int i = 0; i < seconds; ++i) {
+            this->now += std::chrono::seconds(1);
+            for (const auto &[key, amount] : tokens) {
+                proto::Demand row;
+                row.set_name(key.first);
+                row.set_region(key.second);
+                row.set_requests(amount / 500 + 1);
+                row.set_tokens(amount);
+                this->demand.add(row, this->now);
+            }
+        }
+    }
+
+    /// Plans and puts the plan in force; returns the number of items that were added or removed.
+    size_t plan()
+    {
+        const Catalogue catalogue(1, this->objects);
+        const PlanInput input{catalogue, this->statuses, this->demand, this->present};
+        const PlacementPlan made = *makePlanner("planned")->plan(input, this->now);
+        size_t moves = 0;
+        for (const auto &[name, items] : made) {
+            const EngineItems &before = this->present[name];
+            for (const auto &model : items.models)
+                moves += before.models.contains(model) ? 0 : 1;
+            for (const auto &model : before.models)
+                moves += items.models.contains(model) ? 0 : 1;
+            for (const auto &adapter : items.adapters)
+                moves += before.adapters.contains(adapter) ? 0 : 1;
+        }
+        this->present = made;
+        return moves;
+    }
+
+    size_t replicas(const std::string &model) const
+    {
+        size_t count = 0;
+        for (const auto &[name, items] : this->present)
+            count += items.models.count(model);
+        return count;
+    }
+
+    /// An engine of the present plan whose items and one context a model exceed its memory.
+    std::string overcommitted() const
+    {
+        const Catalogue catalogue(1, this->objects);
+        for (const auto &[name, items] : this->present) {
+            uint64_t sum = 0;
+            for (const auto &model : items.models)
+                sum += need(*catalogue.findModel(model));
+            for (const auto &adapter : items.adapters) {
+                if (!items.models.contains(catalogue.findAdapter(adapter)->base_model()))
+                    return name + " holds an adapter without its model";
+                sum += catalogue.findAdapter(adapter)->bytes();
+            }
+            if (sum > this->memory.at(name))
+                return name;
+        }
+        return "";
+    }
+
+    static uint64_t need(const proto::Model &model)
+    {
+        return model.weight_bytes() +
+               uint64_t{model.kv_bytes_per_token()} * model.max_context_tokens();
+    }
+
+    /// All minimum replicas fit by first-fit decreasing, adapters and a reserve of 1/16 included.
+    bool minimaFit() const
+    {
+        const Catalogue catalogue(1, this->objects);
+        std::vector<std::pair<uint64_t, std::string>> needs;
+        for (const auto &[name, model] : catalogue.models()) {
+            uint64_t bytes = need(model);
+            for (const auto &[adapterName, adapter] : catalogue.adapters())
+                bytes += adapter.base_model() == name ? adapter.bytes() : 0;
+            needs.insert(needs.end(), std::max(1u, model.min_replicas()), {bytes, name});
+        }
+        std::stable_sort(needs.begin(), needs.end(), [](const auto &left, const auto &right) {
+            return left.first > right.first;
+        });
+        std::map<std::string, std::pair<uint64_t, std::set<std::string>>> used;
+        for (const auto &[bytes, model] : needs) {
+            bool isPlaced = false;
+            for (const auto &[name, size] : this->memory) {
+                auto &[sum, held] = used[name];
+                if (isPlaced || held.contains(model) || sum + bytes > size - size / 16)
+                    continue;
+                sum += bytes;
+                held.insert(model);
+                isPlaced = true;
+            }
+            if (!isPlaced)
+                return false;
+        }
+        return true;
+    }
+};
+
+using Demands = std::map<std::pair<std::string, std::string>, uint32_t>;
+
+/// Random site; the present plan is that of an earlier demand.
+Site randomSite(uint64_t seed, Demands &demands)
+{
+    std::mt19937_64 random(seed);
+    const auto below = [&](uint64_t limit) { return random() % limit; };
+    Site site;
+    const uint64_t engines = 1 + below(9);
+    for (uint64_t i = 0; i < engines; ++i)
+        site.addEngine("e" + std::to_string(i), (20 + below(60)) * Gb, i % 3 == 0 ? "n" : "c");
+    const uint64_t models = 1 + below(14);
+    for (uint64_t i = 0; i < models; ++i) {
+        const std::string name = "m" + std::to_string(i);
+        site.addModel(name, (1 + below(18)) * Gb, static_cast<uint32_t>(below(3)));
+        for (uint64_t j = 0; j < below(4); ++j)
+            site.addAdapter(name + "-a" + std::to_string(j), name, below(500'000'000));
+        for (const char *region : {"n", "c"})
+            demands[{name, region}] = static_cast<uint32_t>(below(3) == 0 ? below(900) : 0);
+    }
+    site.ask(demands, 60);
+    site.plan();
+    for (auto &[key, amount] : demands)
+        amount = static_cast<uint32_t>(below(4) == 0 ? below(1500) : amount);
+    site.ask(demands, 600);
+    return site;
+}
+
+} // namespace
+
+// Guards against wishes that no engine can carry, or that leave a model unreachable although it
+// would fit.
+TEST_CASE("No plan overcommits, and each model has its minimum where memory allows")
+{
+    checkProperty("plans fit", 41, 400, [](uint64_t seed) {
+        Demands demands;
+        Site site = randomSite(seed, demands);
+        for (int round = 0; round < 3; ++round) {
+            site.plan();
+            RC_ASSERT(site.overcommitted() == "");
+            if (!site.minimaFit())
+                continue;
+            for (const auto &object : site.objects) {
+                if (object.has_model())
+                    RC_ASSERT(site.replicas(object.name()) >=
+                              std::max(1u, object.model().min_replicas()));
+            }
+            // An engine leaves, and its models must go elsewhere.
+            if (site.statuses.size() > 1) {
+                const std::string name = site.statuses.back()->upstream();
+                site.statuses.pop_back();
+                site.memory.erase(name);
+                site.present.erase(name);
+            }
+        }
+    });
+}
+
+// Guards against moves that go back and forth although nothing changes.
+TEST_CASE("A steady demand causes no moves after the first plan")
+{
+    checkProperty("plans rest", 42, 300, [](uint64_t seed) {
+        Demands demands;
+        Site site = randomSite(seed, demands);
+        site.plan();
+        for (int round = 0; round < 5; ++round) {
+            site.ask(demands, 1);
+            RC_ASSERT(site.plan() == 0u);
+        }
+    });
+}
+
+TEST_CASE("Moves that pay off")
+{
+    Site site;
+    site.addEngine("c1", 40 * Gb, "c");
+    site.addEngine("c2", 40 * Gb, "c");
+    site.addEngine("n1", 40 * Gb, "n");
+    site.addModel("big", 10 * Gb, 1);
+    site.addModel("small", 10 * Gb, 1);
+    site.plan();
+    REQUIRE(site.replicas("big") == 1);
+
+    SUBCASE("an overloaded model gets a second replica, a quiet one does not")
+    {
+        site.ask({{{"big", "c"}, 600}, {{"small", "c"}, 20}}, 60);
+        site.plan();
+        CHECK(site.replicas("big") == 2);
+        CHECK(site.replicas("small") <= 2);
+        CHECK(site.plan() == 0);
+    }
+    SUBCASE("a model that norte asks for is placed in norte")
+    {
+        site.ask({{{"big", "n"}, 200}, {{"small", "c"}, 200}}, 60);
+        site.plan();
+        CHECK(site.present["n1"].models.contains("big"));
+    }
+    SUBCASE("a spare replica leaves for a model that needs the room more")
+    {
+        site.ask({{{"big", "c"}, 900}}, 60);
+        site.plan();
+        const size_t before = site.replicas("big");
+        for (int i = 0; i < 7; ++i)
+            site.addModel("new" + std::to_string(i), 13 * Gb, 1);
+        site.ask({{{"big", "c"}, 1}}, 120);
+        site.plan();
+        CHECK(site.replicas("big") < before);
+        CHECK(site.overcommitted() == "");
+    }
+    SUBCASE("a short request or two cause none")
+    {
+        site.ask({{{"big", "c"}, 30}, {{"small", "n"}, 1}}, 3);
+        CHECK(site.plan() == 0);
+    }
+}
+
+TEST_CASE("The baseline makes no wishes")
+{
+    Site site;
+    const Catalogue catalogue;
+    const PlanInput input{catalogue, site.statuses, site.demand, site.present};
+    CHECK_FALSE(makePlanner("on-demand")->plan(input, site.now));
+    CHECK(makePlanner("other") == nullptr);
+}
+
+} // namespace tray::test
