--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -281,6 +281,8 @@
     if (this->ports.service != nullptr)
         co_return !co_await this->ports.service->isReachable(std::chrono::seconds(1));
     const bool answers = co_await this->ports.controller->readReport();
+    if (!answers)
+        this->ports.controller->markLost();
     co_return !answers || this->ports.controller->restarts() != restartsBefore;
 }
 
