--- /dev/null
+++ b/tests/memory/LastReplicaTest.cpp
@@ -0,0 +1,218 @@
+// Agents that want a model's memory for something else never unload its last replica.
+#include "memory/Reconciler.h"
+#include "memory/SimulatedEngine.h"
+#include "support/Property.h"
+
+using namespace tray;
+using namespace tray::test;
+
+namespace {
+
+uint64_t pick(uint64_t low, uint64_t high)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<uint64_t>(low, high));
+}
+
+/// Agents over reliable engines; only their statuses travel late.
+class Fleet
+{
+public:
+    static constexpr uint64_t Memory = 100;
+    /// Longest time that a status takes to reach the other agents.
+    static constexpr auto MostStatusDelay = std::chrono::seconds(4);
+
+    explicit Fleet(size_t agents)
+    {
+        for (size_t i = 0; i < agents; ++i)
+            this->agents.push_back(std::make_unique<Agent>("u" + std::to_string(i)));
+    }
+
+    struct Agent
+    {
+        explicit Agent(std::string name)
+            : name(std::move(name)), engine(Memory, true),
+              reconciler(this->name, "pool", this->ledger)
+        {}
+
+        std::string name;
+        SimulatedEngine engine;
+        MemoryLedger ledger;
+        Reconciler reconciler;
+        ItemWish wish;
+        proto::UpstreamStatus status;
+        ReconcileOutput decision;
+        /// Published statuses with the time at which the others see them.
+        std::deque<std::pair<Instant, std::shared_ptr<const proto::UpstreamStatus>>> published;
+        std::shared_ptr<const proto::UpstreamStatus> seen;
+    };
+
+    void preload(size_t agent, const std::string &model)
+    {
+        EngineOrder order;
+        order.id = "preload-" + model;
+        order.key = {ItemKind::Model, model, "1"};
+        order.bytes = this->specs.models.at(model).bytes;
+        this->agents[agent]->engine.apply(order);
+        this->agents[agent]->engine.progress([] { return true; });
+        this->agents[agent]->ledger.applyReport(this->agents[agent]->engine.report());
+    }
+
+    void step(size_t which, Duration statusDelay)
+    {
+        auto &agent = *this->agents[which];
+        StatusList statuses;
+        for (const auto &other : this->agents) {
+            while (!other->published.empty() && other->published.front().first <= this->now) {
+                other->seen = other->published.front().second;
+                other->published.pop_front();
+            }
+            if (other->seen)
+                statuses.push_back(other->seen);
+        }
+        agent.ledger.applyReport(agent.engine.report());
+        const std::vector<ItemDemand> demand;
+        const std::map<ItemKey, uint32_t> inUse;
+        ReconcileInput input{this->specs, agent.wish, statuses, demand, inUse};
+        input.mayRepair = this->mayRepair;
+        agent.decision = agent.reconciler.decide(input, this->now);
+        for (const auto &order : agent.decision.orders) {
+            const auto mark = agent.ledger.noteSent(order.key);
+            agent.engine.apply(order);
+            agent.ledger.noteAccepted(order.key, order.action, agent.engine.firstSequence(), 0,
+                                      mark);
+            this->loads += order.action == OrderAction::Load ? 1 : 0;
+        }
+        agent.engine.progress([] { return true; });
+        this->publish(agent, statusDelay);
+    }
+
+    void publish(Agent &agent, Duration delay)
+    {
+        proto::UpstreamStatus status;
+        status.set_upstream(agent.name);
+        status.set_pool("pool");
+        status.set_sequence(agent.status.sequence());
+        for (const auto &[key, entry] : agent.ledger.entries()) {
+            if (entry.phase == MemoryLedger::Phase::UnloadSent)
+                continue;
+            auto &item = *status.add_items();
+            item.set_name(key.name);
+            item.set_version(key.version);
+            item.set_ready(entry.phase == MemoryLedger::Phase::Ready);
+        }
+        for (const auto &model : agent.decision.heldModels)
+            status.add_held_models(model);
+        for (const auto &model : agent.decision.releasingModels)
+            status.add_releasing_models(model);
+        if (!agent.decision.refreshStatus && !this->touchStatus &&
+            status.SerializeAsString() == agent.status.SerializeAsString())
+            return;
+        status.set_sequence(agent.status.sequence() + 1);
+        agent.status = status;
+        Instant arrival = this->now + delay;
+        if (!agent.published.empty())
+            arrival = std::max(arrival, agent.published.back().first);
+        agent.published.emplace_back(arrival, std::make_shared<proto::UpstreamStatus>(status));
+    }
+
+    size_t replicas(const std::string &model) const
+    {
+        size_t count = 0;
+        for (const auto &agent : this->agents) {
+            for (const auto &item : agent->engine.report().items)
+                count += item.key.name == model && item.state == ItemState::Ready;
+        }
+        return count;
+    }
+
+    ItemSpecs specs;
+    std::vector<std::unique_ptr<Agent>> agents;
+    Instant now{std::chrono::hours(1)};
+    bool mayRepair = false;
+    /// Publishes a status at each step, as if another item of the agent had changed.
+    bool touchStatus = false;
+    int loads = 0;
+};
+
+} // namespace
+
+TEST_CASE("The last replica of a model is never unloaded")
+{
+    // Guards against two agents that each unload a model because the other still shows it.
+    checkProperty("a model with replicas keeps one", 81, 150, [] {
+        Fleet fleet(3);
+        fleet.specs.models["m"] = {"1", 60};
+        fleet.specs.models["n"] = {"1", 60};
+        fleet.preload(0, "m");
+        fleet.preload(1, "m");
+        fleet.preload(2, "n");
+        for (int i = 0; i < 300; ++i) {
+            const size_t which = pick(0, 3);
+            // Two planners that disagree with the present state, both agents at once.
+            if (pick(0, 40) == 0) {
+                const std::string model = pick(0, 2) == 0 ? "m" : "n";
+                fleet.agents[0]->wish.models = {model};
+                fleet.agents[1]->wish.models = {model};
+            }
+            fleet.now += milliseconds(pick(50, 600));
+            fleet.touchStatus = pick(0, 2) == 0;
+            fleet.step(which, milliseconds(pick(0, toMs(Fleet::MostStatusDelay))));
+            RC_ASSERT(fleet.replicas("m") > 0);
+            RC_ASSERT(fleet.replicas("n") > 0);
+            for (const auto &agent : fleet.agents)
+                RC_ASSERT(agent->engine.overcommitted() == 0);
+        }
+    });
+}
+
+TEST_CASE("A spare replica gives way to a wished model")
+{
+    Fleet fleet(2);
+    fleet.specs.models["m"] = {"1", 60};
+    fleet.specs.models["n"] = {"1", 60};
+    fleet.preload(0, "m");
+    fleet.preload(1, "m");
+    for (auto &agent : fleet.agents)
+        agent->wish.models = {"m"};
+    fleet.agents[1]->wish.models = {"n"};
+    for (int i = 0; i < 400 && fleet.replicas("n") == 0; ++i) {
+        fleet.now += milliseconds(100);
+        fleet.step(static_cast<size_t>(i) % 2, milliseconds(500));
+    }
+    CHECK(fleet.replicas("m") == 1);
+    CHECK(fleet.replicas("n") == 1);
+}
+
+TEST_CASE("A replica is kept while the only other holder is silent")
+{
+    // Guards against an unload that relies on the last word of an agent which may be gone.
+    Fleet fleet(2);
+    fleet.specs.models["m"] = {"1", 60};
+    fleet.specs.models["n"] = {"1", 60};
+    fleet.preload(0, "m");
+    fleet.preload(1, "m");
+    for (int i = 0; i < 10; ++i)
+        fleet.step(1, milliseconds(0));
+    fleet.agents[0]->wish.models = {"n"};
+    for (int i = 0; i < 400; ++i) {
+        fleet.now += milliseconds(100);
+        fleet.step(0, milliseconds(0));
+    }
+    CHECK(fleet.agents[0]->engine.isReady({ItemKind::Model, "m", "1"}));
+    CHECK(!fleet.agents[0]->engine.isReady({ItemKind::Model, "n", "1"}));
+}
+
+TEST_CASE("A model without a replica is loaded once, by the first agent in its order")
+{
+    // Guards against a repair that every agent starts at the same time.
+    Fleet fleet(5);
+    fleet.specs.models["m"] = {"1", 60};
+    for (int i = 0; i < 300; ++i) {
+        // An agent repairs once it has heard of the others.
+        fleet.mayRepair = i > 50;
+        fleet.now += milliseconds(50);
+        fleet.step(static_cast<size_t>(i) % 5, milliseconds(200));
+    }
+    CHECK(fleet.replicas("m") == 1);
+    CHECK(fleet.loads == 1);
+}
