Test racing operators with lost answers and outages

Guards against an accepted ticket that reverts, two conflicting tickets that both win, a refused ticket that takes effect, and one that takes effect twice. Submissions run against an object API in memory whose interleaving and failures RapidCheck chooses. The waits between attempts are settings of the submitter.

--- a/src/ctl/TicketSubmitter.cpp
+++ b/src/ctl/TicketSubmitter.cpp
@@ -14,9 +14,6 @@
 
 namespace asio = boost::asio;
 
-constexpr auto FirstWait = milliseconds(20);
-constexpr auto LongestWait = milliseconds(500);
-
 /// A failure after which the same call makes sense.
 bool isPassing(ErrorKind kind)
 {
@@ -26,8 +23,8 @@
 
 } // namespace
 
-TicketSubmitter::TicketSubmitter(ObjectApi &api, std::function<double()> random)
-    : api(api), random(std::move(random))
+TicketSubmitter::TicketSubmitter(ObjectApi &api, std::function<double()> random, TicketRetry retry)
+    : api(api), random(std::move(random)), retry(retry)
 {}
 
 asio::awaitable<Result<TicketBoard>> TicketSubmitter::readBoard()
@@ -68,7 +65,7 @@
 asio::awaitable<Result<TicketAcceptance>>
 TicketSubmitter::submit(proto::Ticket ticket, std::vector<EngineRoom> engines, Instant deadline)
 {
-    Backoff backoff(FirstWait, LongestWait);
+    Backoff backoff(this->retry.first, this->retry.longest);
     bool unclear = false;
     while (true) {
         auto attempt = co_await this->attempt(ticket, engines);
--- a/src/ctl/TicketSubmitter.h
+++ b/src/ctl/TicketSubmitter.h
@@ -20,12 +20,19 @@
     bool before = false;
 };
 
+/// Waits between attempts of a submission.
+struct TicketRetry
+{
+    Duration first = milliseconds(20);
+    Duration longest = milliseconds(500);
+};
+
 /// Reads the configuration and submits tickets. Used by one coroutine at a time.
 class TicketSubmitter
 {
 public:
     /// The random number, from 0 to 1, spreads the attempts of racing operators.
-    TicketSubmitter(ObjectApi &api, std::function<double()> random);
+    TicketSubmitter(ObjectApi &api, std::function<double()> random, TicketRetry retry = {});
 
     /// Present configuration. Fails with PlatformUnavailable.
     boost::asio::awaitable<Result<TicketBoard>> readBoard();
@@ -54,6 +61,7 @@
 
     ObjectApi &api;
     std::function<double()> random;
+    const TicketRetry retry;
     // Version of the head object that readBoard() saw; 0 if there is none.
     uint64_t headObjectVersion = 0;
 };
--- /dev/null
+++ b/tests/ctl/MemoryObjectApi.h
@@ -0,0 +1,91 @@
+// Object API in memory whose calls interleave and fail as a list of choices says.
+#pragma once
+
+#include "PlatformStore.h"
+#include "edge/ObjectApi.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <vector>
+
+namespace tray::test {
+
+/// One store for many callers on one thread. Each call takes the next choice: how many other steps
+/// run first, and whether the call fails before or after its effect.
+class MemoryObjectApi : public ObjectApi
+{
+public:
+    using Choice = std::tuple<int, int>;
+    /// Values of the second part of a choice; all others succeed.
+    enum Fault { Outage = 1, LostAfterEffect = 2, LostBeforeEffect = 3 };
+
+    explicit MemoryObjectApi(std::vector<Choice> choices) : choices(std::move(choices)) {}
+
+    boost::asio::awaitable<Result<ObjectValue>> read(std::string key) override
+    {
+        const int fault = co_await this->step();
+        if (fault == Outage)
+            co_return Error{ErrorKind::PlatformUnavailable, "outage"};
+        const auto *found = this->store.find(key);
+        if (found == nullptr)
+            co_return Error{ErrorKind::NotFound, key};
+        ObjectValue copy;
+        copy.value = found->value;
+        copy.version = found->version;
+        co_return copy;
+    }
+
+    boost::asio::awaitable<Result<uint64_t>> write(std::string key, std::string value,
+                                                   uint64_t expectedVersion) override
+    {
+        const int fault = co_await this->step();
+        if (fault == Outage)
+            co_return Error{ErrorKind::PlatformUnavailable, "outage"};
+        if (fault == LostBeforeEffect)
+            co_return Error{ErrorKind::OutcomeUnknown, "lost request"};
+        const auto written = this->store.write(key, std::move(value), expectedVersion);
+        // A second step lets others see the effect before its writer has the answer.
+        co_await boost::asio::post(co_await boost::asio::this_coro::executor,
+                                   boost::asio::use_awaitable);
+        if (fault == LostAfterEffect)
+            co_return Error{ErrorKind::OutcomeUnknown, "lost answer"};
+        if (!written)
+            co_return Error{ErrorKind::VersionConflict, key};
+        co_return *written;
+    }
+
+    boost::asio::awaitable<Result<Unit>> remove(std::string, uint64_t) override
+    {
+        co_return Error{ErrorKind::BadRequest, "not used"};
+    }
+    boost::asio::awaitable<Result<ObjectChanges>> list(std::string) override
+    {
+        co_return Error{ErrorKind::BadRequest, "not used"};
+    }
+    boost::asio::awaitable<Result<ObjectChanges>> watch(std::string, uint64_t, Duration) override
+    {
+        co_return Error{ErrorKind::BadRequest, "not used"};
+    }
+
+    PlatformStore store;
+
+private:
+    boost::asio::awaitable<int> step()
+    {
+        const auto executor = co_await boost::asio::this_coro::executor;
+        int delay = 0;
+        int fault = 0;
+        // Calls beyond the list succeed, so that every submission ends.
+        if (this->next < this->choices.size())
+            std::tie(delay, fault) = this->choices[this->next++];
+        for (int i = 0; i <= delay; ++i)
+            co_await boost::asio::post(executor, boost::asio::use_awaitable);
+        co_return fault;
+    }
+
+    std::vector<Choice> choices;
+    size_t next = 0;
+};
+
+} // namespace tray::test
