--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -46,6 +46,7 @@
     : context(context), settings(settings), guard(context),
       node(context, identityOf(settings), settings.platform(), settings.control(), this->metrics,
            this->events),
+      claimService(context, this->node, this->metrics),
       epoch(this->node.objectApi(), settings.upstream().name(), settings.instance().id()),
       ticker(context)
 {
@@ -171,6 +172,7 @@
                 this->handleDrain(drain, reply);
             });
         });
+    this->claimService.start();
     this->node.start(this->boundData);
     asio::co_spawn(this->context, this->raiseEpoch(), asio::detached);
     asio::co_spawn(this->context, this->tick(), asio::detached);
@@ -284,6 +286,7 @@
     this->ticker.cancel();
     this->dataServer->stop();
     this->admin->drain();
+    this->claimService.stop();
     this->node.stop();
 }
 
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -7,6 +7,7 @@
 #include "agent/EpochKeeper.h"
 #include "agent/GuardPort.h"
 #include "net/AdminServer.h"
+#include "node/ClaimService.h"
 #include "node/ControlNode.h"
 
 #include "settings_agent.pb.h"
@@ -57,6 +58,7 @@
     EventRing events;
     GuardPort guard;
     ControlNode node;
+    ClaimService claimService;
     EpochKeeper epoch;
     std::unique_ptr<EnginePort> engine;
     std::unique_ptr<ServicePort> service;
