Load a new version on another engine when the old one's is full

Cause: in a trial with real processes, a model on a full engine never changed its version, because its neighbours were last replicas too. Change: a version in force without a replica is missed like a model without one, after 5 s in which engines with the old version may replace it in place. Result: test-memory passes; with the new condition off, the new story fails.

--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -160,12 +160,15 @@
     }
     for (const auto &[name, spec] : input.specs.models) {
         const uint32_t needed = std::max(1u, spec.minReplicas);
-        if (!input.mayRepair || here.contains(name) || this->view.replicas(name, true) >= needed) {
+        const bool few = this->view.replicas(name, true) < needed;
+        const bool old = !few && this->view.replicasOfVersion(name, spec.version) == 0;
+        if (!input.mayRepair || here.contains(name) || !(few || old)) {
             this->missingSince.erase(name);
             continue;
         }
         const auto since = this->missingSince.try_emplace(name, now).first->second;
-        if (now - since >= this->view.loadRank(name) * this->times.repairStep)
+        const Duration turn = this->view.loadRank(name) * this->times.repairStep;
+        if (now - since >= turn + (few ? Duration::zero() : this->times.replaceInPlace))
             this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
     }
     std::erase_if(this->missingSince,
--- a/src/memory/Reconciler.h
+++ b/src/memory/Reconciler.h
@@ -85,6 +85,9 @@
     Duration resend = std::chrono::seconds(1);
     /// Wait for each position in the rendezvous order before a missing replica is loaded.
     Duration repairStep = std::chrono::seconds(1);
+    /// Time that engines with an old version have to replace it, before another engine loads the
+    /// version in force.
+    Duration replaceInPlace = std::chrono::seconds(5);
     HoldTimes holds;
 };
 
--- a/src/memory/ReplicaView.cpp
+++ b/src/memory/ReplicaView.cpp
@@ -62,6 +62,16 @@
     });
 }
 
+uint32_t ReplicaView::replicasOfVersion(const std::string &model, const std::string &version) const
+{
+    return this->countOthers([&](const std::string &, const Seen &seen) {
+        const auto &items = seen.status->items();
+        return std::any_of(items.begin(), items.end(), [&](const auto &item) {
+            return !item.adapter() && item.name() == model && item.version() == version;
+        });
+    });
+}
+
 bool ReplicaView::isHeldElsewhere(const std::string &model) const
 {
     return this->countOthers([&](const std::string &, const Seen &seen) {
--- a/src/memory/ReplicaView.h
+++ b/src/memory/ReplicaView.h
@@ -40,6 +40,8 @@
 
     /// Other live engines that have the model ready, or loading if that counts too.
     uint32_t replicas(const std::string &model, bool withLoading) const;
+    /// Other live engines that have or load one version of the model.
+    uint32_t replicasOfVersion(const std::string &model, const std::string &version) const;
     /// Another live engine has the model ready and holds it.
     bool isHeldElsewhere(const std::string &model) const;
     /// Like isHeldElsewhere, by a status that was published after the given time and is fresh.
--- a/tests/memory/LastReplicaTest.cpp
+++ b/tests/memory/LastReplicaTest.cpp
@@ -202,6 +202,29 @@
     CHECK(!fleet.agents[0]->engine.isReady({ItemKind::Model, "n", "1"}));
 }
 
+TEST_CASE("A new version that has no room beside the old one is loaded on another engine")
+{
+    // Guards against a version that never comes into force because its only engine is full.
+    Fleet fleet(2);
+    fleet.mayRepair = true;
+    for (const char *name : {"m", "n"})
+        fleet.specs.models[name] = {"1", 45};
+    fleet.preload(0, "m");
+    fleet.preload(0, "n");
+    for (int i = 0; i < 20; ++i)
+        fleet.step(static_cast<size_t>(i) % 2, milliseconds(0));
+    fleet.specs.models["m"].version = "2";
+    for (int i = 0; i < 400; ++i) {
+        fleet.now += milliseconds(100);
+        fleet.step(static_cast<size_t>(i) % 2, milliseconds(200));
+        CHECK(fleet.replicas("m") > 0);
+        CHECK(fleet.replicas("n") > 0);
+    }
+    CHECK(fleet.agents[1]->engine.isReady({ItemKind::Model, "m", "2"}));
+    CHECK(!fleet.agents[0]->engine.isReady({ItemKind::Model, "m", "1"}));
+    CHECK(fleet.agents[0]->engine.overcommitted() == 0);
+}
+
 TEST_CASE("A model without a replica is loaded once, by the first agent in its order")
 {
     // Guards against a repair that every agent starts at the same time.
