--- /dev/null
+++ b/tests/process/AtMostOnceTest.cpp
@@ -0,0 +1,85 @@
+// Non-idempotent requests, crashing requests and silent connections with real processes.
+#include "process/ProcessRig.h"
+
+#include <boost/json.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <map>
+
+using namespace tray;
+using namespace tray::test;
+using std::chrono::seconds;
+
+namespace {
+
+/// Executions of all services by idempotency key.
+std::map<std::string, int64_t> executionsByKey(ProcessRig &rig, int services)
+{
+    std::map<std::string, int64_t> counts;
+    for (int number = 0; number < services; ++number) {
+        const auto page = rig.call(rig.serviceAdmin(number), "GET", "/executions");
+        REQUIRE(page.status == 200);
+        const auto body = boost::json::parse(page.body);
+        for (const auto &field : body.at("by_key").as_object())
+            counts[std::string(field.key())] += field.value().to_number<int64_t>();
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("A non-idempotent request runs at most once, over two entries and with kills")
+{
+    ProcessRig rig;
+    RigLayout layout;
+    layout.engines = 1;
+    layout.models = 1;
+    layout.services = 2;
+    layout.serviceSettings = "execute_ms = 30\n";
+    REQUIRE(rig.startSystem(layout));
+    auto load = rig.startLoad(rig.scenarioHead(6) +
+                              "[flow.bookings]\nmember = rig\nkind = service\nservice = desk\n"
+                              "method = POST\npath = new\nidempotency_key = true\nrate = 40\n"
+                              "repeats = 4\nexpectation_ms = 10000\n");
+    std::this_thread::sleep_for(milliseconds(1500));
+    rig.signal("service-agent0", SIGKILL);
+    std::this_thread::sleep_for(milliseconds(1500));
+    rig.signal("entry0", SIGKILL);
+    std::this_thread::sleep_for(milliseconds(500));
+    rig.restart("entry0");
+    const auto report = load.get();
+    INFO(report.ShortDebugString());
+    const auto counts = executionsByKey(rig, layout.services);
+    for (const auto &[key, count] : counts) {
+        INFO(key);
+        CHECK(count == 1);
+    }
+    CHECK(counts.size() >= report.total().answered());
+    CHECK(report.total().answered() * 2 > report.total().sent());
+}
+
+TEST_CASE("A crashing request takes down at most two engines")
+{
+    ProcessRig rig;
+    RigLayout layout;
+    layout.engines = 4;
+    layout.models = 1;
+    layout.minReplicas = 4;
+    layout.services = 0;
+    REQUIRE(rig.startSystem(layout));
+    for (int number = 0; number < layout.engines; ++number)
+        REQUIRE(rig.fault(rig.engineAdmin(number), R"({"crash_text":"boom"})"));
+    // The caller repeats through both entries, whatever it is answered.
+    for (int attempt = 0; attempt < 10; ++attempt) {
+        CHECK(rig.complete(attempt % 2, "m1", "boom").status != 200);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    int dead = 0;
+    for (int number = 0; number < layout.engines; ++number)
+        dead += rig.isRunning(fmt::format("engine{}", number)) ? 0 : 1;
+    CHECK(dead >= 1);
+    CHECK(dead <= 2);
+    for (int entry = 0; entry < layout.entries; ++entry)
+        CHECK(rig.complete(entry, "m1", "harmless").status == 200);
+}
