Find unreachable upstreams after a cut, and refute stale marks

Cause: without a parent, a root kept the statuses of what is behind a cut link for good. When the link healed, marks of loss from the other side would have taken down live upstreams until their owners had cured them. Change: a root checks statuses that nobody vouches for, by a sample of three for each data centre, and marks them. A process below which an upstream is alive answers a mark at once with a higher liveness. Lost upstreams of unlisted instances are forgotten after 60 s.

--- a/src/membership/StatusTable.cpp
+++ b/src/membership/StatusTable.cpp
@@ -17,6 +17,9 @@
 bool StatusTable::apply(const proto::UpstreamStatus &status, Side side, const std::string &origin)
 {
     auto &row = this->rows[status.upstream()];
+    // A child that passes a mark of loss on does not vouch for the upstream.
+    if (status.lost() && side == Side::Child)
+        side = Side::Parent;
     if (row.status) {
         const auto present = rankOf(*row.status);
         const auto given = rankOf(status);
@@ -34,9 +37,16 @@
             return false;
         }
     }
-    row.side = side;
-    row.origin = side == Side::Child ? origin : std::string();
+    // A parent that only changes the liveness does not say that the upstream has moved. The child
+    // has to hear of it, as it may be the one to cure a mark.
+    const bool sameWord = row.status && row.status->epoch() == status.epoch() &&
+                          row.status->sequence() == status.sequence();
+    if (side != Side::Parent || !sameWord) {
+        row.side = side;
+        row.origin = side == Side::Child ? origin : std::string();
+    }
     this->store(row, status);
+    row.tellChild = side != Side::Child;
     return true;
 }
 
@@ -46,7 +56,7 @@
     std::vector<Status> changed;
     for (auto it = this->journal.upper_bound(position); it != this->journal.end(); ++it) {
         const auto &row = this->rows.at(it->second);
-        if (exceptChild.empty() || row.origin != exceptChild)
+        if (exceptChild.empty() || row.origin != exceptChild || row.tellChild)
             changed.push_back(row.status);
     }
     return changed;
@@ -78,6 +88,31 @@
     return released;
 }
 
+std::vector<StatusTable::Status> StatusTable::heardFromParent() const
+{
+    std::vector<Status> found;
+    for (const auto &[name, row] : this->rows) {
+        if (row.side == Side::Parent && !row.status->lost())
+            found.push_back(row.status);
+    }
+    return found;
+}
+
+std::string StatusTable::voucher(const std::string &upstream) const
+{
+    const auto found = this->rows.find(upstream);
+    return found == this->rows.end() ? std::string() : found->second.origin;
+}
+
+void StatusTable::refute(const proto::UpstreamStatus &mark)
+{
+    auto &row = this->rows.at(mark.upstream());
+    auto status = *row.status;
+    status.set_liveness(mark.liveness() + 1);
+    this->store(row, std::move(status));
+    row.tellChild = true;
+}
+
 bool StatusTable::markLost(const Status &seen)
 {
     const auto found = this->rows.find(seen->upstream());
--- a/src/membership/StatusTable.h
+++ b/src/membership/StatusTable.h
@@ -34,6 +34,14 @@
     std::vector<Status> changedBelow(uint64_t position) const;
     /// Statuses that a child vouched for and that are not marked as lost; it no longer does.
     std::vector<Status> release(const std::string &child);
+    /// Statuses heard from a parent only and not marked as lost. Without a parent, nobody renews
+    /// them.
+    std::vector<Status> heardFromParent() const;
+    /// Child that vouches for an upstream; empty if none does.
+    std::string voucher(const std::string &upstream) const;
+    /// Answers a mark of loss with a higher liveness, because a live child vouches for the
+    /// upstream.
+    void refute(const proto::UpstreamStatus &mark);
     /// Marks an upstream as lost unless its status has changed since it was seen. The process that
     /// owns the status cures a wrong mark by a higher liveness.
     bool markLost(const Status &seen);
@@ -61,6 +69,8 @@
         Side side = Side::Own;
         // Child that vouches for the status; empty for other sides.
         std::string origin;
+        // The status changed otherwise than by this child's word.
+        bool tellChild = false;
         uint64_t position = 0;
     };
 
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -149,7 +149,7 @@
 {
     {
         const std::lock_guard lock(this->impl->mutex);
-        this->impl->state.setOwnStatus(std::move(status));
+        this->impl->state.setOwnStatus(std::move(status), this->impl->now());
     }
     this->impl->wake();
 }
--- a/src/node/ControlNodeImpl.h
+++ b/src/node/ControlNodeImpl.h
@@ -51,6 +51,10 @@
     Task fetchSections(Address peer);
     /// Asks a silent process directly, and marks its upstream as lost if it does not answer.
     Task checkSilent(Self self, StatusTable::Status status);
+    /// The same for upstreams of one data centre that nobody vouches for.
+    Task checkDataCentre(Self self, std::vector<StatusTable::Status> statuses);
+    boost::asio::awaitable<bool> answers(StatusTable::Status status);
+    void markLost(const StatusTable::Status &status);
     void startChecks(Instant now);
     void wake();
     Task pause(Duration time);
--- a/src/node/NodeState.cpp
+++ b/src/node/NodeState.cpp
@@ -25,6 +25,7 @@
 
 NodeState::Poll NodeState::makePoll(const std::string &parentId, Instant now)
 {
+    this->rootSince.reset();
     if (this->parent.id != parentId) {
         this->parent = {};
         this->parent.id = parentId;
@@ -89,8 +90,8 @@
     this->children[id] = {request.in_force(), now, request.relay()};
     this->noteHead(request.head_version());
     for (const auto &status : request.statuses())
-        this->takeStatus(status, StatusTable::Side::Child, id);
-    this->cureOwn();
+        this->takeStatus(status, StatusTable::Side::Child, id, now);
+    this->cureOwn(now);
     for (const auto &demand : request.demand())
         this->demandFlow.addUp(demand);
     for (const auto &suspect : request.suspects())
@@ -120,8 +121,8 @@
     this->parentSaysOut = reply.platform_out();
     this->wholeFromParent = reply.whole();
     for (const auto &status : reply.statuses())
-        this->takeStatus(status, StatusTable::Side::Parent, "");
-    this->cureOwn();
+        this->takeStatus(status, StatusTable::Side::Parent, "", now);
+    this->cureOwn(now);
     for (const auto &suspect : reply.suspects())
         this->suspectTable.merge(suspect, now);
     this->shareOut(reply.demand());
@@ -154,9 +155,11 @@
     this->platformHeard(sentAt - milliseconds(reply.platform_age_ms()));
 }
 
-void NodeState::actAsRoot()
+void NodeState::actAsRoot(Instant now)
 {
     this->parent = {};
+    if (!this->rootSince)
+        this->rootSince = now;
     google::protobuf::RepeatedPtrField<proto::Demand> all;
     for (auto &demand : this->demandFlow.takeUp())
         *all.Add() = std::move(demand);
@@ -175,21 +178,39 @@
 }
 
 void NodeState::takeStatus(const proto::UpstreamStatus &status, StatusTable::Side side,
-                           const std::string &origin)
+                           const std::string &origin, Instant now)
 {
-    if (this->table.apply(status, side, origin))
-        this->statusView.reset();
+    if (this->isRefuted(status, origin, now))
+        this->table.refute(status);
+    else if (!this->table.apply(status, side, origin))
+        return;
+    this->statusView.reset();
+}
+
+bool NodeState::isRefuted(const proto::UpstreamStatus &mark, const std::string &origin,
+                          Instant now) const
+{
+    if (!mark.lost())
+        return false;
+    const auto present = this->table.find(mark.upstream());
+    if (!present || present->lost() || present->epoch() != mark.epoch() ||
+        present->sequence() != mark.sequence() || present->liveness() >= mark.liveness())
+        return false;
+    const auto voucher = this->table.voucher(mark.upstream());
+    const auto child = this->children.find(voucher);
+    return voucher != origin && child != this->children.end() &&
+           now - child->second.heardAt <= ChildCounted;
 }
 
-std::vector<StatusTable::Status> NodeState::takeSilent(Instant now)
+NodeState::Silent NodeState::takeSilent(Instant now)
 {
-    std::vector<StatusTable::Status> silent;
+    Silent silent;
     std::vector<std::string> gone;
     for (const auto &[id, child] : this->children) {
         if (now - child.heardAt < ChildSilence)
             continue;
         const auto released = this->table.release(id);
-        silent.insert(silent.end(), released.begin(), released.end());
+        silent.single.insert(silent.single.end(), released.begin(), released.end());
         gone.push_back(id);
     }
     for (const auto &id : gone) {
@@ -201,18 +222,47 @@
             return false;
         for (const auto &status : this->table.all()) {
             if (status->instance() == failed.first && !status->lost())
-                silent.push_back(status);
+                silent.single.push_back(status);
         }
         return true;
     });
+    // By now, processes that are alive have found a way to this root and vouch for themselves.
+    if (this->rootSince && now - *this->rootSince >= ChildSilence) {
+        this->rootSince = now;
+        for (const auto &status : this->table.heardFromParent())
+            silent.orphans[status->data_centre()].push_back(status);
+    }
     return silent;
 }
 
-void NodeState::markLost(const StatusTable::Status &seen)
+void NodeState::markLost(const StatusTable::Status &seen, Instant now)
 {
     if (this->table.markLost(seen))
         this->statusView.reset();
-    this->cureOwn();
+    this->cureOwn(now);
+}
+
+void NodeState::forgetGone(Instant now)
+{
+    std::map<std::string, Instant> still;
+    for (const auto &status : this->table.all()) {
+        if (!status->lost())
+            continue;
+        const auto &list = this->instanceList->instances();
+        const bool listed = std::any_of(list.begin(), list.end(), [&](const auto &instance) {
+            return instance.id() == status->instance();
+        });
+        const auto known = this->gone.find(status->upstream());
+        if (!listed)
+            still[status->upstream()] = known == this->gone.end() ? now : known->second;
+    }
+    this->gone = std::move(still);
+    const auto removed = this->table.prune([&](const proto::UpstreamStatus &status) {
+        const auto found = this->gone.find(status.upstream());
+        return found == this->gone.end() || now - found->second < GoneKept;
+    });
+    if (removed > 0)
+        this->statusView.reset();
 }
 
 void NodeState::offerHead(const proto::Head &offered)
@@ -321,14 +371,14 @@
     return told;
 }
 
-void NodeState::setOwnStatus(proto::UpstreamStatus status)
+void NodeState::setOwnStatus(proto::UpstreamStatus status, Instant now)
 {
     this->ownStatus = std::move(status);
-    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "");
-    this->cureOwn();
+    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "", now);
+    this->cureOwn(now);
 }
 
-void NodeState::cureOwn()
+void NodeState::cureOwn(Instant now)
 {
     if (this->ownStatus.upstream().empty())
         return;
@@ -338,7 +388,7 @@
         present->sequence() != this->ownStatus.sequence())
         return;
     this->ownStatus.set_liveness(present->liveness() + 1);
-    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "");
+    this->takeStatus(this->ownStatus, StatusTable::Side::Own, "", now);
 }
 
 void NodeState::setSelf(const proto::InstanceEntry &entry)
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -30,6 +30,8 @@
     static constexpr Duration ChildSilence = std::chrono::seconds(5);
     /// A child that has not polled for this long is not counted in the head in force.
     static constexpr Duration ChildCounted = std::chrono::seconds(3);
+    /// Time after which a lost upstream of an unlisted instance is forgotten.
+    static constexpr Duration GoneKept = std::chrono::seconds(60);
     /// Longer silence of the platform than a relay sees in health: it reads the list every second.
     static constexpr Duration PlatformQuiet = milliseconds(1200);
 
@@ -64,10 +66,22 @@
     void applyPeer(const std::string &peer, const proto::SyncReply &reply, Instant sentAt,
                    Instant now);
     /// The process has no parent that answers: demand is shared out from here.
-    void actAsRoot();
-    /// Statuses of neighbours that have gone silent, for a direct check. Each is returned once.
-    std::vector<StatusTable::Status> takeSilent(Instant now);
-    void markLost(const StatusTable::Status &seen);
+    void actAsRoot(Instant now);
+    /// Statuses that nobody vouches for any more, for a direct check.
+    struct Silent
+    {
+        /// Heard from children or about parents that have gone silent.
+        std::vector<StatusTable::Status> single;
+        /// Heard from a parent before this process became a root, by data centre: a cut link makes
+        /// all of a data centre unreachable at once.
+        std::map<std::string, std::vector<StatusTable::Status>> orphans;
+    };
+    /// Each status is returned once; orphans again after a while if they stay.
+    Silent takeSilent(Instant now);
+    void markLost(const StatusTable::Status &seen, Instant now);
+    /// Forgets upstreams that are lost and whose instance has been off the list for a while. The
+    /// delay is longer than any neighbour takes to hear of the loss, so they do not come back.
+    void forgetGone(Instant now);
 
     // Configuration.
 
@@ -95,7 +109,7 @@
 
     // Own contributions and views.
 
-    void setOwnStatus(proto::UpstreamStatus status);
+    void setOwnStatus(proto::UpstreamStatus status, Instant now);
     void setSelf(const proto::InstanceEntry &entry);
     const RelayTree &tree() const { return this->relayTree; }
     std::shared_ptr<const UpstreamStatuses> statuses() const;
@@ -125,9 +139,11 @@
 
     bool commitIfComplete();
     void applyShared(const proto::SyncReply &reply, Instant sentAt);
-    void cureOwn();
+    void cureOwn(Instant now);
     void takeStatus(const proto::UpstreamStatus &status, StatusTable::Side side,
-                    const std::string &origin);
+                    const std::string &origin, Instant now);
+    /// Another child that polled lately vouches for an upstream that a neighbour marked as lost.
+    bool isRefuted(const proto::UpstreamStatus &mark, const std::string &origin, Instant now) const;
     void shareOut(const google::protobuf::RepeatedPtrField<proto::Demand> &demand);
     proto::InForce aggregate(Instant now) const;
     bool hasParent() const { return !this->parent.id.empty(); }
@@ -158,6 +174,10 @@
     // Parents that stopped to answer, and when they were heard last.
     std::map<std::string, Instant> failedParents;
     proto::InForce wholeFromParent;
+    // Lost upstreams of unlisted instances, and when they were first seen so.
+    std::map<std::string, Instant> gone;
+    // When this process last began to be without a parent; nothing while it has one.
+    std::optional<Instant> rootSince;
 
     Instant heardPlatform{};
     Instant heardParent{};
--- a/src/node/NodeSync.cpp
+++ b/src/node/NodeSync.cpp
@@ -20,6 +20,8 @@
 constexpr auto ShortestInterval = milliseconds(50);
 // Sections asked for in one request; keeps replies far below the largest message.
 constexpr size_t SectionsPerRequest = 16;
+// Upstreams of a data centre that are asked before all of them are taken for unreachable.
+constexpr size_t SampleSize = 3;
 // A relay asks the other relays from this age of its last word from the platform on. Its list is
 // read every second, so a healthy age stays below.
 constexpr auto AskPeersAfter = milliseconds(1100);
@@ -97,7 +99,7 @@
         const std::lock_guard lock(this->mutex);
         this->relaying = this->state.tree().isRelay() || chosen == nullptr;
         if (chosen == nullptr)
-            this->state.actAsRoot();
+            this->state.actAsRoot(this->now());
     }
     if (chosen == nullptr)
         co_return false;
@@ -222,35 +224,64 @@
 
 void ControlNode::Impl::startChecks(Instant now)
 {
-    std::vector<StatusTable::Status> silent;
+    NodeState::Silent silent;
     {
         const std::lock_guard lock(this->mutex);
         silent = this->state.takeSilent(now);
+        this->state.forgetGone(now);
         this->state.suspects().expire(now);
     }
-    for (auto &status : silent)
-        asio::co_spawn(this->strand, this->checkSilent(this->shared_from_this(), std::move(status)),
+    const auto self = this->shared_from_this();
+    for (auto &status : silent.single)
+        asio::co_spawn(this->strand, this->checkSilent(self, std::move(status)), asio::detached);
+    for (auto &[dataCentre, statuses] : silent.orphans)
+        asio::co_spawn(this->strand, this->checkDataCentre(self, std::move(statuses)),
                        asio::detached);
 }
 
 ControlNode::Impl::Task ControlNode::Impl::checkSilent(Self self, StatusTable::Status status)
+{
+    const bool alive = co_await self->answers(status);
+    if (!alive)
+        self->markLost(status);
+}
+
+ControlNode::Impl::Task
+ControlNode::Impl::checkDataCentre(Self self, std::vector<StatusTable::Status> statuses)
+{
+    // A few that do not answer stand for all, so that a cut link costs few calls.
+    const size_t sample = std::min(statuses.size(), SampleSize);
+    bool reached = false;
+    for (size_t i = 0; i < sample && !reached; ++i)
+        reached = co_await self->answers(statuses[i * statuses.size() / sample]);
+    for (auto &status : statuses) {
+        const bool alive = reached && co_await self->answers(status);
+        if (!alive)
+            self->markLost(status);
+    }
+}
+
+asio::awaitable<bool> ControlNode::Impl::answers(StatusTable::Status status)
 {
     const auto address = parseAddress(status->control_address());
-    if (isOk(address)) {
-        proto::ControlRequest request;
-        {
-            const std::lock_guard lock(self->mutex);
-            *request.mutable_sync() = self->state.makeQuery();
-        }
-        const auto reply = co_await self->call(value(address), request,
-                                               milliseconds(self->settings.request_timeout_ms()));
-        if (isOk(reply))
-            co_return;
+    if (!isOk(address))
+        co_return false;
+    proto::ControlRequest request;
+    {
+        const std::lock_guard lock(this->mutex);
+        *request.mutable_sync() = this->state.makeQuery();
     }
-    self->events.add(wallNow(), "upstream_lost", status->upstream(), "its agent does not answer");
+    const auto reply = co_await this->call(value(address), std::move(request),
+                                           milliseconds(this->settings.request_timeout_ms()));
+    co_return isOk(reply);
+}
+
+void ControlNode::Impl::markLost(const StatusTable::Status &status)
+{
+    this->events.add(wallNow(), "upstream_lost", status->upstream(), "its agent does not answer");
     spdlog::warn("event=upstream_lost upstream={}", status->upstream());
-    const std::lock_guard lock(self->mutex);
-    self->state.markLost(status);
+    const std::lock_guard lock(this->mutex);
+    this->state.markLost(status, this->now());
 }
 
 } // namespace tray
--- a/tests/node/NodeStateTest.cpp
+++ b/tests/node/NodeStateTest.cpp
@@ -51,7 +51,7 @@
         status.set_instance("n" + std::to_string(i));
         status.set_epoch(this->epochs[at]);
         status.set_sequence(++this->sequences[at]);
-        this->nodes[at]->setOwnStatus(status);
+        this->nodes[at]->setOwnStatus(status, this->now);
     }
 
     /// One poll of the parent. Lost requests and replies are dropped; a repeated request reaches
@@ -102,8 +102,8 @@
                 // Silent children are found out and marked, rightly or wrongly.
                 world.now += NodeState::ChildSilence;
                 auto &state = *world.nodes[static_cast<size_t>(node)];
-                for (const auto &status : state.takeSilent(world.now))
-                    state.markLost(status);
+                for (const auto &status : state.takeSilent(world.now).single)
+                    state.markLost(status, world.now);
             } else
                 world.poll(node, detail == 0, detail == 1, detail == 2);
         }
@@ -125,6 +125,66 @@
     });
 }
 
+TEST_CASE("After a cut, a root finds what nobody vouches for, and refutes marks from afar")
+{
+    World world;
+    for (int i = Nodes - 1; i > 0; --i)
+        world.poll(i, false, false, false);
+    for (int i = 1; i < Nodes; ++i)
+        world.poll(i, false, false, false);
+    auto &cut = *world.nodes[1];
+    const auto statusAt = [&](size_t node, const std::string &upstream) {
+        const auto statuses = *world.nodes[node]->statuses();
+        return **std::find_if(statuses.begin(), statuses.end(),
+                              [&](const auto &status) { return status->upstream() == upstream; });
+    };
+    // Node 1 loses its parent, and its own child goes on.
+    cut.actAsRoot(world.now);
+    CHECK(cut.takeSilent(world.now).orphans.empty());
+    world.now += NodeState::ChildSilence - milliseconds(100);
+    world.poll(3, false, false, false);
+    const auto orphans = cut.takeSilent(world.now).orphans;
+    REQUIRE(orphans.size() == 1);
+    CHECK(orphans.begin()->second.size() == 3);
+    for (const auto &status : orphans.begin()->second)
+        cut.markLost(status, world.now);
+    CHECK(statusAt(1, "u2").lost());
+    CHECK_FALSE(statusAt(1, "u3").lost());
+    // Meanwhile, the other side marks what is behind the cut. Its marks must not shut down the
+    // upstreams that are alive when the link heals, nor the other way round.
+    world.poll(2, false, false, false);
+    for (const auto &status : world.nodes[0]->takeSilent(world.now).single)
+        world.nodes[0]->markLost(status, world.now);
+    REQUIRE(statusAt(0, "u3").lost());
+    world.poll(1, false, false, false);
+    CHECK_FALSE(statusAt(0, "u2").lost());
+    CHECK_FALSE(statusAt(1, "u3").lost());
+    for (int round = 0; round < 3; ++round) {
+        for (int i = Nodes - 1; i > 0; --i)
+            world.poll(i, false, false, false);
+    }
+    for (size_t node = 0; node < Nodes; ++node) {
+        for (int i = 0; i < Nodes; ++i)
+            CHECK_FALSE(statusAt(node, "u" + std::to_string(i)).lost());
+    }
+}
+
+TEST_CASE("A lost upstream is forgotten once its instance has been off the list for a while")
+{
+    World world;
+    world.poll(1, false, false, false);
+    auto &root = *world.nodes[0];
+    world.now += NodeState::ChildSilence;
+    for (const auto &status : root.takeSilent(world.now).single)
+        root.markLost(status, world.now);
+    root.forgetGone(world.now);
+    root.forgetGone(world.now + NodeState::GoneKept - milliseconds(1));
+    CHECK(root.statuses()->size() == 2);
+    root.forgetGone(world.now + NodeState::GoneKept);
+    REQUIRE(root.statuses()->size() == 1);
+    CHECK(root.statuses()->front()->upstream() == "u0");
+}
+
 TEST_CASE("A node knows how fresh its state is")
 {
     World world;
@@ -200,7 +260,7 @@
     world.nodes[3]->demand().addUp(demand);
     for (int i = Nodes - 1; i > 0; --i)
         world.poll(i, false, false, false);
-    world.nodes[0]->actAsRoot();
+    world.nodes[0]->actAsRoot(world.now);
     for (int i = 1; i < Nodes; ++i)
         world.poll(i, false, false, false);
     for (size_t i = 0; i < 3; ++i) {
