--- a/src/placement/PlacementState.cpp
+++ b/src/placement/PlacementState.cpp
@@ -206,7 +206,9 @@
     if (holders.empty())
         return;
     for (const auto &[region, rate] : this->rates(model)) {
-        const auto isLocal = [&](size_t i) { return this->planned[i].region == region; };
+        const auto isLocal = [this, &name = region](size_t i) {
+            return this->planned[i].region == name;
+        };
         const auto local = std::count_if(holders.begin(), holders.end(), isLocal);
         const double share =
             sign * rate / static_cast<double>(local > 0 ? local : std::ssize(holders));
--- a/tests/placement/PlannerTest.cpp
+++ b/tests/placement/PlannerTest.cpp
@@ -272,6 +272,24 @@
     }
 }
 
+// Guards against a new model that stays unreachable although its ticket was accepted.
+TEST_CASE("A model that fits only after others have moved is placed")
+{
+    Site site;
+    site.addEngine("e1", 30 * Gb, "c");
+    site.addEngine("e2", 30 * Gb, "c");
+    site.addModel("a", 12 * Gb, 1);
+    site.addModel("b", 12 * Gb, 1);
+    site.plan();
+    REQUIRE(site.present["e1"].models.size() == 1);
+    site.addModel("c", 20 * Gb, 1);
+    site.plan();
+    CHECK(site.replicas("a") == 1);
+    CHECK(site.replicas("b") == 1);
+    CHECK(site.replicas("c") == 1);
+    CHECK(site.overcommitted() == "");
+}
+
 TEST_CASE("The baseline makes no wishes")
 {
     Site site;
