Let a missing model use the last room also while requests wait for it

Cause: a want from waiting requests hid the repair of the same model, which needs no spare room, so the model was refused until the requests were gone (seen in a trial with a draining last replica).

--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -133,7 +133,11 @@
     for (const auto &demand : input.demand)
         this->addWant(wants, input.specs, demand.kind, demand.name, 0, demand.tierRank,
                       demand.waiting);
-    this->addMissing(wants, input, now);
+    const auto missing = this->missingModels(input, now);
+    for (const auto &name : missing)
+        this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
+    for (auto &want : wants)
+        want.repair = want.key.kind == ItemKind::Model && missing.contains(want.key.name);
     for (const auto &name : input.wish.models)
         this->addWant(wants, input.specs, ItemKind::Model, name, 1, LowestTier, 0);
     for (const auto &name : input.wish.adapters)
@@ -151,8 +155,9 @@
     return wants;
 }
 
-void Reconciler::addMissing(std::vector<Want> &wants, const ReconcileInput &input, Instant now)
+std::set<std::string> Reconciler::missingModels(const ReconcileInput &input, Instant now)
 {
+    std::set<std::string> missing;
     std::set<std::string> here;
     for (const auto &[key, entry] : this->ledger.entries()) {
         if (key.kind == ItemKind::Model && entry.phase != Phase::UnloadSent)
@@ -169,10 +174,11 @@
         const auto since = this->missingSince.try_emplace(name, now).first->second;
         const Duration turn = this->view.loadRank(name) * this->times.repairStep;
         if (now - since >= turn + (few ? Duration::zero() : this->times.replaceInPlace))
-            this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
+            missing.insert(name);
     }
     std::erase_if(this->missingSince,
                   [&](const auto &pair) { return !input.specs.models.contains(pair.first); });
+    return missing;
 }
 
 void Reconciler::loadWanted(const ReconcileInput &input, const std::vector<Want> &wants,
@@ -190,8 +196,7 @@
         if (want.key.kind == ItemKind::Adapter && !this->hasReadyModel(want.base))
             continue;
         // A repair may use the last room; other loads leave some for KV cache.
-        const bool repair = want.urgency == 0 && want.waiting == 0;
-        const uint64_t spare = repair ? 0 : this->ledger.memoryBytes() / KvReserveDivisor;
+        const uint64_t spare = want.repair ? 0 : this->ledger.memoryBytes() / KvReserveDivisor;
         if (this->ledger.chargeLoad(want.key, want.bytes, spare + promised)) {
             this->send(input, OrderAction::Load, want.key, want.bytes, want.base, now, output);
             continue;
--- a/src/memory/Reconciler.h
+++ b/src/memory/Reconciler.h
@@ -115,6 +115,8 @@
         uint32_t urgency = 0;
         uint32_t tierRank = 0;
         uint32_t waiting = 0;
+        /// The model has no replica; it may use the last room.
+        bool repair = false;
     };
     struct Pending
     {
@@ -132,7 +134,7 @@
     void addWant(std::vector<Want> &wants, const ItemSpecs &specs, ItemKind kind,
                  const std::string &name, uint32_t urgency, uint32_t tierRank,
                  uint32_t waiting) const;
-    void addMissing(std::vector<Want> &wants, const ReconcileInput &input, Instant now);
+    std::set<std::string> missingModels(const ReconcileInput &input, Instant now);
     void settlePending();
     void resendPending(const ReconcileInput &input, Instant now, ReconcileOutput &output);
     void loadWanted(const ReconcileInput &input, const std::vector<Want> &wants, Instant now,
