Keep room for KV cache beside the items, also in repairs

Cause: in a trial, an engine repaired a missing model into its last room and then had no KV cache for any of its models. Change: all loads leave 1/16 of the memory; spare replicas are given up when less is left. Result: test-memory passes; without the reserve, the new stories fail.

--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -133,11 +133,8 @@
     for (const auto &demand : input.demand)
         this->addWant(wants, input.specs, demand.kind, demand.name, 0, demand.tierRank,
                       demand.waiting);
-    const auto missing = this->missingModels(input, now);
-    for (const auto &name : missing)
+    for (const auto &name : this->missingModels(input, now))
         this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
-    for (auto &want : wants)
-        want.repair = want.key.kind == ItemKind::Model && missing.contains(want.key.name);
     for (const auto &name : input.wish.models)
         this->addWant(wants, input.specs, ItemKind::Model, name, 1, LowestTier, 0);
     for (const auto &name : input.wish.adapters)
@@ -188,6 +185,8 @@
     for (const auto &want : wants)
         wanted.insert(want.key);
     std::set<ItemKey> considered;
+    const uint64_t spare = this->ledger.memoryBytes() / KvReserveDivisor;
+    this->keepKvReserve(input, wanted, spare, now, output);
     // Room that more important wants are waiting for.
     uint64_t promised = 0;
     for (const auto &want : wants) {
@@ -195,8 +194,6 @@
             continue;
         if (want.key.kind == ItemKind::Adapter && !this->hasReadyModel(want.base))
             continue;
-        // A repair may use the last room; other loads leave some for KV cache.
-        const uint64_t spare = want.repair ? 0 : this->ledger.memoryBytes() / KvReserveDivisor;
         if (this->ledger.chargeLoad(want.key, want.bytes, spare + promised)) {
             this->send(input, OrderAction::Load, want.key, want.bytes, want.base, now, output);
             continue;
@@ -212,6 +209,16 @@
     }
 }
 
+void Reconciler::keepKvReserve(const ReconcileInput &input, const std::set<ItemKey> &wanted,
+                               uint64_t reserve, Instant now, ReconcileOutput &output)
+{
+    uint64_t kept = 0;
+    for (const auto &[key, entry] : this->ledger.entries())
+        kept += entry.phase == Phase::UnloadSent ? 0 : entry.bytes;
+    if (kept + reserve > this->ledger.memoryBytes())
+        this->makeRoom(input, wanted, kept + reserve - this->ledger.memoryBytes(), now, output);
+}
+
 void Reconciler::makeRoom(const ReconcileInput &input, const std::set<ItemKey> &wanted,
                           uint64_t needed, Instant now, ReconcileOutput &output)
 {
--- a/src/memory/Reconciler.h
+++ b/src/memory/Reconciler.h
@@ -100,7 +100,8 @@
 
     /// Orders that are due. Each has been charged in the ledger.
     ReconcileOutput decide(const ReconcileInput &input, Instant now);
-    /// Memory that loads leave free for KV cache, as a part of the whole.
+    /// Memory that items leave free for KV cache, as a part of the whole. Without it, one model too
+    /// many would keep all models of the engine from answering.
     static constexpr uint64_t KvReserveDivisor = 16;
     uint64_t movesOrdered() const { return this->moves; }
 
@@ -115,8 +116,6 @@
         uint32_t urgency = 0;
         uint32_t tierRank = 0;
         uint32_t waiting = 0;
-        /// The model has no replica; it may use the last room.
-        bool repair = false;
     };
     struct Pending
     {
@@ -139,6 +138,8 @@
     void resendPending(const ReconcileInput &input, Instant now, ReconcileOutput &output);
     void loadWanted(const ReconcileInput &input, const std::vector<Want> &wants, Instant now,
                     ReconcileOutput &output);
+    void keepKvReserve(const ReconcileInput &input, const std::set<ItemKey> &wanted,
+                       uint64_t reserve, Instant now, ReconcileOutput &output);
     void dropReplaced(const ReconcileInput &input, Instant now, ReconcileOutput &output);
     void makeRoom(const ReconcileInput &input, const std::set<ItemKey> &wanted, uint64_t needed,
                   Instant now, ReconcileOutput &output);
--- a/tests/memory/LastReplicaTest.cpp
+++ b/tests/memory/LastReplicaTest.cpp
@@ -183,6 +183,35 @@
     CHECK(fleet.replicas("n") == 1);
 }
 
+TEST_CASE("Items leave room for KV cache")
+{
+    // Guards against an engine that is so full of weights that none of its models can answer.
+    Fleet fleet(2);
+    fleet.mayRepair = true;
+    fleet.specs.models["m"] = {"1", 48};
+    fleet.specs.models["n"] = {"1", 48};
+    fleet.preload(0, "m");
+    SUBCASE("a missing model is not loaded into the last room")
+    {
+        for (int i = 0; i < 400; ++i) {
+            fleet.now += milliseconds(100);
+            fleet.step(0, milliseconds(0));
+        }
+        CHECK(fleet.replicas("n") == 0);
+    }
+    SUBCASE("a spare replica is given up for it")
+    {
+        fleet.preload(0, "n");
+        fleet.preload(1, "n");
+        for (int i = 0; i < 400; ++i) {
+            fleet.now += milliseconds(100);
+            fleet.step(static_cast<size_t>(i) % 2, milliseconds(0));
+        }
+        CHECK(!fleet.agents[0]->engine.isReady({ItemKind::Model, "n", "1"}));
+        CHECK(fleet.replicas("n") == 1);
+    }
+}
+
 TEST_CASE("A replica is kept while the only other holder is silent")
 {
     // Guards against an unload that relies on the last word of an agent which may be gone.
