--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -33,7 +33,8 @@
 uint32_t AdmissionQueue::slotReserve(uint32_t tierRank) const
 {
     const uint32_t steps = std::min(tierRank, this->limits.reservedRanks);
-    const uint32_t reserve = (this->limits.concurrency * this->limits.reservePercent * steps + 99) / 100;
+    const uint32_t reserve =
+        (this->limits.concurrency * this->limits.reservePercent * steps + 99) / 100;
     // The lowest tier keeps at least one slot.
     return std::min(reserve, this->limits.concurrency - 1);
 }
@@ -48,18 +49,18 @@
 {
     // Lower tiers' running work does not count: the upstream runs work in the order of its
     // priority, so that work of a higher tier never waits behind it.
-    const auto ahead = std::count_if(
-        this->runningWork.begin(), this->runningWork.end(),
-        [&](const auto &pair) { return pair.second.work.tierRank <= tierRank; });
+    const auto ahead =
+        std::count_if(this->runningWork.begin(), this->runningWork.end(),
+                      [&](const auto &pair) { return pair.second.work.tierRank <= tierRank; });
     return static_cast<uint32_t>(ahead) + this->slotReserve(tierRank) < this->limits.concurrency;
 }
 
 Duration AdmissionQueue::waitBehind(uint32_t tierRank, size_t queuedAhead) const
 {
     const uint32_t slots = this->limits.concurrency - this->slotReserve(tierRank);
-    const auto running = static_cast<size_t>(std::count_if(
-        this->runningWork.begin(), this->runningWork.end(),
-        [&](const auto &pair) { return pair.second.work.tierRank <= tierRank; }));
+    const auto running = static_cast<size_t>(
+        std::count_if(this->runningWork.begin(), this->runningWork.end(),
+                      [&](const auto &pair) { return pair.second.work.tierRank <= tierRank; }));
     if (running + queuedAhead < slots)
         return Duration::zero();
     // Slots free up evenly over the mean time of a request.
@@ -78,8 +79,8 @@
 std::optional<Error> AdmissionQueue::offer(const AdmissionWork &work,
                                            const AdmissionResources &resources, Instant now)
 {
-    const auto ahead = static_cast<size_t>(
-        std::distance(this->queue.begin(), this->queue.lower_bound(work)));
+    const auto ahead =
+        static_cast<size_t>(std::distance(this->queue.begin(), this->queue.lower_bound(work)));
     const Duration wait = this->waitBehind(work.tierRank, ahead);
     if (work.deadline <= now)
         return refusal(ErrorKind::Overloaded, "the deadline has passed", wait);
@@ -101,8 +102,7 @@
     return std::nullopt;
 }
 
-std::vector<AdmissionWork>
-AdmissionQueue::selectWork(const AdmissionResources &resources) const
+std::vector<AdmissionWork> AdmissionQueue::selectWork(const AdmissionResources &resources) const
 {
     std::vector<AdmissionWork> order;
     for (const auto &work : this->queue) {
@@ -127,9 +127,9 @@
         const uint64_t spare = this->kvReserve(work.tierRank, resources.kvMost);
         const uint64_t free = resources.kvFree();
         // A request that is alone may use the reserve, since no other could ever free it more.
-        const bool fits = work.kvBytes == 0 ||
-                          (work.kvBytes <= free &&
-                           (this->runningWork.empty() || free - work.kvBytes >= spare));
+        const bool fits =
+            work.kvBytes == 0 ||
+            (work.kvBytes <= free && (this->runningWork.empty() || free - work.kvBytes >= spare));
         if (!fits || !resources.reserveKv(work.kvBytes))
             break;
         this->queue.erase(work);
@@ -143,8 +143,8 @@
     return started;
 }
 
-std::vector<std::pair<uint64_t, Error>>
-AdmissionQueue::expire(const AdmissionResources &resources, Instant now)
+std::vector<std::pair<uint64_t, Error>> AdmissionQueue::expire(const AdmissionResources &resources,
+                                                               Instant now)
 {
     std::vector<std::pair<uint64_t, Error>> expired;
     for (auto it = this->queue.begin(); it != this->queue.end();) {
@@ -155,11 +155,11 @@
             continue;
         }
         const Duration wait = this->predictedWait(it->tierRank);
-        expired.emplace_back(it->ticket,
-                             late ? refusal(ErrorKind::Overloaded,
-                                            "the request waited until its deadline", wait)
-                                  : refusal(ErrorKind::NoReplica, "the model left this engine",
-                                            std::chrono::seconds(1)));
+        expired.emplace_back(
+            it->ticket,
+            late ? refusal(ErrorKind::Overloaded, "the request waited until its deadline", wait)
+                 : refusal(ErrorKind::NoReplica, "the model left this engine",
+                           std::chrono::seconds(1)));
         it = this->queue.erase(it);
     }
     return expired;
@@ -210,8 +210,8 @@
     load.set_running(static_cast<uint32_t>(this->runningWork.size()));
     load.set_queued(static_cast<uint32_t>(this->queue.size()));
     load.set_concurrency(this->limits.concurrency);
-    load.set_wait_ms(static_cast<uint32_t>(
-        toMs(this->predictedWait(std::numeric_limits<uint32_t>::max()))));
+    load.set_wait_ms(
+        static_cast<uint32_t>(toMs(this->predictedWait(std::numeric_limits<uint32_t>::max()))));
     load.set_wait_top_ms(static_cast<uint32_t>(toMs(this->predictedWait(0))));
     load.set_token_us(static_cast<uint32_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(this->meanToken).count()));
--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -165,12 +165,12 @@
     if (!isOk(adminBound))
         return error(adminBound);
     this->boundAdmin = value(adminBound);
-    this->node.setHandler(proto::ControlRequest::kDrain, [this](proto::ControlRequest request,
-                                                                auto reply) {
-        asio::post(this->context, [this, drain = request.drain(), reply = std::move(reply)] {
-            this->handleDrain(drain, reply);
+    this->node.setHandler(
+        proto::ControlRequest::kDrain, [this](proto::ControlRequest request, auto reply) {
+            asio::post(this->context, [this, drain = request.drain(), reply = std::move(reply)] {
+                this->handleDrain(drain, reply);
+            });
         });
-    });
     this->node.start(this->boundData);
     asio::co_spawn(this->context, this->raiseEpoch(), asio::detached);
     asio::co_spawn(this->context, this->tick(), asio::detached);
--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-AttemptRunner::AttemptRunner(asio::io_context &context, AdmissionLimits limits,
-                             UpstreamPorts ports, RunnerHooks hooks, Metrics &metrics)
+AttemptRunner::AttemptRunner(asio::io_context &context, AdmissionLimits limits, UpstreamPorts ports,
+                             RunnerHooks hooks, Metrics &metrics)
     : context(context), ports(ports), hooks(std::move(hooks)), metrics(metrics),
       attempts(context.get_executor()), queue(limits)
 {}
@@ -379,7 +379,8 @@
 {
     std::map<std::pair<ItemKind, std::string>, ItemDemand> found;
     const auto add = [&](ItemKind kind, const std::string &name, uint32_t rank) {
-        const auto [place, isNew] = found.try_emplace({kind, name}, ItemDemand{kind, name, rank, 0});
+        const auto [place, isNew] =
+            found.try_emplace({kind, name}, ItemDemand{kind, name, rank, 0});
         place->second.tierRank = std::min(place->second.tierRank, rank);
         ++place->second.waiting;
     };
--- a/src/agent/AttemptTable.cpp
+++ b/src/agent/AttemptTable.cpp
@@ -4,7 +4,7 @@
 namespace tray {
 
 AttemptTable::Lookup AttemptTable::arrive(const AttemptId &id, proto::Attempt attempt,
-                                           uint64_t headVersion, Instant now)
+                                          uint64_t headVersion, Instant now)
 {
     if (const auto known = this->records.find(id); known != this->records.end())
         return {known->second, false, false};
@@ -41,8 +41,8 @@
 {
     for (auto it = this->records.begin(); it != this->records.end();) {
         const auto &record = *it->second;
-        const bool done = record.isFinal() &&
-                          (record.isAcknowledged() || now - record.finalSince() >= KeepEnded);
+        const bool done =
+            record.isFinal() && (record.isAcknowledged() || now - record.finalSince() >= KeepEnded);
         if (!done) {
             ++it;
             continue;
@@ -51,8 +51,8 @@
         this->byTicket.erase(record.ticket);
         it = this->records.erase(it);
     }
-    while (!this->spentOrder.empty() && (this->spentOrder.front().first <= now ||
-                                         this->spentOrder.size() > MostIdentities)) {
+    while (!this->spentOrder.empty() &&
+           (this->spentOrder.front().first <= now || this->spentOrder.size() > MostIdentities)) {
         this->spent.erase(this->spentOrder.front().second);
         this->spentOrder.pop_front();
     }
--- a/src/agent/DataServer.cpp
+++ b/src/agent/DataServer.cpp
@@ -90,8 +90,7 @@
     carried.record = lookup.record;
     carried.connection = lookup.record->attach();
     asio::co_spawn(channel->executor(),
-                   this->write(channel, lookup.record, carried.connection, offset),
-                   asio::detached);
+                   this->write(channel, lookup.record, carried.connection, offset), asio::detached);
     if (lookup.isNew)
         this->runner.accept(lookup.record);
     co_return true;
@@ -166,8 +165,8 @@
     while (record->isCarriedBy(connection)) {
         proto::Frame frame = this->frameFor(*record);
         bool last = false;
-        const bool passedAdmission = record->stage() != AttemptStage::Arrived &&
-                                     record->stage() != AttemptStage::Refused;
+        const bool passedAdmission =
+            record->stage() != AttemptStage::Arrived && record->stage() != AttemptStage::Refused;
         auto data = record->read(offset, MostDataBytes);
         if (passedAdmission && !admittedSent) {
             *frame.mutable_admitted()->mutable_load() = this->runner.load();
--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -125,8 +125,9 @@
     for (auto &order : this->decision.orders) {
         if (order.action == OrderAction::Load)
             this->loadsSince.try_emplace(order.key, now);
-        this->metrics.counter("agent_orders_total",
-                              "action=\"" + std::string(enumName(order.action)) + "\"").add();
+        this->metrics
+            .counter("agent_orders_total", "action=\"" + std::string(enumName(order.action)) + "\"")
+            .add();
         asio::co_spawn(this->context, this->sendOrder(order), asio::detached);
     }
 }
@@ -136,9 +137,8 @@
     const auto mark = this->memory.noteSent(order.key);
     const auto result = co_await this->port.order(order, this->times.callTimeout);
     if (isOk(result)) {
-        const bool restarted =
-            this->memory.noteAccepted(order.key, order.action, value(result),
-                                      this->fencingObeyed ? order.fencing : 0, mark);
+        const bool restarted = this->memory.noteAccepted(
+            order.key, order.action, value(result), this->fencingObeyed ? order.fencing : 0, mark);
         this->restartCount += restarted ? 1 : 0;
         co_return;
     }
@@ -213,8 +213,8 @@
 std::optional<Duration> EngineController::readyAfter(ItemKind kind, const std::string &name) const
 {
     const auto specs = this->hooks.specs();
-    const bool known = kind == ItemKind::Model ? specs->models.contains(name)
-                                               : specs->adapters.contains(name);
+    const bool known =
+        kind == ItemKind::Model ? specs->models.contains(name) : specs->adapters.contains(name);
     if (!known || this->lost || this->draining)
         return std::nullopt;
     if (this->readyVersion(kind, name))
--- a/src/agent/GuardPort.cpp
+++ b/src/agent/GuardPort.cpp
@@ -19,8 +19,8 @@
     if (!code)
         this->acceptor.listen(1, code);
     if (code)
-        return Error{ErrorKind::VersionConflict, "the guard port " + toString(address) +
-                                                     " cannot be bound: " + code.message()};
+        return Error{ErrorKind::VersionConflict,
+                     "the guard port " + toString(address) + " cannot be bound: " + code.message()};
     return Unit{};
 }
 
--- a/src/agent/UpstreamRequest.cpp
+++ b/src/agent/UpstreamRequest.cpp
@@ -15,8 +15,8 @@
 constexpr auto HopHeaders = std::to_array<std::string_view>(
     {"connection", "content-length", "transfer-encoding", "keep-alive", "te", "trailer", "upgrade",
      "host", "expect", "proxy-authorization", "authorization"});
-constexpr auto OwnHeaders = std::to_array<std::string_view>(
-    {"x-request-id", "x-priority", "x-model-version", "x-adapter"});
+constexpr auto OwnHeaders =
+    std::to_array<std::string_view>({"x-request-id", "x-priority", "x-model-version", "x-adapter"});
 
 template <typename Names>
 bool isOneOf(const Names &names, std::string_view header)
--- a/src/edge/EnginePort.h
+++ b/src/edge/EnginePort.h
@@ -23,8 +23,8 @@
     /// Sends an order. Returns the sequence number of the first report that can show its effect.
     virtual boost::asio::awaitable<Result<uint64_t>> order(EngineOrder order, Duration timeout) = 0;
     /// Sends a request and returns once the header of the answer is there.
-    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>>
-    open(HttpRequest request, Duration timeout) = 0;
+    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>> open(HttpRequest request,
+                                                                             Duration timeout) = 0;
     /// Cancels a request; on success the engine no longer runs it.
     virtual boost::asio::awaitable<Result<Unit>> cancel(std::string requestId,
                                                         Duration timeout) = 0;
--- a/src/edge/ServicePort.h
+++ b/src/edge/ServicePort.h
@@ -17,8 +17,8 @@
     virtual ~ServicePort() = default;
 
     /// Sends a request and returns once the header of the answer is there.
-    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>>
-    open(HttpRequest request, Duration timeout) = 0;
+    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>> open(HttpRequest request,
+                                                                             Duration timeout) = 0;
     /// The service accepts connections.
     virtual boost::asio::awaitable<bool> isReachable(Duration timeout) = 0;
 };
--- a/src/entry/AttemptDriver.cpp
+++ b/src/entry/AttemptDriver.cpp
@@ -2,6 +2,7 @@
 #include "entry/AttemptDriver.h"
 
 #include <boost/asio/this_coro.hpp>
+#include <spdlog/spdlog.h>
 
 namespace tray {
 
@@ -53,8 +54,9 @@
 
 asio::awaitable<AttemptOutcome> AttemptDriver::run(AttemptJob &job, AnswerSink &sink)
 {
-    Progress progress{
-        AttemptMachine(job.frame.request_id(), job.frame.attempt_number(), job.agentEpoch), {}};
+    Progress progress{AttemptMachine(job.frame.request_id(), job.frame.attempt_number(),
+                                     job.agentEpoch, job.frame.attempt().idempotent()),
+                      {}};
     auto &machine = progress.machine;
     const auto executor = co_await asio::this_coro::executor;
     progress.channel = this->pool.take(toString(job.address), executor, clockNow());
@@ -77,7 +79,7 @@
     }
     const auto &outcome = machine.outcome();
     if (outcome.unreachable)
-        job.view->noteUnreachable(clockNow());
+        this->noteUnreachable(job);
     if (outcome.end == AttemptEnd::Lost && machine.isSent())
         co_await this->cancel(job, progress);
     this->metrics.resumes.add(machine.resumes());
@@ -143,9 +145,17 @@
     co_return step;
 }
 
+void AttemptDriver::noteUnreachable(const AttemptJob &job)
+{
+    if (job.view->noteUnreachable(clockNow()))
+        spdlog::warn("event=upstream_suspected upstream={} address={}", job.view->name(),
+                     toString(job.address));
+}
+
 void AttemptDriver::noteFrame(const AttemptJob &job, const proto::Frame &frame, Instant now)
 {
-    job.view->noteReachable();
+    if (job.view->noteReachable())
+        spdlog::info("event=upstream_reachable upstream={}", job.view->name());
     if (const auto *load = loadOf(frame))
         job.view->noteLoad(*load, now);
     if (frame.head_version() > job.frame.head_version())
--- a/src/entry/AttemptDriver.h
+++ b/src/entry/AttemptDriver.h
@@ -53,6 +53,7 @@
     boost::asio::awaitable<void> cancel(AttemptJob &job, Progress &progress);
     boost::asio::awaitable<void> acknowledge(AttemptJob &job, FrameChannel &channel,
                                              uint64_t offset);
+    void noteUnreachable(const AttemptJob &job);
     void noteFrame(const AttemptJob &job, const proto::Frame &frame, Instant now);
 
     ChannelPool &pool;
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -16,15 +16,6 @@
 /// Longer keys are refused, so that claims stay small.
 constexpr size_t MaxKeyBytes = 256;
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() &&
-           std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) {
-               return std::tolower(static_cast<unsigned char>(a)) ==
-                      std::tolower(static_cast<unsigned char>(b));
-           });
-}
-
 Result<Unit> readModelTarget(CallerRequest &request, bool isChat, std::string &parameter)
 {
     if (request.http.method != "POST")
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -28,6 +28,7 @@
     Counter &abortedStreams;
     Counter &replayedAnswers;
     Counter &linkBytes;
+    /// Time from a request's arrival to its first dispatch.
     LatencyHistogram &routeTime;
 };
 
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -43,9 +43,17 @@
         co_await responder.respond(std::move(response));
         co_return;
     }
+    const auto now = std::chrono::steady_clock::now();
+    if (!this->state.isFresh(now)) {
+        // Before the credential is looked at: a stale catalogue may not know it yet.
+        Error stale{ErrorKind::Stale, "this instance has no fresh state of the system"};
+        this->metrics.countError("", stale.kind);
+        HttpResponse response = errorReply(stale);
+        co_await responder.respond(std::move(response));
+        co_return;
+    }
     std::string parameter;
-    auto read = readCallerRequest(std::move(request), this->state.catalogue(),
-                                  std::chrono::steady_clock::now(), parameter);
+    auto read = readCallerRequest(std::move(request), this->state.catalogue(), now, parameter);
     if (!isOk(read)) {
         this->metrics.countError("", error(read).kind);
         HttpResponse response = errorReply(error(read), std::nullopt, parameter);
--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -295,8 +295,8 @@
         // Without another holder, this replica must be kept.
         if (!this->view.isHeldElsewhere(name))
             return true;
-        const bool spareReplica = !input.wish.models.contains(name) &&
-                                  this->view.hasEarlierReplica(name, true);
+        const bool spareReplica =
+            !input.wish.models.contains(name) && this->view.hasEarlierReplica(name, true);
         return !spareReplica && !withdrawal.askedAt && now - withdrawal.since > WithdrawalLimit;
     });
     if (input.draining)
--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -8,14 +8,6 @@
 
 namespace {
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
-                                                     [](unsigned char a, unsigned char b) {
-                                                         return std::tolower(a) == std::tolower(b);
-                                                     });
-}
-
 int hexDigit(char c)
 {
     if (c >= '0' && c <= '9')
@@ -29,6 +21,14 @@
 
 } // namespace
 
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
+                                                     [](unsigned char a, unsigned char b) {
+                                                         return std::tolower(a) == std::tolower(b);
+                                                     });
+}
+
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &[key, text] : headers) {
--- a/src/net/HttpMessage.h
+++ b/src/net/HttpMessage.h
@@ -10,6 +10,9 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// Compares names of headers and the like.
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
 /// Value of the first header with the name, compared without case; empty if there is none.
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name);
 
--- a/src/routing/AttemptMachine.cpp
+++ b/src/routing/AttemptMachine.cpp
@@ -16,8 +16,10 @@
 
 } // namespace
 
-AttemptMachine::AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch)
-    : requestId(std::move(requestId)), attemptNumber(attemptNumber), agentEpoch(agentEpoch)
+AttemptMachine::AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch,
+                               bool idempotent)
+    : requestId(std::move(requestId)), attemptNumber(attemptNumber), agentEpoch(agentEpoch),
+      maxQuietResumes(idempotent ? QuietResumesIfRepeatable : QuietResumesOtherwise)
 {}
 
 AttemptStep AttemptMachine::finish(AttemptEnd end, ErrorKind kind, std::string message)
@@ -60,7 +62,7 @@
 AttemptStep AttemptMachine::onChannelLost()
 {
     assert(!this->finished);
-    if (this->quietResumes < MaxQuietResumes)
+    if (this->quietResumes < this->maxQuietResumes)
         return AttemptStep::Dial;
     this->result.unreachable = true;
     return this->lose("the upstream is silent on fresh connections");
--- a/src/routing/AttemptMachine.h
+++ b/src/routing/AttemptMachine.h
@@ -58,13 +58,17 @@
 class AttemptMachine
 {
 public:
-    /// Fresh connections in a row that may bring no frame before the attempt counts as lost.
-    static constexpr unsigned MaxQuietResumes = 2;
+    /// Fresh connections in a row that may bring no frame before the attempt counts as lost. One
+    /// is enough where another upstream can be tried: 1.5 s after the last frame. Without that
+    /// choice it is worth to wait longer, for an agent that was only paused.
+    static constexpr unsigned QuietResumesIfRepeatable = 1;
+    static constexpr unsigned QuietResumesOtherwise = 4;
     /// Resumes after gaps in the answer before the attempt counts as lost.
     static constexpr unsigned MaxGaps = 3;
 
     /// agentEpoch is that of the agent the attempt is sent to, from its status.
-    AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch);
+    AttemptMachine(std::string requestId, uint32_t attemptNumber, uint64_t agentEpoch,
+                   bool idempotent);
 
     AttemptStep onConnected();
     /// A connection could not be opened.
@@ -101,6 +105,7 @@
     const std::string requestId;
     const uint32_t attemptNumber;
     const uint64_t agentEpoch;
+    const unsigned maxQuietResumes;
     // Invariant: never goes back to false, so that the Attempt frame is sent at most once.
     bool sent = false;
     bool finished = false;
--- a/src/routing/PredictiveRouting.cpp
+++ b/src/routing/PredictiveRouting.cpp
@@ -40,7 +40,11 @@
         wait = this->costs.unknownLoad + service * over / slots;
     }
     const Duration prefill = prefillTime(candidate, query, estimate.prefillMicrosPer1k);
-    const Duration decode = microseconds(uint64_t{query.maxTokens} * estimate.tokenMicros);
+    // Most answers are far shorter than the most tokens that they may have. Counting those in full
+    // would send work over the region link that its home can do in time.
+    Duration decode = microseconds(uint64_t{query.maxTokens} * estimate.tokenMicros);
+    if (estimate.serviceTime > Duration::zero())
+        decode = std::min(decode, 2 * estimate.serviceTime);
     switch (candidate.distance) {
     case Distance::SameDataCentre:
         return wait + prefill + decode + this->costs.dataCentreRoundTrip;
@@ -112,7 +116,7 @@
             return candidate;
     }
     const auto *other = this->lowest(away, query, now, random);
-    return this->cost(*other, query, now) < this->cost(*best, query, now) ? other : best;
+    return this->predict(*other, query, now) <= query.remaining ? other : best;
 }
 
 std::unique_ptr<RoutingStrategy> makeRoutingStrategy(std::string_view name)
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -12,12 +12,13 @@
 class RetryBudget
 {
 public:
-    /// Retries that are allowed at once after a quiet time, so that light traffic can be retried.
-    static constexpr int64_t Reserve = 10;
+    /// Retries that are allowed at once after a quiet time: about what the death of one upstream
+    /// with all of its requests needs.
+    static constexpr int64_t Reserve = 50;
     /// Credit that time alone adds, in retries per second.
     static constexpr int64_t RefillPerSecond = 1;
     /// Bound on the credit of heavy traffic.
-    static constexpr int64_t MaxCredit = 100;
+    static constexpr int64_t MaxCredit = 200;
 
     /// Percent of fresh requests that may be retried; 0 forbids retries.
     explicit RetryBudget(unsigned percent) : percent(percent) {}
--- a/src/routing/UpstreamView.cpp
+++ b/src/routing/UpstreamView.cpp
@@ -41,20 +41,22 @@
         this->avoidedUntil = std::max(this->avoidedUntil, now + DrainPause);
 }
 
-void UpstreamView::noteUnreachable(Instant now)
+bool UpstreamView::noteUnreachable(Instant now)
 {
     const std::lock_guard lock(this->mutex);
     const auto pause =
         std::min(FirstSuspicion * (1u << std::min(this->failures, 8u)), Duration(LongestSuspicion));
-    ++this->failures;
     this->avoidedUntil = std::max(this->avoidedUntil, now + pause);
+    return this->failures++ == 0;
 }
 
-void UpstreamView::noteReachable()
+bool UpstreamView::noteReachable()
 {
     const std::lock_guard lock(this->mutex);
-    if (std::exchange(this->failures, 0) > 0 && !this->load.draining())
+    const bool wasSuspected = std::exchange(this->failures, 0) > 0;
+    if (wasSuspected && !this->load.draining())
         this->avoidedUntil = Instant{};
+    return wasSuspected;
 }
 
 void UpstreamView::noteDraining(Instant now)
--- a/src/routing/UpstreamView.h
+++ b/src/routing/UpstreamView.h
@@ -56,8 +56,10 @@
     /// The attempt has ended; serviceTime is zero if it did not run.
     void noteEnded(Duration serviceTime);
     void noteLoad(const proto::Load &load, Instant now);
-    void noteUnreachable(Instant now);
-    void noteReachable();
+    /// A fresh connection failed. True if the upstream was not suspected before.
+    bool noteUnreachable(Instant now);
+    /// A frame came from the upstream. True if it was suspected before.
+    bool noteReachable();
     void noteDraining(Instant now);
 
     UpstreamEstimate estimate(Instant now) const;
