--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -173,7 +173,7 @@
             });
         });
     this->claimService.start();
-    this->node.start(this->boundData);
+    this->node.start(this->advertisedData());
     asio::co_spawn(this->context, this->raiseEpoch(), asio::detached);
     asio::co_spawn(this->context, this->tick(), asio::detached);
     if (this->controller)
@@ -271,6 +271,12 @@
     reply(std::move(answer));
 }
 
+Address Agent::advertisedData() const
+{
+    const auto &advertised = this->settings.agent().advertise();
+    return advertised.empty() ? this->boundData : value(parseAddress(advertised));
+}
+
 asio::awaitable<void> Agent::stop()
 {
     this->leaving = true;
