--- a/tests/node/ControlNodeTest.cpp
+++ b/tests/node/ControlNodeTest.cpp
@@ -122,6 +122,25 @@
     }
 }
 
+TEST_CASE("A process that starts during an outage finds its state over the peers of its settings")
+{
+    spdlog::set_level(spdlog::level::off);
+    TestPlatform platform;
+    auto first = startNode({"a", "dc", "r", "entry", ""}, platform.address);
+    REQUIRE(eventually(std::chrono::seconds(5),
+                       [&] { return first->node->instances()->instances_size() == 1; }));
+    TicketSubmitter submitter(first->node->objectApi(), [] { return 0.5; });
+    REQUIRE(isOk(first->wait(submitter.submit(
+        tierTicket(1), {}, std::chrono::steady_clock::now() + std::chrono::seconds(5)))));
+    REQUIRE(eventually(std::chrono::seconds(4), [&] { return first->node->headVersion() == 1; }));
+    boost::json::object fault;
+    fault["outage"] = true;
+    platform.fault(fault);
+    auto late =
+        startNode({"b", "dc", "r", "entry", ""}, platform.address, toString(first->control));
+    CHECK(eventually(std::chrono::seconds(4), [&] { return late->node->headVersion() == 1; }));
+}
+
 namespace {
 
 NodeIdentity clusterIdentity(int number)
@@ -256,8 +275,17 @@
     }
     SUBCASE("an outage of the platform for all leaves all nodes fresh, and few calls follow it")
     {
+        const char *kind = nullptr;
+        SUBCASE("with refused calls")
+        {
+            kind = "outage";
+        }
+        SUBCASE("with calls that get no answer")
+        {
+            kind = "silent";
+        }
         boost::json::object fault;
-        fault["outage"] = true;
+        fault[kind] = true;
         cluster.platform.fault(fault);
         const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(6);
         bool fresh = true;
@@ -273,7 +301,7 @@
             return cluster.platform.platform.stats().at("reads").to_number<int64_t>();
         };
         const auto before = reads();
-        fault["outage"] = false;
+        fault[kind] = false;
         cluster.platform.fault(fault);
         std::this_thread::sleep_for(std::chrono::seconds(1));
         // 6 relays, each with a list read and two watches that begin with a list.
--- a/tests/node/NodeCluster.h
+++ b/tests/node/NodeCluster.h
@@ -103,11 +103,14 @@
     return section;
 }
 
-inline std::unique_ptr<TestNode> startNode(const NodeIdentity &identity, const Address &platform)
+inline std::unique_ptr<TestNode> startNode(const NodeIdentity &identity, const Address &platform,
+                                           const std::string &peers = "")
 {
     auto made = std::make_unique<TestNode>();
+    auto control = controlSection();
+    control.set_peers(peers);
     made->node = std::make_unique<ControlNode>(made->context, identity, platformSection(platform),
-                                               controlSection(), made->metrics, made->events);
+                                               control, made->metrics, made->events);
     made->control = value(made->node->listen());
     made->node->start({"127.0.0.1", 1});
     made->run();
