Leave an agent's own word of a lost engine alone

Cause: a run with real processes showed an upstream without its service. Its agent says itself that the upstream is lost; the control node took that for a mark to cure, raised the liveness at every sync and spread it again and again. Change: a loss that the agent itself tells is not cured. Result: the new test passes, and fails with the check removed (the liveness grows at each poll).

--- a/src/node/NodeState.cpp
+++ b/src/node/NodeState.cpp
@@ -380,7 +380,8 @@
 
 void NodeState::cureOwn(Instant now)
 {
-    if (this->ownStatus.upstream().empty())
+    // An agent whose engine does not answer says itself that its upstream is lost.
+    if (this->ownStatus.upstream().empty() || this->ownStatus.lost())
         return;
     const auto present = this->table.find(this->ownStatus.upstream());
     // A higher epoch or sequence is a successor's word and stands.
--- a/tests/node/NodeStateTest.cpp
+++ b/tests/node/NodeStateTest.cpp
@@ -169,6 +169,29 @@
     }
 }
 
+TEST_CASE("An agent's own word that its engine is lost is not cured, and costs no traffic")
+{
+    World world;
+    proto::UpstreamStatus status;
+    status.set_upstream("u1");
+    status.set_epoch(world.epochs[1]);
+    status.set_sequence(99);
+    status.set_lost(true);
+    world.nodes[1]->setOwnStatus(status, world.now);
+    for (int round = 0; round < 3; ++round)
+        world.poll(1, false, false, false);
+    const auto poll = world.nodes[1]->makePoll("n0", world.now);
+    CHECK(poll.request.statuses().empty());
+    CHECK(world.nodes[0]->answer(poll.request, world.now).statuses().empty());
+    for (size_t node = 0; node < 2; ++node) {
+        const auto statuses = *world.nodes[node]->statuses();
+        const auto found = std::find_if(statuses.begin(), statuses.end(),
+                                        [](const auto &row) { return row->upstream() == "u1"; });
+        CHECK((*found)->lost());
+        CHECK((*found)->liveness() == 0);
+    }
+}
+
 TEST_CASE("A lost upstream is forgotten once its instance has been off the list for a while")
 {
     World world;
