Run the planner in both daemons and flood crash reports over the tree

Cause: no process wrote placement wishes, so on-demand loads packed four models on one engine and left no room for their adapters (46 of 176 adapter questions refused with no_replica). A caller who repeated a crashing request through a second entry instance was faster than the next polls, so the process test 'A crashing request takes down at most two engines' failed. Ruled out: the entry's own count, which was right after each crash. Change: PlannerService runs in entry instances and agents with the [placement] settings; a new suspect is sent at once to the parent and the children in the relay tree, and passed on while it is news.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -47,6 +47,7 @@
       node(context, identityOf(settings), settings.platform(), settings.control(), this->metrics,
            this->events),
       claimService(context, this->node, this->metrics),
+      planner(context, this->node, this->metrics, plannerSettings(settings.placement())),
       epoch(this->node.objectApi(), settings.upstream().name(), settings.instance().id()),
       ticker(context)
 {
@@ -292,6 +293,7 @@
     this->ticker.cancel();
     this->dataServer->stop();
     this->admin->drain();
+    this->planner.stop();
     this->claimService.stop();
     this->node.stop();
 }
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -9,6 +9,7 @@
 #include "net/AdminServer.h"
 #include "node/ClaimService.h"
 #include "node/ControlNode.h"
+#include "node/PlannerService.h"
 
 #include "settings_agent.pb.h"
 
@@ -61,6 +62,7 @@
     GuardPort guard;
     ControlNode node;
     ClaimService claimService;
+    PlannerService planner;
     EpochKeeper epoch;
     std::unique_ptr<EnginePort> engine;
     std::unique_ptr<ServicePort> service;
--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -5,6 +5,7 @@
 #include "net/AdminServer.h"
 #include "net/Service.h"
 #include "node/ClaimService.h"
+#include "node/PlannerService.h"
 #include "observe/Log.h"
 
 #include "settings_entry.pb.h"
@@ -50,6 +51,7 @@
         : settings(settings), node(this->context, identityOf(settings), settings.platform(),
                                    settings.control(), this->metrics, this->events),
           state(this->node), claimService(this->context, this->node, this->metrics),
+          planner(this->context, this->node, this->metrics, plannerSettings(settings.placement())),
           claims(this->node),
           server(this->context, optionsOf(settings), this->state, this->claims, this->metrics),
           admin(this->context, this->metrics, [this] { return this->isReady(); })
@@ -72,6 +74,7 @@
             return error(adminAddress);
         this->claimService.start();
         this->node.start(value(address));
+        this->planner.start();
         spdlog::info("event=listening callers={} admin={} control={}", toString(value(address)),
                      toString(value(adminAddress)), toString(value(controlAddress)));
         return Unit{};
@@ -103,6 +106,7 @@
         while (this->server.inFlight() > 0)
             co_await this->pause(milliseconds(10));
         this->admin.drain();
+        this->planner.stop();
         this->claimService.stop();
         this->node.stop();
     }
@@ -120,6 +124,7 @@
     ControlNode node;
     ControlNodeState state;
     ClaimService claimService;
+    PlannerService planner;
     ControlNodeClaims claims;
     EntryServer server;
     AdminServer admin;
--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -188,10 +188,14 @@
 
 void ControlNode::reportCrash(uint64_t contentDigest, const std::string &upstream, Instant now)
 {
+    std::vector<proto::Suspect> fresh;
     {
         const std::lock_guard lock(this->impl->mutex);
-        this->impl->state.suspects().crash(contentDigest, upstream, now);
+        auto &suspects = this->impl->state.suspects();
+        if (suspects.crash(contentDigest, upstream, now))
+            fresh.push_back(suspects.find(contentDigest, now));
     }
+    this->impl->spreadSuspects(fresh, this->impl->identity.instance);
     this->impl->events.add(wallNow(), "suspect", upstream, "an engine died while it ran a request");
     this->impl->wake();
 }
--- a/src/node/ControlNodeImpl.cpp
+++ b/src/node/ControlNodeImpl.cpp
@@ -111,9 +111,16 @@
         return reply;
     }
     case proto::ControlRequest::kSuspects: {
-        const std::lock_guard lock(this->mutex);
-        for (const auto &suspect : request.suspects().suspects())
-            this->state.suspects().merge(suspect, this->now());
+        std::vector<proto::Suspect> fresh;
+        {
+            const std::lock_guard lock(this->mutex);
+            for (const auto &suspect : request.suspects().suspects()) {
+                if (this->state.suspects().merge(suspect, this->now()))
+                    fresh.push_back(
+                        this->state.suspects().find(suspect.content_digest(), this->now()));
+            }
+        }
+        this->spreadSuspects(fresh, request.suspects().sender());
         return reply;
     }
     case proto::ControlRequest::kEvents:
--- a/src/node/ControlNodeImpl.h
+++ b/src/node/ControlNodeImpl.h
@@ -54,6 +54,8 @@
     void startChecks(Instant now);
     void wake();
     Task pause(Duration time);
+    /// Passes new suspects on along the edges of the tree at once (SuspectSpread.cpp).
+    void spreadSuspects(const std::vector<proto::Suspect> &suspects, const std::string &sender);
     std::vector<proto::InstanceEntry> candidates() const;
     void noteChange(uint64_t headBefore);
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -103,6 +103,9 @@
     const std::map<std::string, proto::Wish> &wishes() const { return this->wishTable; }
     proto::InForce whole(Instant now) const;
     DemandFlow &demand() { return this->demandFlow; }
+    /// Control addresses of the parent and of the children that polled recently, without the given
+    /// instance.
+    std::vector<std::string> neighbours(const std::string &without, Instant now) const;
     SuspectTable &suspects() { return this->suspectTable; }
     const SuspectTable &suspects() const { return this->suspectTable; }
 
--- a/src/node/PlannerService.cpp
+++ b/src/node/PlannerService.cpp
@@ -259,6 +259,12 @@
     std::map<std::string, Instant> lostSince;
 };
 
+PlannerServiceSettings plannerSettings(const proto::PlacementSection &section)
+{
+    return {section.strategy(), milliseconds(section.interval_ms()),
+            milliseconds(section.lease_ms())};
+}
+
 PlannerService::PlannerService(asio::io_context &context, ControlNode &node, Metrics &metrics,
                                PlannerServiceSettings settings)
     : impl(std::make_shared<Impl>(context, node, metrics, std::move(settings)))
--- a/src/node/PlannerService.h
+++ b/src/node/PlannerService.h
@@ -4,6 +4,8 @@
 #include "base/Time.h"
 #include "observe/Metrics.h"
 
+#include "settings_common.pb.h"
+
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -23,6 +25,9 @@
     Duration lease = std::chrono::seconds(5);
 };
 
+/// Settings of the planner as a program's settings file gives them.
+PlannerServiceSettings plannerSettings(const proto::PlacementSection &section);
+
 /// Runs in every process; relays compete for their region's lease, since demand reaches relays.
 /// Construct after the control node and call start(). The strategy "on-demand" does nothing.
 class PlannerService
--- a/src/routing/SuspectTable.h
+++ b/src/routing/SuspectTable.h
@@ -27,12 +27,14 @@
     /// Entries beyond this number push out the oldest.
     static constexpr size_t MaxSuspects = 1000;
 
-    /// Counts a crash of an upstream while it ran the request.
-    void crash(uint64_t contentDigest, const std::string &upstream, Instant now);
-    /// Takes over what a neighbour knows. Merging the same twice changes nothing.
-    void merge(const proto::Suspect &suspect, Instant now);
+    /// Counts a crash of an upstream while it ran the request. False if it was counted before.
+    bool crash(uint64_t contentDigest, const std::string &upstream, Instant now);
+    /// Takes over what a neighbour knows. Merging the same twice changes nothing and returns false.
+    bool merge(const proto::Suspect &suspect, Instant now);
     /// Crashes counted against a request.
     uint32_t crashesOf(uint64_t contentDigest, Instant now) const;
+    /// The suspect with a digest, as messages carry it; without crashes if there is none.
+    proto::Suspect find(uint64_t contentDigest, Instant now) const;
     /// Suspects that changed recently, or all of them for a neighbour that knows none.
     std::vector<proto::Suspect> changed(Instant now, bool all) const;
     void expire(Instant now);
@@ -47,6 +49,7 @@
         Instant changedAt{};
     };
 
+    static proto::Suspect toMessage(uint64_t contentDigest, const Row &row, Instant now);
     void bound();
 
     std::map<uint64_t, Row> rows;
