Wait for final frames before a drained agent ends

Cause: an agent counted an attempt as done once its last byte was sent, while its end mark was still to be written.

--- a/src/agent/AttemptRecord.h
+++ b/src/agent/AttemptRecord.h
@@ -73,6 +73,9 @@
     void noteSent(uint64_t offset);
     void acknowledge(uint64_t offset);
     size_t unsentBytes() const { return this->totalBytes() - this->sent; }
+    /// The final frame was written to a connection.
+    void noteFinalSent() { this->finalSent = true; }
+    bool isFinalSent() const { return this->finalSent; }
     bool isAcknowledged() const { return this->acknowledged; }
 
     /// Makes a connection the one that carries the attempt; returns its number.
@@ -104,6 +107,7 @@
     uint64_t base = 0;
     uint64_t sent = 0;
     bool acknowledged = false;
+    bool finalSent = false;
     std::unique_ptr<Digest> streamDigest;
     uint64_t connections = 0;
     uint64_t carrier = 0;
--- a/src/agent/AttemptTable.cpp
+++ b/src/agent/AttemptTable.cpp
@@ -69,7 +69,7 @@
 {
     size_t count = 0;
     for (const auto &[id, record] : this->records)
-        count += !record->isFinal() || (record->unsentBytes() > 0 && !record->detachedSince());
+        count += !record->isFinal() || (!record->isFinalSent() && !record->detachedSince());
     return count;
 }
 
--- a/src/agent/DataServer.cpp
+++ b/src/agent/DataServer.cpp
@@ -202,8 +202,10 @@
         lastSent = clockNow();
         if (frame.has_data())
             record->noteSent(offset);
-        if (last)
+        if (last) {
+            record->noteFinalSent();
             co_return;
+        }
     }
 }
 
--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -215,6 +215,35 @@
     }());
 }
 
+TEST_CASE("A drain refuses what is queued and lets what runs finish")
+{
+    // Guards against a planned stop that cuts an answer.
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        std::vector<std::unique_ptr<FrameChannel>> running;
+        // A lower tier leaves one of the four slots to the highest.
+        for (int i = 0; i < 3; ++i) {
+            running.push_back(co_await bench.connect());
+            co_await running.back()->send(attemptFrame("running-" + std::to_string(i), "x", 400));
+            co_await bench.next(*running.back());
+        }
+        auto queued = co_await bench.connect();
+        co_await queued->send(attemptFrame("queued", "x", 2));
+        co_await queued->receive(std::chrono::seconds(2));
+        bench.runner->setDraining(true);
+        CHECK(kindOf(co_await bench.finalFrame(*queued, nullptr)) == ErrorKind::Draining);
+        CHECK(bench.runner->open() == 3);
+        for (const auto &channel : running) {
+            const auto end = co_await bench.finalFrame(*channel, nullptr);
+            CHECK(end.has_end());
+        }
+        co_await bench.pause(milliseconds(20));
+        CHECK(bench.runner->open() == 0);
+    }());
+    CHECK(executionsOf(bench, "queued") == 0);
+}
+
 TEST_CASE("The death of an engine is told for what was running, and only for that")
 {
     AgentBench bench;
