--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -45,6 +45,8 @@
     std::shared_ptr<const ItemSpecs> specs();
     StatusList liveStatuses() const;
     bool takesWork() const;
+    /// Address that entry instances are told.
+    Address advertisedData() const;
     void setDraining(bool draining);
     void handleDrain(const proto::DrainRequest &request,
                      const std::function<void(proto::ControlReply)> &reply);
