--- a/fuzz/CallerRequestFuzz.cpp
+++ b/fuzz/CallerRequestFuzz.cpp
@@ -35,11 +35,15 @@
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t size)
 {
     static const auto Snapshot = makeCatalogue();
-    std::string_view rest(reinterpret_cast<const char *>(bytes), size);
+    if (size == 0)
+        return 0;
+    std::string_view rest(reinterpret_cast<const char *>(bytes) + 1, size - 1);
     tray::HttpRequest request;
     request.method = takeLine(rest);
     request.target = takeLine(rest);
-    request.headers.emplace_back("Authorization", takeLine(rest));
+    // Half of the inputs have a good credential, to get to what lies behind it.
+    const bool isAdmitted = (bytes[0] & 1) != 0;
+    request.headers.emplace_back("Authorization", isAdmitted ? "Bearer secret" : takeLine(rest));
     request.headers.emplace_back(takeLine(rest), "value");
     request.headers.emplace_back("Idempotency-Key", takeLine(rest));
     request.body = std::string(rest);
