Tell entries of a crash suspect directly

Cause: suspects travelled over the relay tree only, which takes up to two polls. A caller that repeated its crashing request at another entry 100 ms later took down four engines.

--- a/src/node/ControlNode.cpp
+++ b/src/node/ControlNode.cpp
@@ -193,6 +193,7 @@
         this->impl->state.suspects().crash(contentDigest, upstream, now);
     }
     this->impl->events.add(wallNow(), "suspect", upstream, "an engine died while it ran a request");
+    this->impl->spreadSuspect(contentDigest);
     this->impl->wake();
 }
 
--- a/src/node/ControlNodeImpl.h
+++ b/src/node/ControlNodeImpl.h
@@ -52,6 +52,10 @@
     /// Asks a silent process directly, and marks its upstream as lost if it does not answer.
     Task checkSilent(Self self, StatusTable::Status status);
     void startChecks(Instant now);
+    /// Tells the entry instances of a suspect at once: the tree takes up to two polls, in which a
+    /// caller can repeat the request at an entry that has not heard of it.
+    void spreadSuspect(uint64_t contentDigest);
+    Task tellSuspect(Self self, std::string peer, proto::Suspect suspect);
     void wake();
     Task pause(Duration time);
     std::vector<proto::InstanceEntry> candidates() const;
--- a/src/node/NodeSync.cpp
+++ b/src/node/NodeSync.cpp
@@ -23,6 +23,9 @@
 // A relay asks the other relays from this age of its last word from the platform on. Its list is
 // read every second, so a healthy age stays below.
 constexpr auto AskPeersAfter = milliseconds(1100);
+// Entry instances that are told of a suspect directly; the few in front of a fleet, not all of a
+// large one, so that a crash costs a bounded number of messages.
+constexpr size_t MaxSuspectPeers = 32;
 
 } // namespace
 
@@ -233,6 +236,40 @@
                        asio::detached);
 }
 
+void ControlNode::Impl::spreadSuspect(uint64_t contentDigest)
+{
+    proto::Suspect suspect;
+    std::vector<std::string> peers;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (auto &changed : this->state.suspects().changed(this->now(), false)) {
+            if (changed.content_digest() == contentDigest)
+                suspect = std::move(changed);
+        }
+        for (const auto &instance : this->state.instances()->instances()) {
+            if (instance.role() == "entry" && instance.id() != this->identity.instance &&
+                peers.size() < MaxSuspectPeers)
+                peers.push_back(instance.control_address());
+        }
+    }
+    for (auto &peer : peers)
+        asio::co_spawn(this->strand,
+                       this->tellSuspect(this->shared_from_this(), std::move(peer), suspect),
+                       asio::detached);
+}
+
+ControlNode::Impl::Task ControlNode::Impl::tellSuspect(Self self, std::string peer,
+                                                       proto::Suspect suspect)
+{
+    const auto address = parseAddress(peer);
+    if (!isOk(address))
+        co_return;
+    proto::ControlRequest request;
+    *request.mutable_suspects()->add_suspects() = std::move(suspect);
+    // An entry that misses the message hears of the suspect over the tree.
+    co_await self->call(value(address), request, milliseconds(self->settings.request_timeout_ms()));
+}
+
 ControlNode::Impl::Task ControlNode::Impl::checkSilent(Self self, StatusTable::Status status)
 {
     const auto address = parseAddress(status->control_address());
