Put the agent's epoch into its frames

Cause: entries tell a restarted agent's "never seen" from a true one by the epoch, but agents sent none. Requests that met a silent connection ended as "the agent was restarted after the attempt was sent" in place of a repeat. Change: all frames of an agent carry its epoch. The bench of the agent tests gives an epoch too.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -108,6 +108,7 @@
 {
     RunnerHooks hooks;
     hooks.headVersion = [this] { return this->node.headVersion(); };
+    hooks.epoch = [this] { return this->epoch.epoch(); };
     hooks.noteHeadVersion = [this](uint64_t seen) { this->node.noteHeadVersion(seen); };
     hooks.awaitHeadVersion = [this](uint64_t wanted, Instant deadline) {
         return this->node.awaitHeadVersion(wanted, deadline);
--- a/src/agent/AttemptRunner.h
+++ b/src/agent/AttemptRunner.h
@@ -18,6 +18,8 @@
 struct RunnerHooks
 {
     std::function<uint64_t()> headVersion;
+    /// The agent's epoch, which tells entries an agent from its successor.
+    std::function<uint64_t()> epoch;
     std::function<void(uint64_t seen)> noteHeadVersion;
     std::function<boost::asio::awaitable<bool>(uint64_t wanted, Instant deadline)> awaitHeadVersion;
     /// The state of this process is fresh enough to take new work.
@@ -70,6 +72,7 @@
     std::vector<ItemDemand> demand() const;
     std::map<ItemKey, uint32_t> inUse() const;
     uint64_t headVersion() const { return this->hooks.headVersion(); }
+    uint64_t epoch() const { return this->hooks.epoch(); }
     void noteHeadVersion(uint64_t seen) const { this->hooks.noteHeadVersion(seen); }
 
 private:
--- a/src/agent/DataServer.cpp
+++ b/src/agent/DataServer.cpp
@@ -103,6 +103,7 @@
     frame.set_request_id(about.request_id());
     frame.set_attempt_number(about.attempt_number());
     frame.set_head_version(this->runner.headVersion());
+    frame.set_epoch(this->runner.epoch());
     if (mayHaveRun) {
         auto &failed = *frame.mutable_failed();
         failed.set_error_kind(static_cast<uint32_t>(ErrorKind::AnswerExpired));
@@ -124,6 +125,7 @@
     frame.set_request_id(record.id.requestId);
     frame.set_attempt_number(record.id.number);
     frame.set_head_version(this->runner.headVersion());
+    frame.set_epoch(this->runner.epoch());
     return frame;
 }
 
--- a/tests/agent/AgentBench.h
+++ b/tests/agent/AgentBench.h
@@ -71,6 +71,7 @@
     {
         RunnerHooks hooks;
         hooks.headVersion = [this] { return this->head; };
+        hooks.epoch = [] { return uint64_t{1}; };
         hooks.noteHeadVersion = [this](uint64_t seen) { this->headSeen = seen; };
         hooks.awaitHeadVersion = [this](uint64_t wanted, Instant deadline) {
             return this->awaitHead(wanted, deadline);
