--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -133,7 +133,8 @@
     for (const auto &demand : input.demand)
         this->addWant(wants, input.specs, demand.kind, demand.name, 0, demand.tierRank,
                       demand.waiting);
-    this->addMissing(wants, input, now);
+    for (const auto &name : this->missingModels(input, now))
+        this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
     for (const auto &name : input.wish.models)
         this->addWant(wants, input.specs, ItemKind::Model, name, 1, LowestTier, 0);
     for (const auto &name : input.wish.adapters)
@@ -151,8 +152,9 @@
     return wants;
 }
 
-void Reconciler::addMissing(std::vector<Want> &wants, const ReconcileInput &input, Instant now)
+std::set<std::string> Reconciler::missingModels(const ReconcileInput &input, Instant now)
 {
+    std::set<std::string> missing;
     std::set<std::string> here;
     for (const auto &[key, entry] : this->ledger.entries()) {
         if (key.kind == ItemKind::Model && entry.phase != Phase::UnloadSent)
@@ -169,10 +171,11 @@
         const auto since = this->missingSince.try_emplace(name, now).first->second;
         const Duration turn = this->view.loadRank(name) * this->times.repairStep;
         if (now - since >= turn + (few ? Duration::zero() : this->times.replaceInPlace))
-            this->addWant(wants, input.specs, ItemKind::Model, name, 0, LowestTier, 0);
+            missing.insert(name);
     }
     std::erase_if(this->missingSince,
                   [&](const auto &pair) { return !input.specs.models.contains(pair.first); });
+    return missing;
 }
 
 void Reconciler::loadWanted(const ReconcileInput &input, const std::vector<Want> &wants,
@@ -182,6 +185,8 @@
     for (const auto &want : wants)
         wanted.insert(want.key);
     std::set<ItemKey> considered;
+    const uint64_t spare = this->ledger.memoryBytes() / KvReserveDivisor;
+    this->keepKvReserve(input, wanted, spare, now, output);
     // Room that more important wants are waiting for.
     uint64_t promised = 0;
     for (const auto &want : wants) {
@@ -189,9 +194,6 @@
             continue;
         if (want.key.kind == ItemKind::Adapter && !this->hasReadyModel(want.base))
             continue;
-        // A repair may use the last room; other loads leave some for KV cache.
-        const bool repair = want.urgency == 0 && want.waiting == 0;
-        const uint64_t spare = repair ? 0 : this->ledger.memoryBytes() / KvReserveDivisor;
         if (this->ledger.chargeLoad(want.key, want.bytes, spare + promised)) {
             this->send(input, OrderAction::Load, want.key, want.bytes, want.base, now, output);
             continue;
@@ -207,6 +209,16 @@
     }
 }
 
+void Reconciler::keepKvReserve(const ReconcileInput &input, const std::set<ItemKey> &wanted,
+                               uint64_t reserve, Instant now, ReconcileOutput &output)
+{
+    uint64_t kept = 0;
+    for (const auto &[key, entry] : this->ledger.entries())
+        kept += entry.phase == Phase::UnloadSent ? 0 : entry.bytes;
+    if (kept + reserve > this->ledger.memoryBytes())
+        this->makeRoom(input, wanted, kept + reserve - this->ledger.memoryBytes(), now, output);
+}
+
 void Reconciler::makeRoom(const ReconcileInput &input, const std::set<ItemKey> &wanted,
                           uint64_t needed, Instant now, ReconcileOutput &output)
 {
