End the attempts of an engine that has gone silent

Cause: requests on a silent engine kept their attempts alive by heartbeats for up to the answer timeout of 5 min. Change: once the engine counts as lost (3 s without a report), its running attempts fail with engine_lost.

--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -183,8 +183,10 @@
     }
     const auto done = [this, record](std::exception_ptr failure, Outcome outcome) {
         // A cancelled coroutine ends with an exception.
-        if (failure)
+        if (failure && record->cancelRequested)
             outcome = Outcome{false, false, {ErrorKind::Cancelled, "the attempt was cancelled"}};
+        else if (failure)
+            outcome = Outcome{false, false, {ErrorKind::UpstreamFailed, "the engine went silent"}};
         asio::co_spawn(this->context, this->settle(record, std::move(outcome)), asio::detached);
     };
     asio::co_spawn(this->context, this->forward(record),
@@ -349,10 +351,22 @@
     });
     for (const auto &record : gone)
         this->cancel(record);
+    this->endSilent();
     this->attempts.sweep(now);
     this->pump();
 }
 
+void AttemptRunner::endSilent()
+{
+    // An engine that does not report may keep its connections open for ever.
+    if (this->ports.controller == nullptr || !this->ports.controller->isLost())
+        return;
+    this->attempts.forEach([](const Record &record) {
+        if (record->stage() == AttemptStage::Running)
+            record->cancelForwarding.emit(asio::cancellation_type::terminal);
+    });
+}
+
 void AttemptRunner::setDraining(bool nowDraining)
 {
     this->draining = nowDraining;
--- a/src/agent/AttemptRunner.h
+++ b/src/agent/AttemptRunner.h
@@ -93,6 +93,7 @@
     AdmissionResources resources();
     HttpRequest upstreamRequest(const AttemptRecord &record) const;
     void dispatch(const Record &record);
+    void endSilent();
     void release(const Record &record);
     void refuse(const Record &record, Error reason);
     uint64_t kvMost() const;
--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -279,6 +279,30 @@
     CHECK(bench.engine->memory().overcommitted() == 0);
 }
 
+TEST_CASE("An engine that goes silent ends what it was running")
+{
+    // Guards against heartbeats that keep an attempt alive which nobody runs any more.
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        const json::object fault{{"silent", true}};
+        bench.engine->setFault(fault);
+        auto channel = co_await bench.connect();
+        co_await channel->send(attemptFrame("request-9", "x", 5));
+        for (int i = 0; i < 60 && !bench.controller->isLost(); ++i)
+            co_await bench.pause(milliseconds(100));
+        CHECK(bench.controller->isLost());
+        bench.runner->sweep();
+        const auto failed = co_await bench.finalFrame(*channel, nullptr);
+        REQUIRE(failed.has_failed());
+        CHECK(failed.failed().engine_lost());
+        CHECK(kindOf(failed) == ErrorKind::UpstreamFailed);
+        CHECK(bench.controller->ledger().reservedKv() == 0);
+        const json::object heard{{"silent", false}};
+        bench.engine->setFault(heard);
+    }());
+}
+
 TEST_CASE("An adapter is loaded for the attempt that waits for it")
 {
     AgentBench bench;
