Wait for a crash report to spread before a retry

Cause: a caller that repeats a crashing request through another entry instance met one that had not heard of the crash. Change: a retry after the loss of an engine waits 150 ms.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -262,6 +262,7 @@
 asio::awaitable<void> Exchange::awaitCrashCount()
 {
     const auto limit = std::min(clockNow() + std::chrono::seconds(1), this->request.deadline);
+    co_await sleepFor(std::min(CrashSpread, limit - clockNow()));
     while (clockNow() < limit &&
            this->services.state.crashesOf(this->request.contentDigest, clockNow()) == 0)
         co_await sleepFor(milliseconds(10));
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -35,6 +35,9 @@
 public:
     /// Interval at which the claim of an unfinished request is asked for again.
     static constexpr Duration ClaimPoll = milliseconds(250);
+    /// Wait after a crash before the request is tried again, so that the report reaches the other
+    /// entry instances first; over the region link it takes 30 ms and a few hops.
+    static constexpr Duration CrashSpread = milliseconds(150);
 
     Exchange(EntryServices &services, CallerRequest request, HttpResponder &responder);
 
