--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -47,6 +47,7 @@
       node(context, identityOf(settings), settings.platform(), settings.control(), this->metrics,
            this->events),
       claimService(context, this->node, this->metrics),
+      planner(context, this->node, this->metrics, plannerSettings(settings.placement())),
       epoch(this->node.objectApi(), settings.upstream().name(), settings.instance().id()),
       ticker(context)
 {
@@ -108,6 +109,7 @@
 {
     RunnerHooks hooks;
     hooks.headVersion = [this] { return this->node.headVersion(); };
+    hooks.epoch = [this] { return this->epoch.epoch(); };
     hooks.noteHeadVersion = [this](uint64_t seen) { this->node.noteHeadVersion(seen); };
     hooks.awaitHeadVersion = [this](uint64_t wanted, Instant deadline) {
         return this->node.awaitHeadVersion(wanted, deadline);
@@ -173,7 +175,7 @@
             });
         });
     this->claimService.start();
-    this->node.start(this->boundData);
+    this->node.start(this->advertisedData());
     asio::co_spawn(this->context, this->raiseEpoch(), asio::detached);
     asio::co_spawn(this->context, this->tick(), asio::detached);
     if (this->controller)
@@ -271,6 +273,12 @@
     reply(std::move(answer));
 }
 
+Address Agent::advertisedData() const
+{
+    const auto &advertised = this->settings.agent().advertise();
+    return advertised.empty() ? this->boundData : value(parseAddress(advertised));
+}
+
 asio::awaitable<void> Agent::stop()
 {
     this->leaving = true;
@@ -286,6 +294,7 @@
     this->ticker.cancel();
     this->dataServer->stop();
     this->admin->drain();
+    this->planner.stop();
     this->claimService.stop();
     this->node.stop();
 }
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -9,6 +9,7 @@
 #include "net/AdminServer.h"
 #include "node/ClaimService.h"
 #include "node/ControlNode.h"
+#include "node/PlannerService.h"
 
 #include "settings_agent.pb.h"
 
@@ -45,6 +46,8 @@
     std::shared_ptr<const ItemSpecs> specs();
     StatusList liveStatuses() const;
     bool takesWork() const;
+    /// Address that entry instances are told.
+    Address advertisedData() const;
     void setDraining(bool draining);
     void handleDrain(const proto::DrainRequest &request,
                      const std::function<void(proto::ControlReply)> &reply);
@@ -59,6 +62,7 @@
     GuardPort guard;
     ControlNode node;
     ClaimService claimService;
+    PlannerService planner;
     EpochKeeper epoch;
     std::unique_ptr<EnginePort> engine;
     std::unique_ptr<ServicePort> service;
