Stop a demo or experiment whose processes did not all start

Cause: a second demo on the same machine met addresses in use, and its load ran against the first one's processes. Change: start_deployment checks after a second that every process still runs.

--- a/tools/deployment-lib.sh
+++ b/tools/deployment-lib.sh
@@ -58,6 +58,11 @@
     sleep 0.5
     for file in "$directory"/tray-agent-*.ini; do start_process "$file"; done
     for file in "$directory"/tray-entry-*.ini; do start_process "$file" "${@:2}"; done
+    sleep 1
+    if ! all_running; then
+        echo "not all processes started; are their addresses in use by another run?" >&2
+        return 1
+    fi
 }
 
 # all_running: fails and names the process if one has ended that should not.
--- a/tools/experiment.sh
+++ b/tools/experiment.sh
@@ -45,8 +45,8 @@
     model_prefix=$(grep -o '"name":"[a-z]*-01","model"' $directory/ticket-1.json | cut -d'"' -f4 | cut -d- -f1)
     count=$(grep -c '"model":{' $directory/ticket-1.json)
     # shellcheck disable=SC2086
-    start_deployment $directory ${policy_arguments[$policy]}
-    wait_ready $directory 30 || status=1
+    start_deployment $directory ${policy_arguments[$policy]} || status=1
+    [ $status -ne 0 ] || wait_ready $directory 30 || status=1
     [ $status -ne 0 ] || timeout 40 "$build/bin/trayctl" --entry "$control" --platform "$platform" \
         ticket submit $directory/ticket-1.json >/dev/null || status=1
     # The baseline loads on demand, so each model is asked for once before the run, for both policies alike.
