--- a/src/node/ControlNodeImpl.h
+++ b/src/node/ControlNodeImpl.h
@@ -51,13 +51,15 @@
     Task fetchSections(Address peer);
     /// Asks a silent process directly, and marks its upstream as lost if it does not answer.
     Task checkSilent(Self self, StatusTable::Status status);
+    /// The same for upstreams of one data centre that nobody vouches for.
+    Task checkDataCentre(Self self, std::vector<StatusTable::Status> statuses);
+    boost::asio::awaitable<bool> answers(StatusTable::Status status);
+    void markLost(const StatusTable::Status &status);
     void startChecks(Instant now);
-    /// Tells the entry instances of a suspect at once: the tree takes up to two polls, in which a
-    /// caller can repeat the request at an entry that has not heard of it.
-    void spreadSuspect(uint64_t contentDigest);
-    Task tellSuspect(Self self, std::string peer, proto::Suspect suspect);
     void wake();
     Task pause(Duration time);
+    /// Passes new suspects on along the edges of the tree at once (SuspectSpread.cpp).
+    void spreadSuspects(const std::vector<proto::Suspect> &suspects, const std::string &sender);
     std::vector<proto::InstanceEntry> candidates() const;
     void noteChange(uint64_t headBefore);
 
