--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -215,6 +215,35 @@
     }());
 }
 
+TEST_CASE("A drain refuses what is queued and lets what runs finish")
+{
+    // Guards against a planned stop that cuts an answer.
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        std::vector<std::unique_ptr<FrameChannel>> running;
+        // A lower tier leaves one of the four slots to the highest.
+        for (int i = 0; i < 3; ++i) {
+            running.push_back(co_await bench.connect());
+            co_await running.back()->send(attemptFrame("running-" + std::to_string(i), "x", 400));
+            co_await bench.next(*running.back());
+        }
+        auto queued = co_await bench.connect();
+        co_await queued->send(attemptFrame("queued", "x", 2));
+        co_await queued->receive(std::chrono::seconds(2));
+        bench.runner->setDraining(true);
+        CHECK(kindOf(co_await bench.finalFrame(*queued, nullptr)) == ErrorKind::Draining);
+        CHECK(bench.runner->open() == 3);
+        for (const auto &channel : running) {
+            const auto end = co_await bench.finalFrame(*channel, nullptr);
+            CHECK(end.has_end());
+        }
+        co_await bench.pause(milliseconds(20));
+        CHECK(bench.runner->open() == 0);
+    }());
+    CHECK(executionsOf(bench, "queued") == 0);
+}
+
 TEST_CASE("The death of an engine is told for what was running, and only for that")
 {
     AgentBench bench;
@@ -250,6 +279,30 @@
     CHECK(bench.engine->memory().overcommitted() == 0);
 }
 
+TEST_CASE("An engine that goes silent ends what it was running")
+{
+    // Guards against heartbeats that keep an attempt alive which nobody runs any more.
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        const json::object fault{{"silent", true}};
+        bench.engine->setFault(fault);
+        auto channel = co_await bench.connect();
+        co_await channel->send(attemptFrame("request-9", "x", 5));
+        for (int i = 0; i < 60 && !bench.controller->isLost(); ++i)
+            co_await bench.pause(milliseconds(100));
+        CHECK(bench.controller->isLost());
+        bench.runner->sweep();
+        const auto failed = co_await bench.finalFrame(*channel, nullptr);
+        REQUIRE(failed.has_failed());
+        CHECK(failed.failed().engine_lost());
+        CHECK(kindOf(failed) == ErrorKind::UpstreamFailed);
+        CHECK(bench.controller->ledger().reservedKv() == 0);
+        const json::object heard{{"silent", false}};
+        bench.engine->setFault(heard);
+    }());
+}
+
 TEST_CASE("An adapter is loaded for the attempt that waits for it")
 {
     AgentBench bench;
