--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -52,9 +52,9 @@
     const auto report = load.get();
     INFO(report.ShortDebugString());
     const auto counts = executionsByKey(rig, layout.services);
-    for (const auto &[key, count] : counts) {
-        INFO(key);
-        CHECK(count == 1);
+    for (const auto &row : counts) {
+        INFO(row.first);
+        CHECK(row.second == 1);
     }
     CHECK(counts.size() >= report.total().answered());
     CHECK(report.total().answered() * 2 > report.total().sent());
