Answer a repeat of an unfinished request after a second

Cause: a repeat of a keyed request whose first try was lost with its entry instance was held until the tier's deadline. Ruled out: asking the owner for the state of the first try; a dead entry cannot be told from a slow one. Change: the entry polls the claim for at most 1 s, then answers 409 in_progress with Retry-After. The test counter is atomic and is waited for, since demand is counted after the answer; the requests that keep the engine busy last 1,000 tokens.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -88,12 +88,13 @@
 
 asio::awaitable<proto::ClaimReply> Exchange::awaitClaim(std::string claimId)
 {
+    const Instant limit = std::min(clockNow() + ClaimWait, this->request.deadline);
     while (true) {
         auto reply = co_await this->services.claims.begin(
             this->request.member, this->request.idempotencyKey, this->request.claimDigest, claimId,
             this->request.deadline);
         if (reply.verdict() != proto::CLAIM_VERDICT_IN_PROGRESS ||
-            clockNow() + ClaimPoll >= this->request.deadline || this->responder.isPeerGone())
+            clockNow() + ClaimPoll >= limit || this->responder.isPeerGone())
             co_return reply;
         co_await sleepFor(ClaimPoll);
     }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -35,6 +35,9 @@
 public:
     /// Interval at which the claim of an unfinished request is asked for again.
     static constexpr Duration ClaimPoll = milliseconds(250);
+    /// Longest wait for the answer of a request with the same idempotency key. The first request
+    /// may be lost with its entry instance, so a longer one is answered with Retry-After.
+    static constexpr Duration ClaimWait = std::chrono::seconds(1);
     /// Wait after a crash before the request is tried again, so that the report reaches the other
     /// entry instances first; over the region link it takes 30 ms and a few hops.
     static constexpr Duration CrashSpread = milliseconds(150);
--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -156,7 +156,7 @@
             std::vector<std::unique_ptr<FrameChannel>> busy;
             for (int i = 0; i < 4; ++i) {
                 busy.push_back(co_await bench.connect());
-                co_await busy.back()->send(attemptFrame("busy-" + std::to_string(i), "x", 300));
+                co_await busy.back()->send(attemptFrame("busy-" + std::to_string(i), "x", 1000));
                 co_await bench.next(*busy.back());
             }
             auto channel = co_await bench.connect();
--- a/tests/entry/EntryFixture.cpp
+++ b/tests/entry/EntryFixture.cpp
@@ -195,6 +195,10 @@
         reply.set_verdict(proto::CLAIM_VERDICT_UNAVAILABLE);
         co_return reply;
     }
+    if (this->heldElsewhere) {
+        reply.set_verdict(proto::CLAIM_VERDICT_IN_PROGRESS);
+        co_return reply;
+    }
     const std::lock_guard lock(this->mutex);
     auto &record = this->records[member + "/" + key];
     const bool isFree = record.state() == proto::CLAIM_STATE_UNKNOWN ||
--- a/tests/entry/EntryFixture.h
+++ b/tests/entry/EntryFixture.h
@@ -97,11 +97,7 @@
     RouteSources routeSources() const override { return this->sources; }
     bool isFresh(Instant) const override { return this->fresh; }
     void noteHeadVersion(uint64_t) override {}
-    void addDemand(const proto::Demand &demand) override
-    {
-        const std::lock_guard lock(this->mutex);
-        this->demand += demand.requests();
-    }
+    void addDemand(const proto::Demand &demand) override { this->demand += demand.requests(); }
     void reportCrash(uint64_t digest, const std::string &, Instant) override
     {
         const std::lock_guard lock(this->mutex);
@@ -119,7 +115,7 @@
     std::atomic<bool> fresh{true};
     mutable std::mutex mutex;
     std::map<uint64_t, uint32_t> crashes;
-    uint32_t demand = 0;
+    std::atomic<uint32_t> demand{0};
 
 private:
     std::shared_ptr<const Catalogue> snapshot;
@@ -140,6 +136,8 @@
                                          std::string claimId) override;
 
     std::atomic<bool> available{true};
+    /// Every claim is held by a request that never finishes.
+    std::atomic<bool> heldElsewhere{false};
     std::atomic<int> released{0};
 
 private:
--- a/tests/entry/EntryServerTest.cpp
+++ b/tests/entry/EntryServerTest.cpp
@@ -28,6 +28,9 @@
         }
         CHECK(entry.first.attempts == 20);
         CHECK(entry.counter("tray_entry_retries_total") == 0);
+        // The last request is counted after its answer has reached the caller.
+        for (int i = 0; i < 200 && entry.state.demand < 20; ++i)
+            std::this_thread::sleep_for(milliseconds(10));
         CHECK(entry.state.demand == 20);
     }
     SUBCASE("a stream")
@@ -198,6 +201,17 @@
         CHECK(findHeader(value(repeat).headers, "Idempotent-Replayed") == "true");
         CHECK(entry.first.attempts == 1);
     }
+    SUBCASE("a repeat of a request that was lost with its entry is not held until its deadline")
+    {
+        entry.claims.heldElsewhere = true;
+        const auto sentAt = std::chrono::steady_clock::now();
+        const auto repeat = entry.complete(false, "key");
+        CHECK(std::chrono::steady_clock::now() - sentAt < std::chrono::seconds(2));
+        CHECK(value(repeat).status == 409);
+        CHECK(ranOf(value(repeat)) == "unknown");
+        CHECK(findHeader(value(repeat).headers, "Retry-After") == "1");
+        CHECK(entry.first.attempts == 0);
+    }
     SUBCASE("without the platform it is refused at once, and nothing runs")
     {
         entry.claims.available = false;
