Keep the engine busy with three requests in the test of a queued cancel

Cause: the fourth request of the second tier waits, since one of four slots is kept for the highest tier; the test went on when it started, when the others were about to end, so the fifth was often dispatched at once (each run under AddressSanitizer failed). Ruled out: the length of the requests (300 and 1,000 tokens failed alike). Change: three requests fill the slots that the tier may use; the check is the same.

--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -154,7 +154,8 @@
         bench.run([&]() -> asio::awaitable<void> {
             co_await bench.untilReady();
             std::vector<std::unique_ptr<FrameChannel>> busy;
-            for (int i = 0; i < 4; ++i) {
+            // One of the four slots is kept for the highest tier, so three requests fill the rest.
+            for (int i = 0; i < 3; ++i) {
                 busy.push_back(co_await bench.connect());
                 co_await busy.back()->send(attemptFrame("busy-" + std::to_string(i), "x", 1000));
                 co_await bench.next(*busy.back());
