Write the frames of an answer that are ready together in one piece

Change: FrameChannel keeps frames back until flush(), and the agent flushes when nothing more is ready or 64 KiB wait.

--- a/src/agent/DataServer.cpp
+++ b/src/agent/DataServer.cpp
@@ -129,7 +129,7 @@
     return frame;
 }
 
-bool DataServer::fillFinal(const AttemptRecord &record, uint64_t offset, proto::Frame &frame)
+bool DataServer::fillFinal(const AttemptRecord &record, uint64_t offset, proto::Frame &frame) const
 {
     if (!record.isFinal())
         return false;
@@ -161,54 +161,76 @@
 asio::awaitable<void> DataServer::write(Channel channel, Record record, uint64_t connection,
                                         uint64_t offset)
 {
-    bool admittedSent = false;
-    bool headSent = false;
+    AnswerCursor cursor;
+    cursor.offset = offset;
     Instant lastSent = clockNow();
     while (record->isCarriedBy(connection)) {
         proto::Frame frame = this->frameFor(*record);
-        bool last = false;
-        const bool passedAdmission =
-            record->stage() != AttemptStage::Arrived && record->stage() != AttemptStage::Refused;
-        auto data = record->read(offset, MostDataBytes);
-        if (passedAdmission && !admittedSent) {
-            *frame.mutable_admitted()->mutable_load() = this->runner.load();
-            admittedSent = true;
-        } else if (record->head() && !headSent) {
-            *frame.mutable_head() = *record->head();
-            headSent = true;
-        } else if (!isOk(data)) {
-            auto &failed = *frame.mutable_failed();
-            failed.set_error_kind(static_cast<uint32_t>(ErrorKind::StreamBroken));
-            failed.set_message(error(data).message);
-            failed.set_may_have_run(true);
-            last = true;
-        } else if (!value(data).empty()) {
-            frame.mutable_data()->set_offset(offset);
-            offset += value(data).size();
-            frame.mutable_data()->set_data(value(std::move(data)));
-        } else if (this->fillFinal(*record, offset, frame)) {
-            last = true;
-        } else if (clockNow() - lastSent >= this->heartbeat) {
-            *frame.mutable_heartbeat()->mutable_load() = this->runner.load();
-        } else {
-            record->changed.expires_at(lastSent + this->heartbeat);
-            co_await record->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+        const bool hasFrame = this->fillNext(*record, cursor, frame);
+        // Frames that are ready together go out in one write: a short answer is head, data and end.
+        if (hasFrame && !cursor.last && channel->queuedBytes() < MostDataBytes) {
+            channel->queue(frame);
             continue;
         }
-        const auto sent = co_await channel->send(frame);
+        if (!hasFrame && channel->queuedBytes() == 0) {
+            if (clockNow() - lastSent < this->heartbeat) {
+                record->changed.expires_at(lastSent + this->heartbeat);
+                co_await record->changed.async_wait(asio::as_tuple(asio::use_awaitable));
+                continue;
+            }
+            *frame.mutable_heartbeat()->mutable_load() = this->runner.load();
+        }
+        if (hasFrame || frame.has_heartbeat())
+            channel->queue(frame);
+        const auto sent = co_await channel->flush();
         if (!isOk(sent)) {
             record->detach(connection, clockNow());
             channel->close();
             co_return;
         }
         lastSent = clockNow();
-        if (frame.has_data())
-            record->noteSent(offset);
-        if (last) {
+        if (cursor.dataSent)
+            record->noteSent(cursor.offset);
+        if (cursor.last) {
             record->noteFinalSent();
             co_return;
         }
     }
 }
 
+bool DataServer::fillNext(const AttemptRecord &record, AnswerCursor &cursor,
+                          proto::Frame &frame) const
+{
+    const bool passedAdmission =
+        record.stage() != AttemptStage::Arrived && record.stage() != AttemptStage::Refused;
+    if (passedAdmission && !cursor.admittedSent) {
+        *frame.mutable_admitted()->mutable_load() = this->runner.load();
+        cursor.admittedSent = true;
+        return true;
+    }
+    if (record.head() && !cursor.headSent) {
+        *frame.mutable_head() = *record.head();
+        cursor.headSent = true;
+        return true;
+    }
+    auto data = record.read(cursor.offset, MostDataBytes);
+    if (!isOk(data)) {
+        auto &failed = *frame.mutable_failed();
+        failed.set_error_kind(static_cast<uint32_t>(ErrorKind::StreamBroken));
+        failed.set_message(error(data).message);
+        failed.set_may_have_run(true);
+        cursor.last = true;
+        return true;
+    }
+    if (!value(data).empty()) {
+        frame.mutable_data()->set_offset(cursor.offset);
+        cursor.offset += value(data).size();
+        cursor.dataSent = true;
+        frame.mutable_data()->set_data(value(std::move(data)));
+        return true;
+    }
+    cursor.last = this->fillFinal(record, cursor.offset, frame);
+    return cursor.last;
+}
+
 } // namespace tray
--- a/src/agent/DataServer.h
+++ b/src/agent/DataServer.h
@@ -26,6 +26,17 @@
         uint64_t connection = 0;
     };
 
+    /// How far an answer has been written to a channel.
+    struct AnswerCursor
+    {
+        uint64_t offset = 0;
+        bool admittedSent = false;
+        bool headSent = false;
+        bool dataSent = false;
+        /// The final frame has been made.
+        bool last = false;
+    };
+
     boost::asio::awaitable<void> serve(Channel channel);
     boost::asio::awaitable<bool> handle(Channel channel, proto::Frame frame, Carried &carried);
     boost::asio::awaitable<void> write(Channel channel, Record record, uint64_t connection,
@@ -34,7 +45,9 @@
                                                bool mayHaveRun);
     proto::Frame frameFor(const AttemptRecord &record) const;
     /// Final frame of the attempt, if there is one.
-    bool fillFinal(const AttemptRecord &record, uint64_t offset, proto::Frame &frame);
+    bool fillFinal(const AttemptRecord &record, uint64_t offset, proto::Frame &frame) const;
+    /// Next frame of the attempt that can be written now, if there is one.
+    bool fillNext(const AttemptRecord &record, AnswerCursor &cursor, proto::Frame &frame) const;
 
     AttemptRunner &runner;
     const Duration heartbeat;
--- a/src/net/FrameChannel.cpp
+++ b/src/net/FrameChannel.cpp
@@ -34,6 +34,8 @@
     std::string readBuffer;
     size_t readPosition = 0;
     size_t readEnd = 0;
+    // Serialized frames that wait for the next send().
+    std::string queued;
 };
 
 FrameChannel::FrameChannel(tcp::socket socket) : impl(std::make_unique<Impl>(std::move(socket)))
@@ -130,13 +132,31 @@
     co_return frame;
 }
 
-asio::awaitable<Result<Unit>> FrameChannel::send(const proto::Frame &frame, Duration timeout)
+void FrameChannel::queue(const proto::Frame &frame)
 {
-    std::string bytes(4, '\0');
+    auto &bytes = this->impl->queued;
+    const size_t start = bytes.size();
+    bytes.append(4, '\0');
     frame.AppendToString(&bytes);
-    const auto length = static_cast<uint32_t>(bytes.size() - 4);
-    for (int i = 0; i < 4; ++i)
-        bytes[static_cast<size_t>(i)] = static_cast<char>(length >> (24 - 8 * i) & 255);
+    const auto length = static_cast<uint32_t>(bytes.size() - start - 4);
+    for (size_t i = 0; i < 4; ++i)
+        bytes[start + i] = static_cast<char>(length >> (24 - 8 * i) & 255);
+}
+
+size_t FrameChannel::queuedBytes() const
+{
+    return this->impl->queued.size();
+}
+
+asio::awaitable<Result<Unit>> FrameChannel::send(const proto::Frame &frame, Duration timeout)
+{
+    this->queue(frame);
+    co_return co_await this->flush(timeout);
+}
+
+asio::awaitable<Result<Unit>> FrameChannel::flush(Duration timeout)
+{
+    const std::string bytes = std::exchange(this->impl->queued, {});
     // Not on the stream's own timer: a concurrent receive has set it for the silence it accepts.
     auto &socket = this->impl->stream.socket();
     asio::steady_timer timer(socket.get_executor(), timeout);
--- a/src/net/FrameChannel.h
+++ b/src/net/FrameChannel.h
@@ -40,9 +40,16 @@
     /// Next frame. Fails with Timeout after the given silence, StreamBroken if the connection ends
     /// or a frame is not valid.
     boost::asio::awaitable<Result<proto::Frame>> receive(Duration silence);
-    /// Writes a frame. Fails with StreamBroken or Timeout; the frame may then have arrived.
+    /// Keeps a frame back for the next send(), which writes all of them in one piece.
+    void queue(const proto::Frame &frame);
+    /// Bytes of the frames that wait for the next send().
+    size_t queuedBytes() const;
+    /// Writes the queued frames and this one. Fails with StreamBroken or Timeout; the frames may
+    /// then have arrived.
     boost::asio::awaitable<Result<Unit>> send(const proto::Frame &frame,
                                               Duration timeout = std::chrono::seconds(5));
+    /// Writes the queued frames. Errors as for send().
+    boost::asio::awaitable<Result<Unit>> flush(Duration timeout = std::chrono::seconds(5));
     /// True while the peer has neither closed the connection nor sent anything unasked.
     bool isUsable();
     void close();
