Send instance lists as deltas

Cause: each change of the instance list travelled whole. Ruled out: fewer changes, since restarts are given; compression, which keeps the slope.

--- a/src/node/NodeState.cpp
+++ b/src/node/NodeState.cpp
@@ -75,7 +75,8 @@
         reply.mutable_head()->clear_recent();
     }
     if (request.instance_revision() < this->instanceList->revision())
-        *reply.mutable_instances() = *this->instanceList;
+        *reply.mutable_instances() =
+            this->instanceHistory.since(request.instance_revision(), *this->instanceList);
     for (const auto &[region, wish] : this->wishTable) {
         const auto known = request.wish_versions().find(region);
         if (known == request.wish_versions().end() || known->second < wish.version())
@@ -147,8 +148,10 @@
     this->noteHead(reply.head_version());
     if (reply.has_head())
         this->offerHead(reply.head());
-    if (reply.has_instances())
-        this->setInstances(reply.instances());
+    if (reply.has_instances()) {
+        if (const auto list = applyInstances(*this->instanceList, reply.instances()))
+            this->setInstances(*list);
+    }
     for (const auto &wish : reply.wishes())
         this->setWish(wish);
     // Counted from before the request was sent, so that the age is never too young.
@@ -333,6 +336,7 @@
 {
     if (list.revision() <= this->instanceList->revision())
         return;
+    this->instanceHistory.note(*this->instanceList, list);
     this->instanceList = std::make_shared<const proto::InstanceList>(list);
     this->relayTree = RelayTree(list, this->self);
 }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 #include "catalogue/Catalogue.h"
 #include "catalogue/Sections.h"
+#include "membership/InstanceHistory.h"
 #include "membership/RelayTree.h"
 #include "membership/StatusTable.h"
 #include "node/ControlNode.h"
@@ -164,6 +165,7 @@
 
     proto::InstanceEntry self;
     std::shared_ptr<const proto::InstanceList> instanceList;
+    InstanceHistory instanceHistory;
     RelayTree relayTree;
     StatusTable table;
     mutable std::shared_ptr<const UpstreamStatuses> statusView;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -2,6 +2,7 @@
 # Measures the control cost of a process against the number of processes: tools/fleet.sh [BUILD] [SIZE...].
 # Starts SIZE real processes (a quarter entry instances, the rest agents) over 2 regions and 7 data centres, waits until
 # they are in step, and samples bytes, processor time and memory of each. Results lie in out/fleet.
+# MODELS=N adds N models, each with an adapter, to the ticket that is submitted before memory is read.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -63,7 +64,16 @@
     sleep $seconds
     sample after
     ticket=$out/logs/ticket.json
-    echo '{"number":1,"author":"fleet","objects":[{"name":"gold","tier":{"deadline_ms":5000}}]}' >"$ticket"
+    awk -v n="${MODELS:-0}" 'BEGIN {
+        printf "{\"number\":1,\"author\":\"fleet\",\"objects\":[{\"name\":\"gold\",\"tier\":{\"deadline_ms\":5000}}"
+        printf ",{\"name\":\"engines\",\"pool\":{\"engines\":true}}"
+        for (i = 1; i <= n; ++i) {
+            printf ",{\"name\":\"model-%04d\",\"model\":{\"pool\":\"engines\",\"version\":\"1\",\"weight_bytes\":1000000000", i
+            printf ",\"kv_bytes_per_token\":1000,\"max_context_tokens\":4096,\"min_replicas\":1}}"
+            printf ",{\"name\":\"adapter-%04d\",\"adapter\":{\"base_model\":\"model-%04d\",\"version\":\"1\",\"bytes\":40000000}}", i, i
+        }
+        print "]}"
+    }' >"$ticket"
     # The time from acceptance to "in force everywhere" as the operator's client sees it, start of the client included.
     begin=$(date +%s%3N)
     timeout 30 "$build/bin/trayctl" --entry 127.41.0.1:7000 --platform $platform ticket submit "$ticket" >"$out/logs/ticket-$size.log" 2>&1 || true
