--- a/tools/deployment-lib.sh
+++ b/tools/deployment-lib.sh
@@ -50,13 +50,16 @@
     return 1
 }
 
+# Arguments for each tray-agent.
+agent_arguments=()
+
 # start_deployment DIRECTORY [ARGUMENT for tray-entry...]: platform and upstreams first, then ours.
 start_deployment() {
     local directory=$1 file
     mkdir -p "$logs"
     for file in "$directory"/fake-*.ini; do start_process "$file"; done
     sleep 0.5
-    for file in "$directory"/tray-agent-*.ini; do start_process "$file"; done
+    for file in "$directory"/tray-agent-*.ini; do start_process "$file" "${agent_arguments[@]}"; done
     for file in "$directory"/tray-entry-*.ini; do start_process "$file" "${@:2}"; done
     sleep 1
     if ! all_running; then
--- a/tools/experiment.sh
+++ b/tools/experiment.sh
@@ -45,6 +45,9 @@
     model_prefix=$(grep -o '"name":"[a-z]*-01","model"' $directory/ticket-1.json | cut -d'"' -f4 | cut -d- -f1)
     count=$(grep -c '"model":{' $directory/ticket-1.json)
     # shellcheck disable=SC2086
+    # Planners run beside the relays, which may be agents.
+    agent_arguments=()
+    [ $policy != baseline ] || agent_arguments=(--set placement.strategy=on-demand)
     start_deployment $directory ${policy_arguments[$policy]} || status=1
     [ $status -ne 0 ] || wait_ready $directory 30 || status=1
     [ $status -ne 0 ] || timeout 40 "$build/bin/trayctl" --entry "$control" --platform "$platform" \
