Share the accept loop, and end daemons without destructors

Cause: the frame and the HTTP server held the same code for listening, and the frame server's loop spun on errors. In an experiment one of 40 agents logged a complete stop and did not exit within 30 s. Its cause was not found: 276 stops of entry instances and agents in a loop did not repeat it.

--- a/src/agent/AgentMain.cpp
+++ b/src/agent/AgentMain.cpp
@@ -36,5 +36,5 @@
               << " admin=" << toString(agent.adminAddress()) << std::endl;
     const auto limit = milliseconds(settings.agent().drain_timeout_ms());
     const auto stop = [&agent] { return agent.stop(); };
-    return runService(context, 1, stop, limit) ? ExitOk : ExitFailure;
+    endProcess(runService(context, 1, stop, limit) ? ExitOk : ExitFailure);
 }
--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -145,5 +145,5 @@
         std::cerr << "tray-entry: " << error(started).message << "\n";
         return ExitFailure;
     }
-    return process.run() ? ExitOk : ExitFailure;
+    endProcess(process.run() ? ExitOk : ExitFailure);
 }
--- a/src/net/FrameChannel.cpp
+++ b/src/net/FrameChannel.cpp
@@ -198,67 +198,11 @@
     return this->impl->stream.get_executor();
 }
 
-struct FrameServer::Impl : std::enable_shared_from_this<FrameServer::Impl>
-{
-    Impl(asio::io_context &context, Handler handler)
-        : context(context), handler(std::move(handler)), acceptor(context)
-    {}
-
-    asio::awaitable<void> accept()
-    {
-        const auto self = this->shared_from_this();
-        while (this->acceptor.is_open()) {
-            auto strand = asio::make_strand(this->context);
-            auto [code, socket] = co_await this->acceptor.async_accept(strand, Await);
-            if (code == asio::error::operation_aborted)
-                co_return;
-            if (code)
-                continue;
-            auto channel = std::make_shared<FrameChannel>(std::move(socket));
-            asio::co_spawn(strand, this->handler(channel), asio::detached);
-        }
-    }
-
-    asio::io_context &context;
-    Handler handler;
-    tcp::acceptor acceptor;
-};
-
 FrameServer::FrameServer(asio::io_context &context, Handler handler)
-    : impl(std::make_shared<Impl>(context, std::move(handler)))
+    : listener(context, [handler = std::move(handler)](tcp::socket socket) {
+          auto channel = std::make_shared<FrameChannel>(std::move(socket));
+          asio::co_spawn(channel->executor(), handler(channel), asio::detached);
+      })
 {}
 
-FrameServer::~FrameServer()
-{
-    this->stop();
-}
-
-Result<Address> FrameServer::listen(const Address &address)
-{
-    beast::error_code code;
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
-    auto &acceptor = this->impl->acceptor;
-    if (!code)
-        acceptor.open(endpoint.protocol(), code);
-    if (!code)
-        acceptor.set_option(asio::socket_base::reuse_address(true), code);
-    if (!code)
-        acceptor.bind(endpoint, code);
-    if (!code)
-        acceptor.listen(4096, code);
-    if (code)
-        return Error{ErrorKind::InvalidSettings,
-                     "cannot listen on " + toString(address) + ": " + code.message()};
-    asio::co_spawn(acceptor.get_executor(), this->impl->accept(), asio::detached);
-    return Address{address.host, acceptor.local_endpoint().port()};
-}
-
-void FrameServer::stop()
-{
-    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
-        beast::error_code ignored;
-        impl->acceptor.close(ignored);
-    });
-}
-
 } // namespace tray
--- a/src/net/FrameChannel.h
+++ b/src/net/FrameChannel.h
@@ -4,6 +4,7 @@
 
 #include "base/Address.h"
 #include "base/Time.h"
+#include "net/Listener.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -69,16 +70,14 @@
         std::function<boost::asio::awaitable<void>(std::shared_ptr<FrameChannel> channel)>;
 
     FrameServer(boost::asio::io_context &context, Handler handler);
-    ~FrameServer();
 
     /// Binds and starts to accept; returns the bound address.
-    Result<Address> listen(const Address &address);
+    Result<Address> listen(const Address &address) { return this->listener.listen(address); }
     /// Stops to accept. Open channels go on.
-    void stop();
+    void stop() { this->listener.close(); }
 
 private:
-    struct Impl;
-    std::shared_ptr<Impl> impl;
+    Listener listener;
 };
 
 } // namespace tray
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,6 +1,8 @@
 // Server side of HTTP/1.1 by Boost.Beast.
 #include "net/HttpServer.h"
 
+#include "net/Listener.h"
+
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -58,16 +60,16 @@
     Impl(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
          HttpRefusal refusal)
         : context(context), handler(std::move(handler)), limits(limits),
-          refusal(refusal ? std::move(refusal) : defaultRefusal), acceptor(context)
+          refusal(refusal ? std::move(refusal) : defaultRefusal)
     {}
 
-    asio::awaitable<void> accept();
+    void serve(tcp::socket socket);
 
     asio::io_context &context;
     HttpHandler handler;
     HttpServerLimits limits;
     HttpRefusal refusal;
-    tcp::acceptor acceptor;
+    std::unique_ptr<Listener> listener;
     std::atomic<bool> draining{false};
     std::atomic<size_t> inFlight{0};
     std::mutex mutex;
@@ -91,6 +93,8 @@
         this->server->connections.erase(this);
     }
 
+    asio::any_io_executor executor() { return this->stream.get_executor(); }
+
     asio::awaitable<void> run()
     {
         this->stream.socket().set_option(tcp::no_delay(true));
@@ -269,25 +273,12 @@
     bool requestKeepsAlive = true;
 };
 
-asio::awaitable<void> HttpServer::Impl::accept()
+void HttpServer::Impl::serve(tcp::socket socket)
 {
-    const auto self = this->shared_from_this();
-    while (this->acceptor.is_open()) {
-        auto strand = asio::make_strand(this->context);
-        auto [code, socket] = co_await this->acceptor.async_accept(strand, Await);
-        if (code == asio::error::operation_aborted)
-            co_return;
-        if (code) {
-            // Out of descriptors, most likely; a pause keeps the loop from spinning.
-            asio::steady_timer pause(this->context, milliseconds(50));
-            co_await pause.async_wait(Await);
-            continue;
-        }
-        auto connection = std::make_shared<Connection>(self, std::move(socket));
-        asio::co_spawn(
-            strand, [connection] { return connection->run(); },
-            [connection](const std::exception_ptr &) {});
-    }
+    auto connection = std::make_shared<Connection>(this->shared_from_this(), std::move(socket));
+    asio::co_spawn(
+        connection->executor(), [connection] { return connection->run(); },
+        [connection](const std::exception_ptr &) {});
 }
 
 HttpServer::HttpServer(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
@@ -302,32 +293,22 @@
 
 Result<Address> HttpServer::listen(const Address &address)
 {
-    beast::error_code code;
-    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
-    auto &acceptor = this->impl->acceptor;
-    if (!code)
-        acceptor.open(endpoint.protocol(), code);
-    if (!code)
-        acceptor.set_option(asio::socket_base::reuse_address(true), code);
-    if (!code)
-        acceptor.bind(endpoint, code);
-    if (!code)
-        acceptor.listen(4096, code);
-    if (code)
-        return Error{ErrorKind::InvalidSettings,
-                     "cannot listen on " + toString(address) + ": " + code.message()};
-    asio::co_spawn(acceptor.get_executor(), this->impl->accept(), asio::detached);
-    return Address{address.host, acceptor.local_endpoint().port()};
+    // An accept that is under way may end after the server.
+    const std::weak_ptr<Impl> weak = this->impl;
+    this->impl->listener =
+        std::make_unique<Listener>(this->impl->context, [weak](tcp::socket socket) {
+            if (const auto impl = weak.lock())
+                impl->serve(std::move(socket));
+        });
+    return this->impl->listener->listen(address);
 }
 
 void HttpServer::drain()
 {
     if (this->impl->draining.exchange(true))
         return;
-    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
-        beast::error_code ignored;
-        impl->acceptor.close(ignored);
-    });
+    if (this->impl->listener)
+        this->impl->listener->close();
     const std::lock_guard lock(this->impl->mutex);
     for (auto *connection : this->impl->connections)
         connection->closeIfIdle();
--- /dev/null
+++ b/src/net/Listener.cpp
@@ -0,0 +1,92 @@
+// Accept loop.
+#include "net/Listener.h"
+
+#include "base/Time.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace tray {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+// Connections that wait to be accepted; a burst of callers must not be refused by the kernel.
+constexpr int Backlog = 4096;
+
+} // namespace
+
+struct Listener::Impl
+{
+    Impl(asio::io_context &context, Handler handler)
+        : context(context), handler(std::move(handler)), acceptor(asio::make_strand(context))
+    {}
+
+    static asio::awaitable<void> accept(std::shared_ptr<Impl> self)
+    {
+        while (self->acceptor.is_open()) {
+            auto strand = asio::make_strand(self->context);
+            auto [code, socket] = co_await self->acceptor.async_accept(strand, Await);
+            if (code == asio::error::operation_aborted)
+                co_return;
+            if (code) {
+                // Out of descriptors, most likely; a pause keeps the loop from spinning.
+                asio::steady_timer pause(self->acceptor.get_executor(), milliseconds(50));
+                co_await pause.async_wait(Await);
+                continue;
+            }
+            self->handler(std::move(socket));
+        }
+    }
+
+    asio::io_context &context;
+    const Handler handler;
+    tcp::acceptor acceptor;
+};
+
+Listener::Listener(asio::io_context &context, Handler handler)
+    : impl(std::make_shared<Impl>(context, std::move(handler)))
+{}
+
+Listener::~Listener()
+{
+    this->close();
+}
+
+Result<Address> Listener::listen(const Address &address)
+{
+    boost::system::error_code code;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+    auto &acceptor = this->impl->acceptor;
+    if (!code)
+        acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    if (!code)
+        acceptor.bind(endpoint, code);
+    if (!code)
+        acceptor.listen(Backlog, code);
+    if (code)
+        return Error{ErrorKind::InvalidSettings,
+                     "cannot listen on " + toString(address) + ": " + code.message()};
+    const auto port = acceptor.local_endpoint().port();
+    asio::co_spawn(acceptor.get_executor(), Impl::accept(this->impl), asio::detached);
+    return Address{address.host, port};
+}
+
+void Listener::close()
+{
+    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+        boost::system::error_code ignored;
+        impl->acceptor.close(ignored);
+    });
+}
+
+} // namespace tray
--- a/src/net/Service.cpp
+++ b/src/net/Service.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <csignal>
+#include <cstdlib>
+#include <iostream>
 #include <spdlog/spdlog.h>
 #include <thread>
 #include <vector>
@@ -51,4 +53,11 @@
     return complete;
 }
 
+void endProcess(int status)
+{
+    spdlog::default_logger()->flush();
+    std::cout.flush();
+    std::_Exit(status);
+}
+
 } // namespace tray
--- a/src/net/Service.h
+++ b/src/net/Service.h
@@ -15,4 +15,9 @@
 bool runService(boost::asio::io_context &context, unsigned threads,
                 std::function<boost::asio::awaitable<void>()> stop, Duration stopLimit);
 
+/// Ends the process after runService() without running destructors: all work is done by then, and
+/// the control channel's library was once seen to keep a stopped process alive while it was torn
+/// down.
+[[noreturn]] void endProcess(int status);
+
 } // namespace tray
