Let adapters use half of the room kept for KV cache

Engines that models had filled up to the reserve of 1/16 had no room for the models' adapters, and an adapter was then out of reach for good. Change: models leave 1/16 of memory free, adapters only 1/32.

--- a/src/memory/Reconciler.cpp
+++ b/src/memory/Reconciler.cpp
@@ -185,8 +185,10 @@
     for (const auto &want : wants)
         wanted.insert(want.key);
     std::set<ItemKey> considered;
-    const uint64_t spare = this->ledger.memoryBytes() / KvReserveDivisor;
-    this->keepKvReserve(input, wanted, spare, now, output);
+    const uint64_t reserve = this->ledger.memoryBytes() / KvReserveDivisor;
+    // Adapters may use half of it: an engine that models have filled would refuse theirs for good.
+    const uint64_t adapterReserve = reserve / 2;
+    this->keepKvReserve(input, wanted, reserve, adapterReserve, now, output);
     // Room that more important wants are waiting for.
     uint64_t promised = 0;
     for (const auto &want : wants) {
@@ -194,6 +196,7 @@
             continue;
         if (want.key.kind == ItemKind::Adapter && !this->hasReadyModel(want.base))
             continue;
+        const uint64_t spare = want.key.kind == ItemKind::Adapter ? adapterReserve : reserve;
         if (this->ledger.chargeLoad(want.key, want.bytes, spare + promised)) {
             this->send(input, OrderAction::Load, want.key, want.bytes, want.base, now, output);
             continue;
@@ -210,13 +213,19 @@
 }
 
 void Reconciler::keepKvReserve(const ReconcileInput &input, const std::set<ItemKey> &wanted,
-                               uint64_t reserve, Instant now, ReconcileOutput &output)
+                               uint64_t reserve, uint64_t adapterReserve, Instant now,
+                               ReconcileOutput &output)
 {
-    uint64_t kept = 0;
-    for (const auto &[key, entry] : this->ledger.entries())
-        kept += entry.phase == Phase::UnloadSent ? 0 : entry.bytes;
-    if (kept + reserve > this->ledger.memoryBytes())
-        this->makeRoom(input, wanted, kept + reserve - this->ledger.memoryBytes(), now, output);
+    uint64_t models = 0;
+    uint64_t items = 0;
+    for (const auto &[key, entry] : this->ledger.entries()) {
+        const uint64_t kept = entry.phase == Phase::UnloadSent ? 0 : entry.bytes;
+        items += kept;
+        models += key.kind == ItemKind::Model ? kept : 0;
+    }
+    const uint64_t used = std::max(models + reserve, items + adapterReserve);
+    if (used > this->ledger.memoryBytes())
+        this->makeRoom(input, wanted, used - this->ledger.memoryBytes(), now, output);
 }
 
 void Reconciler::makeRoom(const ReconcileInput &input, const std::set<ItemKey> &wanted,
--- a/src/memory/Reconciler.h
+++ b/src/memory/Reconciler.h
@@ -139,7 +139,8 @@
     void loadWanted(const ReconcileInput &input, const std::vector<Want> &wants, Instant now,
                     ReconcileOutput &output);
     void keepKvReserve(const ReconcileInput &input, const std::set<ItemKey> &wanted,
-                       uint64_t reserve, Instant now, ReconcileOutput &output);
+                       uint64_t reserve, uint64_t adapterReserve, Instant now,
+                       ReconcileOutput &output);
     void dropReplaced(const ReconcileInput &input, Instant now, ReconcileOutput &output);
     void makeRoom(const ReconcileInput &input, const std::set<ItemKey> &wanted, uint64_t needed,
                   Instant now, ReconcileOutput &output);
