--- /dev/null
+++ b/src/dispatch/Dispatcher.h
@@ -0,0 +1,123 @@
+// Chooses the upstream for a request from what is known of loads, models and health.
+#pragma once
+
+#include "base/Result.h"
+#include "dispatch/UpstreamHealth.h"
+#include "fleet/Upstream.h"
+
+#include "fleet.pb.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <variant>
+
+namespace tray {
+
+/// What a request needs of an upstream.
+struct DispatchQuery
+{
+    std::string service;
+    /// Both empty for plain services.
+    std::string model;
+    std::string adapter;
+    uint32_t promptTokens = 0;
+    /// Identity of the shared prompt parts; requests with the same one save work on one engine.
+    uint64_t sharedParts = 0;
+    uint32_t sharedTokens = 0;
+    /// Upstreams that were tried already.
+    std::set<std::string> tried;
+};
+
+/// The request goes to this upstream.
+struct DispatchTarget
+{
+    std::string upstreamId;
+    Address address;
+    /// The engine lacks the adapter: it must be loaded before the request is sent.
+    bool needsAdapter = false;
+    /// Age of the engine's snapshot; negative if there is none.
+    Duration snapshotAge{-1};
+    double cost = 0;
+};
+
+/// No upstream can take the request now.
+struct DispatchRefusal
+{
+    ErrorKind kind = ErrorKind::NoReplica;
+    std::string reason;
+    Duration retryAfter{};
+};
+
+using Dispatch = std::variant<DispatchTarget, DispatchRefusal>;
+
+/// Places of an upstream relative to this instance.
+enum class Proximity : uint8_t { SameDataCentre, SameRegion, OtherRegion };
+
+class Dispatcher
+{
+public:
+    /// Snapshots older than this are not used.
+    static constexpr Duration SnapshotLifetime = std::chrono::seconds(2);
+
+    using ProximityOf = std::function<Proximity(const std::string &dataCentre)>;
+
+    explicit Dispatcher(ProximityOf proximityOf) : proximityOf(std::move(proximityOf)) {}
+
+    /// Takes over the instance list.
+    void setUpstreams(const std::map<std::string, UpstreamEntry> &entries);
+    /// Takes over what a steward tells of its engine.
+    void noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now);
+
+    Dispatch choose(const DispatchQuery &query, Instant now) const;
+
+    /// A request was sent; pair with end().
+    void begin(const std::string &upstreamId, uint32_t promptTokens);
+    /// The first bytes of an answer came.
+    void firstAnswer(const std::string &upstreamId, uint32_t promptTokens);
+    /// An attempt ended; answered tells whether firstAnswer() was called for it.
+    void end(const std::string &upstreamId, uint32_t promptTokens, bool answered,
+             AttemptOutcome outcome, Instant now);
+    /// An upstream told its load with an answer.
+    void noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting, Instant now);
+    /// The upstream answered that it lacks what the request needs: the view of it is old.
+    void noteMissing(const std::string &upstreamId, const std::string &model,
+                     const std::string &adapter);
+
+    /// Models and adapters of an upstream by the newest word on them.
+    std::vector<HeldModel> heldModels(const std::string &upstreamId, Instant now) const;
+    bool holds(const std::string &upstreamId, const std::string &model, const std::string &adapter,
+               Instant now) const;
+
+private:
+    struct Upstream
+    {
+        UpstreamEntry entry;
+        UpstreamHealth health;
+        // Attempts of this instance that have not ended.
+        uint32_t inFlight = 0;
+        // Prompt tokens of the attempts without a first answer.
+        uint64_t unreadTokens = 0;
+        std::optional<proto::EngineSnapshot> snapshot;
+        std::vector<HeldModel> snapshotModels;
+        Instant snapshotAt{};
+        // Attempts begun since the snapshot or the last told load.
+        uint32_t begunSince = 0;
+        uint32_t toldRunning = 0;
+        uint32_t toldWaiting = 0;
+        Instant toldAt{};
+    };
+
+    bool hasSnapshot(const Upstream &upstream, Instant now) const;
+    const std::vector<HeldModel> &held(const Upstream &upstream, Instant now) const;
+    bool isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
+    double cost(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
+    double engineCost(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
+    double serviceCost(const Upstream &upstream, Instant now) const;
+    DispatchRefusal refusal(const DispatchQuery &query, Instant now) const;
+
+    const ProximityOf proximityOf;
+    std::map<std::string, Upstream> upstreams;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/fleet/DatagramPort.cpp
@@ -0,0 +1,65 @@
+// UDP socket of a process.
+#include "fleet/DatagramPort.h"
+
+#include <spdlog/spdlog.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+DatagramPort::DatagramPort(asio::io_context &context, std::string instance, Handler handler)
+    : instance(std::move(instance)), handler(std::move(handler)), socket(context)
+{}
+
+Result<Address> DatagramPort::listen(const Address &address)
+{
+    boost::system::error_code code;
+    const udp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
+    if (!code)
+        this->socket.open(endpoint.protocol(), code);
+    if (!code)
+        this->socket.bind(endpoint, code);
+    if (!code)
+        this->socket.non_blocking(true, code);
+    if (code)
+        return Error{ErrorKind::InvalidSettings,
+                     "cannot take datagrams on " + toString(address) + ": " + code.message()};
+    this->receive();
+    return Address{address.host, this->socket.local_endpoint().port()};
+}
+
+void DatagramPort::send(const Address &target, proto::Datagram datagram)
+{
+    datagram.set_sender(this->instance);
+    const std::string bytes = datagram.SerializeAsString();
+    boost::system::error_code code;
+    const udp::endpoint endpoint(asio::ip::make_address(target.host, code), target.port);
+    // Lost datagrams are part of the protocol: whatever matters is sent again.
+    if (!code && bytes.size() <= MaxBytes)
+        this->socket.send_to(asio::buffer(bytes), endpoint, 0, code);
+}
+
+void DatagramPort::close()
+{
+    boost::system::error_code closed;
+    this->socket.close(closed);
+}
+
+void DatagramPort::receive()
+{
+    this->socket.async_receive_from(
+        asio::buffer(this->buffer), this->sender,
+        [this](boost::system::error_code code, size_t size) {
+            if (code == asio::error::operation_aborted || !this->socket.is_open())
+                return;
+            proto::Datagram datagram;
+            // Errors here are those of earlier sends to closed ports; unreadable bytes are noise.
+            if (!code && datagram.ParseFromArray(this->buffer.data(), static_cast<int>(size)))
+                this->handler(datagram,
+                              {this->sender.address().to_string(), this->sender.port()});
+            this->receive();
+        });
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/fleet/FleetConfig.h
@@ -0,0 +1,131 @@
+// The operators' configuration of a fleet: routes, services, models and limits.
+#pragma once
+
+#include "base/EnumNames.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tray {
+
+/// What may be repeated on a route.
+enum class RouteKind : uint8_t {
+    /// Idempotent: may run more than once.
+    Safe,
+    /// Runs at most once for each attempt of a caller.
+    Unsafe,
+    /// Answers with a series of events; runs at most once unless it may be resumed.
+    Streaming,
+};
+
+template <>
+struct EnumNames<RouteKind>
+{
+    static constexpr auto Table = std::to_array<EnumName<RouteKind>>({
+        {RouteKind::Safe, "safe"},
+        {RouteKind::Unsafe, "unsafe"},
+        {RouteKind::Streaming, "streaming"},
+    });
+};
+
+/// Share of a route's requests that goes to one service.
+struct ServiceShare
+{
+    std::string service;
+    uint32_t weight = 1;
+};
+
+struct Route
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string pathPrefix;
+    RouteKind kind = RouteKind::Unsafe;
+    /// Longest time for which a request may be kept waiting.
+    Duration timeout = std::chrono::seconds(30);
+    /// Time within which an answer is on time; for streams up to the first event.
+    Duration goal = std::chrono::seconds(1);
+    /// Longest pause between two events of a stream that is still on time.
+    Duration gapGoal = std::chrono::seconds(1);
+    /// Rank among routes; 0 is the most urgent.
+    int rank = 0;
+    /// Upstreams to which one attempt of a caller may be sent.
+    int maxAttempts = 1;
+    bool resumable = false;
+    /// Never empty.
+    std::vector<ServiceShare> services;
+
+    /// An attempt may run on a second upstream.
+    bool isRepeatable() const
+    {
+        return this->kind == RouteKind::Safe ||
+               (this->kind == RouteKind::Streaming && this->resumable);
+    }
+};
+
+/// A model that engines of a service may hold.
+struct ModelSpec
+{
+    std::string name;
+    double weightsMb = 0;
+    double adapterMb = 0;
+    /// Time to load the model from the weight store.
+    Duration loadTime = std::chrono::seconds(10);
+};
+
+/// What the engines of a service can hold.
+struct EngineSpec
+{
+    std::vector<ModelSpec> models;
+    /// Memory for weights and adapters together, in MB.
+    double weightsMb = 0;
+    uint32_t adapterSlots = 0;
+    uint32_t slots = 0;
+    /// Memory for prompts and running requests, in tokens.
+    uint32_t kvTokens = 0;
+    /// Loads that the weight store allows per second, over all engines.
+    double loadsPerSecond = 0;
+
+    const ModelSpec *findModel(std::string_view name) const;
+};
+
+struct ServiceSpec
+{
+    std::string name;
+    /// Connections that one upstream accepts from all callers together.
+    uint32_t maxConnections = 100;
+    /// Set for services whose upstreams are model engines.
+    std::shared_ptr<const EngineSpec> engine;
+};
+
+/// What a caller may send, and how long it may take.
+struct CallerLimits
+{
+    uint32_t headerBytes = 16384;
+    uint64_t bodyBytes = 1048576;
+    Duration headerTimeout = std::chrono::seconds(5);
+    Duration idleTimeout = std::chrono::seconds(60);
+};
+
+/// One version of the configuration. Immutable once it is in force.
+struct FleetConfig
+{
+    uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<ServiceSpec> services;
+    CallerLimits limits;
+
+    /// Route of a host (without port) and a path: the longest prefix wins. Null if none matches.
+    const Route *findRoute(std::string_view host, std::string_view path) const;
+    const ServiceSpec *findService(std::string_view name) const;
+};
+
+/// Service of a split route for a request; spreads evenly over values of the hash.
+const std::string &chooseService(const Route &route, uint64_t hash);
+
+} // namespace tray
--- /dev/null
+++ b/src/fleet/FleetStore.h
@@ -0,0 +1,67 @@
+// What processes need of the platform's store, free of its protocol.
+#pragma once
+
+#include "base/Result.h"
+#include "fleet/FleetConfig.h"
+#include "fleet/UpstreamDirectory.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace tray {
+
+/// The newest configuration and the store's revision at which it was read.
+struct ConfigReading
+{
+    std::shared_ptr<const FleetConfig> config;
+    uint64_t revision = 0;
+};
+
+/// The instance list and the store's revision at which it was read.
+struct UpstreamReading
+{
+    std::vector<UpstreamEntry> entries;
+    uint64_t revision = 0;
+};
+
+/// Changes since a revision; empty if there were none for as long as the call waited.
+struct UpstreamChanges
+{
+    std::vector<UpstreamChange> changes;
+    uint64_t revision = 0;
+};
+
+/// A small object of the system's own.
+struct Record
+{
+    std::string name;
+    std::string text;
+    /// Store revision of its last change.
+    uint64_t revision = 0;
+};
+
+/// Calls fail with PlatformUnavailable, with Stale if the history that was asked for is gone, with
+/// NotFound, or with VersionConflict.
+class FleetStore
+{
+public:
+    template <typename T>
+    using Awaitable = boost::asio::awaitable<Result<T>>;
+
+    virtual ~FleetStore() = default;
+
+    /// Reads the newest configuration; NotFound before the operators have written the first one.
+    virtual Awaitable<ConfigReading> readConfig() = 0;
+    /// Waits for a configuration that was written after a revision. The config is null if there was
+    /// none for the time given.
+    virtual Awaitable<ConfigReading> awaitConfig(uint64_t revision, Duration wait) = 0;
+    virtual Awaitable<UpstreamReading> readUpstreams() = 0;
+    virtual Awaitable<UpstreamChanges> awaitUpstreams(uint64_t revision, Duration wait) = 0;
+
+    virtual Awaitable<Record> readRecord(std::string collection, std::string name) = 0;
+    virtual Awaitable<std::vector<Record>> listRecords(std::string collection) = 0;
+    /// Writes a record if its revision is still the one given; 0 creates it. Returns the new
+    /// revision. After PlatformUnavailable the write may have happened, or may still happen.
+    virtual Awaitable<uint64_t> writeRecord(std::string collection, Record record) = 0;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/fleet/Upstream.h
@@ -0,0 +1,57 @@
+// An upstream as the instance list describes it.
+#pragma once
+
+#include "base/Address.h"
+#include "base/EnumNames.h"
+#include "base/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tray {
+
+enum class UpstreamPhase : uint8_t { Ready, Draining };
+
+template <>
+struct EnumNames<UpstreamPhase>
+{
+    static constexpr auto Table = std::to_array<EnumName<UpstreamPhase>>({
+        {UpstreamPhase::Ready, "ready"},
+        {UpstreamPhase::Draining, "draining"},
+    });
+};
+
+/// A model that an engine holds, with the adapters that are ready on it.
+struct HeldModel
+{
+    std::string name;
+    std::vector<std::string> adapters;
+};
+
+/// One entry of the instance list.
+struct UpstreamEntry
+{
+    std::string id;
+    std::string service;
+    Address address;
+    std::string dataCentre;
+    uint32_t slots = 1;
+    UpstreamPhase phase = UpstreamPhase::Ready;
+    /// Start of this life of the upstream, in ms since 1970; 0 if it does not tell.
+    uint64_t bornMs = 0;
+    /// Orders that the engine has accepted since its start.
+    uint64_t sequence = 0;
+    std::vector<HeldModel> models;
+    /// Time until the upstream is gone, if that was announced.
+    std::optional<Duration> leavesIn;
+};
+
+const HeldModel *findHeldModel(const std::vector<HeldModel> &models, std::string_view name);
+
+/// The model is held; and so is the adapter, if one is named.
+bool isHeld(const std::vector<HeldModel> &models, std::string_view model, std::string_view adapter);
+
+} // namespace tray
--- /dev/null
+++ b/src/fleet/UpstreamDirectory.h
@@ -0,0 +1,76 @@
+// The upstreams that may get work, kept from a list that can fail and lose entries.
+#pragma once
+
+#include "fleet/Upstream.h"
+
+#include <map>
+
+namespace tray {
+
+/// One change of the instance list.
+struct UpstreamChange
+{
+    bool removed = false;
+    /// Only the id is set if the entry was removed.
+    UpstreamEntry entry;
+};
+
+/// What happened to an upstream as far as its users are concerned.
+enum class UpstreamEvent : uint8_t { Added, Updated, Reborn, Draining, Lapsed, Gone };
+
+template <>
+struct EnumNames<UpstreamEvent>
+{
+    static constexpr auto Table = std::to_array<EnumName<UpstreamEvent>>({
+        {UpstreamEvent::Added, "added"},
+        {UpstreamEvent::Updated, "updated"},
+        {UpstreamEvent::Reborn, "reborn"},
+        {UpstreamEvent::Draining, "draining"},
+        {UpstreamEvent::Lapsed, "lapsed"},
+        {UpstreamEvent::Gone, "gone"},
+    });
+};
+
+struct UpstreamNotice
+{
+    UpstreamEvent event;
+    std::string id;
+};
+
+/// Applies what the store says. An entry that vanishes while the store is disturbed says nothing of
+/// the upstream: it stays in use until the store has been back for long enough to list it again.
+class UpstreamDirectory
+{
+public:
+    /// Time after the store's return within which live upstreams are listed again.
+    static constexpr Duration RelistTime = milliseconds(2300);
+
+    using Notices = std::vector<UpstreamNotice>;
+
+    /// The store did not answer, or refused.
+    void storeFailed(Instant now);
+    /// The store answered. Call before what the answer says is applied.
+    void storeAnswered(Instant now);
+    /// Takes over a whole list.
+    Notices replaceAll(const std::vector<UpstreamEntry> &entries, Instant now);
+    /// Takes over one change.
+    Notices apply(const UpstreamChange &change, Instant now);
+    /// Drops the lapsed entries whose time is over.
+    Notices expire(Instant now);
+
+    const std::map<std::string, UpstreamEntry> &entries() const { return this->current; }
+
+private:
+    Notices remove(const std::string &id, Instant now);
+    bool isDisturbed(Instant now) const;
+
+    std::map<std::string, UpstreamEntry> current;
+    // Entries that vanished while the store was disturbed, with the time at which they are gone.
+    // Invariant: each key is also a key of current.
+    std::map<std::string, Instant> lapsed;
+    bool failing = false;
+    // Time of the store's return after its last failure; none if it never failed.
+    std::optional<Instant> returnedAt;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/gateway/Exchange.h
@@ -0,0 +1,74 @@
+// One request of a caller, from its arrival to its final answer.
+#pragma once
+
+#include "gateway/EventSplitter.h"
+#include "gateway/Gateway.h"
+
+namespace tray {
+
+/// Lives as long as the coroutine that serves the request. Each request gets one final answer: an
+/// upstream's, passed on unchanged, or one of our own that is true about whether the request ran.
+class Exchange
+{
+public:
+    Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    /// What is left to decide after an attempt.
+    struct AttemptResult
+    {
+        AttemptOutcome outcome = AttemptOutcome::Answered;
+        /// The caller has its final answer, or has left.
+        bool done = false;
+        /// An upstream may have executed the request.
+        bool mayHaveRun = false;
+        /// A failure that the upstream answered, for the caller if nothing better comes.
+        std::optional<HttpResponse> failure;
+        std::string reason;
+    };
+
+    boost::asio::awaitable<void> serveRoute();
+    boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
+    boost::asio::awaitable<AttemptResult> takeAnswer(std::string upstreamId, HttpStream &stream);
+    boost::asio::awaitable<AttemptResult> relayEvents(HttpStream &stream);
+    boost::asio::awaitable<AttemptResult> relayWhole(HttpStream &stream, bool success);
+    boost::asio::awaitable<bool> ensureAdapter(DispatchTarget target);
+    boost::asio::awaitable<void> refuse(ErrorKind kind, std::string reason,
+                                        std::optional<Duration> retryAfter = std::nullopt);
+    boost::asio::awaitable<void> refuseFailed(AttemptResult result);
+
+    DispatchQuery makeQuery() const;
+    bool mayTryAgain(const AttemptResult &result, Instant now);
+    bool deadlinePassed(Instant now) const { return now >= this->deadline; }
+    int urgency() const;
+    void log(int status, const std::string &outcome, const std::string &reason) const;
+
+    Gateway &gateway;
+    const HttpRequest request;
+    HttpResponder &responder;
+    const Instant arrived;
+
+    // The configuration that was in force at the arrival decides until the end.
+    std::shared_ptr<const FleetConfig> config;
+    const Route *route = nullptr;
+    RequestFacts facts;
+    std::string service;
+    Instant deadline{};
+    std::set<std::string> tried;
+    // Sends that may have run, and sends of any outcome.
+    int runs = 0;
+    int sends = 0;
+    std::shared_ptr<HttpCancel> cancel;
+    bool callerGone = false;
+    // The head of the answer went out; only events of the same stream may follow.
+    bool streaming = false;
+    EventSplitter events;
+    std::string lastUpstream;
+    Duration lastSnapshotAge{-1};
+    double lastCost = 0;
+    std::optional<Instant> firstAnswerAt;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/gateway/Gateway.cpp
@@ -0,0 +1,296 @@
+// Following the store, the stewards and the peers.
+#include "gateway/Gateway.h"
+
+#include "gateway/Exchange.h"
+#include "observe/DecisionLog.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest wait of one watch; a store that has fallen silent is noticed after it.
+constexpr Duration WatchTime = std::chrono::seconds(4);
+// Pause after changes, so that a series of them costs few calls. Small against the seconds in which
+// a change must be in force.
+constexpr Duration ConfigPause = milliseconds(250);
+constexpr Duration UpstreamPause = milliseconds(400);
+// Pause after a failed call; doubles up to the longest.
+constexpr Duration FirstRetry = milliseconds(150);
+constexpr Duration LongestRetry = milliseconds(900);
+// Time between two subscriptions to the same steward; they lapse after several.
+constexpr Duration SubscribePeriod = std::chrono::seconds(1);
+// Time for the balancer to see that readiness was withdrawn: two questions, a second apart.
+constexpr Duration BalancerTime = milliseconds(2300);
+// Part of the stop's time that is left for the end of the process.
+constexpr Duration StopMargin = milliseconds(400);
+// Gateways that share the repeats before the peers are known.
+constexpr size_t UnknownGateways = 6;
+constexpr Duration PeerLifetime = std::chrono::seconds(15);
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+HttpServerLimits toServerLimits(const CallerLimits &limits)
+{
+    return {limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout};
+}
+
+std::string regionOf(const GatewaySettings &settings, const std::string &dataCentre)
+{
+    for (const auto &[name, region] : settings.regions) {
+        if (name == dataCentre)
+            return region;
+    }
+    return "";
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context &context, GatewaySettings settings, FleetStore &store,
+                 const RequestCodec &codec, Metrics &metrics)
+    : context(context), settings(std::move(settings)), store(store), codec(codec),
+      metrics(metrics), client(context),
+      callerServer(context,
+                   [this](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+                       Exchange exchange(*this, std::move(request), responder, clockNow());
+                       co_await exchange.run();
+                   }),
+      readinessServer(
+          context,
+          [this](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
+              HttpResponse answer = makeResponse(this->isReady() ? 200 : 503, "text/plain", "");
+              co_await responder.respond(std::move(answer));
+          }),
+      datagrams(context, this->settings.instance,
+                [this](const proto::Datagram &datagram, const Address &sender) {
+                    this->receive(datagram, sender);
+                }),
+      dispatcher([this](const std::string &dataCentre) {
+          if (dataCentre == this->settings.dataCentre)
+              return Proximity::SameDataCentre;
+          return regionOf(this->settings, dataCentre) == this->settings.region
+                     ? Proximity::SameRegion
+                     : Proximity::OtherRegion;
+      }),
+      snapshotArrived(context)
+{}
+
+Gateway::~Gateway() = default;
+
+Result<Unit> Gateway::start()
+{
+    if (const auto bound = this->datagrams.listen(this->settings.datagrams); !isOk(bound))
+        return error(bound);
+    if (const auto bound = this->readinessServer.listen(this->settings.readiness); !isOk(bound))
+        return error(bound);
+    if (const auto bound = this->callerServer.listen(this->settings.callers); !isOk(bound))
+        return error(bound);
+    asio::co_spawn(this->context, this->followConfig(), asio::detached);
+    asio::co_spawn(this->context, this->followUpstreams(), asio::detached);
+    asio::co_spawn(this->context, this->subscribeLoop(), asio::detached);
+    return Unit{};
+}
+
+asio::awaitable<void> Gateway::pause(Duration duration)
+{
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> Gateway::stop()
+{
+    const Instant end = clockNow() + this->settings.stopGrace - StopMargin;
+    this->stopping = true;
+    this->callerServer.beginLeaving();
+    logDecision(LogWeight::Notable, clockNow(),
+                fmt::format("event=stop_begin in_flight={}", this->callerServer.inFlight()));
+    // Callers still arrive until the balancer has noticed; they are served and told to move on.
+    co_await this->pause(BalancerTime);
+    this->callerServer.drain();
+    while (this->callerServer.inFlight() > 0 && clockNow() < end)
+        co_await this->pause(milliseconds(20));
+    logDecision(LogWeight::Notable, clockNow(),
+                fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
+    this->datagrams.close();
+}
+
+bool Gateway::isReady() const
+{
+    return this->config != nullptr && this->upstreamsKnown && !this->stopping;
+}
+
+void Gateway::noteStore(bool reachable, const std::string &reason)
+{
+    const Instant now = clockNow();
+    if (reachable)
+        this->directory.storeAnswered(now);
+    else
+        this->directory.storeFailed(now);
+    if (reachable == this->storeReachable)
+        return;
+    this->storeReachable = reachable;
+    logDecision(LogWeight::Notable, now,
+                reachable ? std::string("event=store_regained")
+                          : fmt::format("event=store_lost reason=\"{}\"", reason));
+}
+
+void Gateway::takeConfig(const ConfigReading &reading)
+{
+    // The store's answers are in order; an older version could only come from a rewritten object.
+    if (!reading.config || (this->config && reading.config->version < this->config->version))
+        return;
+    this->config = reading.config;
+    this->callerServer.setLimits(toServerLimits(this->config->limits));
+    logDecision(LogWeight::Notable, clockNow(),
+                fmt::format("event=config_in_force version={} revision={} routes={}",
+                            this->config->version, reading.revision, this->config->routes.size()));
+}
+
+asio::awaitable<void> Gateway::followConfig()
+{
+    uint64_t revision = 0;
+    Duration retry = FirstRetry;
+    while (!this->stopping) {
+        // Not one conditional expression: g++ 12 destroys its awaited temporaries twice.
+        Result<ConfigReading> reading;
+        if (revision == 0)
+            reading = co_await this->store.readConfig();
+        else
+            reading = co_await this->store.awaitConfig(revision, WatchTime);
+        if (isOk(reading)) {
+            this->noteStore(true, "");
+            this->takeConfig(value(reading));
+            revision = value(reading).revision;
+            retry = FirstRetry;
+            if (value(reading).config)
+                co_await this->pause(ConfigPause);
+            continue;
+        }
+        const Error problem = error(reading);
+        if (problem.kind == ErrorKind::Stale) {
+            revision = 0;
+            continue;
+        }
+        if (problem.kind != ErrorKind::NotFound)
+            this->noteStore(false, problem.message);
+        co_await this->pause(retry);
+        retry = std::min(retry * 2, LongestRetry);
+    }
+}
+
+asio::awaitable<void> Gateway::followUpstreams()
+{
+    uint64_t revision = 0;
+    Duration retry = FirstRetry;
+    while (!this->stopping) {
+        Error problem;
+        if (revision == 0) {
+            auto reading = co_await this->store.readUpstreams();
+            if (isOk(reading)) {
+                this->noteStore(true, "");
+                revision = value(reading).revision;
+                this->upstreamsKnown = true;
+                this->takeNotices(
+                    this->directory.replaceAll(value(reading).entries, clockNow()));
+                retry = FirstRetry;
+                continue;
+            }
+            problem = error(reading);
+        } else {
+            auto reading = co_await this->store.awaitUpstreams(revision, WatchTime);
+            if (isOk(reading)) {
+                this->noteStore(true, "");
+                revision = value(reading).revision;
+                UpstreamDirectory::Notices notices;
+                for (const auto &change : value(reading).changes) {
+                    const auto more = this->directory.apply(change, clockNow());
+                    notices.insert(notices.end(), more.begin(), more.end());
+                }
+                this->takeNotices(notices);
+                retry = FirstRetry;
+                if (!value(reading).changes.empty())
+                    co_await this->pause(UpstreamPause);
+                continue;
+            }
+            problem = error(reading);
+        }
+        if (problem.kind == ErrorKind::Stale) {
+            revision = 0;
+            continue;
+        }
+        this->noteStore(false, problem.message);
+        co_await this->pause(retry);
+        retry = std::min(retry * 2, LongestRetry);
+    }
+}
+
+void Gateway::takeNotices(const UpstreamDirectory::Notices &notices)
+{
+    if (notices.empty())
+        return;
+    for (const auto &notice : notices) {
+        if (notice.event != UpstreamEvent::Updated)
+            logDecision(LogWeight::Notable, clockNow(),
+                        fmt::format("event=upstream_{} upstream={}", enumName(notice.event),
+                                    notice.id));
+    }
+    this->dispatcher.setUpstreams(this->directory.entries());
+}
+
+asio::awaitable<void> Gateway::subscribeLoop()
+{
+    while (!this->stopping) {
+        this->takeNotices(this->directory.expire(clockNow()));
+        for (const auto &[id, entry] : this->directory.entries()) {
+            const auto *service = this->config ? this->config->findService(entry.service) : nullptr;
+            if (service == nullptr || !service->engine)
+                continue;
+            proto::Datagram datagram;
+            datagram.mutable_subscribe()->set_upstream_id(id);
+            datagram.mutable_subscribe()->set_born_ms(entry.bornMs);
+            this->datagrams.send(this->stewardOf(entry), std::move(datagram));
+        }
+        co_await this->pause(SubscribePeriod);
+    }
+}
+
+void Gateway::receive(const proto::Datagram &datagram, const Address &)
+{
+    if (datagram.has_snapshot()) {
+        this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow());
+        this->snapshotArrived.raise();
+    } else if (datagram.has_demand()) {
+        this->peers[datagram.sender()] = clockNow();
+    }
+}
+
+Address Gateway::stewardOf(const UpstreamEntry &entry) const
+{
+    return {entry.address.host, this->settings.stewardPort};
+}
+
+size_t Gateway::gatewayCount() const
+{
+    const Instant now = clockNow();
+    size_t count = 1;
+    for (const auto &[name, heardAt] : this->peers)
+        count += now < heardAt + PeerLifetime ? 1 : 0;
+    return std::max(count, UnknownGateways);
+}
+
+RetryAllowance &Gateway::allowanceOf(const std::string &service)
+{
+    return this->allowances.try_emplace(service, this->settings.retries).first->second;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,92 @@
+// Entry instance of a routed fleet: takes callers' requests and sends them to upstreams.
+#pragma once
+
+#include "dispatch/Dispatcher.h"
+#include "dispatch/RetryAllowance.h"
+#include "fleet/DatagramPort.h"
+#include "fleet/FleetStore.h"
+#include "gateway/DemandMeter.h"
+#include "gateway/RequestCodec.h"
+#include "gateway/Signal.h"
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+#include "observe/Metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+
+namespace tray {
+
+/// What a gateway is told at its start.
+struct GatewaySettings
+{
+    std::string instance;
+    std::string dataCentre;
+    std::string region;
+    std::vector<std::pair<std::string, std::string>> regions;
+    Address callers;
+    Address readiness;
+    /// Datagrams of stewards and of other gateways.
+    Address datagrams;
+    /// Port on which stewards take datagrams, on the address of their engine.
+    uint16_t stewardPort = 0;
+    Address admin;
+    RetryBounds retries;
+    /// Time between SIGTERM and the end of the process.
+    Duration stopGrace = std::chrono::seconds(8);
+};
+
+/// Runs on one thread: all members are used from the context's thread only.
+class Gateway
+{
+public:
+    Gateway(boost::asio::io_context &context, GatewaySettings settings, FleetStore &store,
+            const RequestCodec &codec, Metrics &metrics);
+    ~Gateway();
+
+    /// Binds all addresses and starts to follow the store.
+    Result<Unit> start();
+    /// Withdraws readiness, lets callers move away and waits for the requests in flight.
+    boost::asio::awaitable<void> stop();
+
+private:
+    friend class Exchange;
+
+    boost::asio::awaitable<void> followConfig();
+    boost::asio::awaitable<void> followUpstreams();
+    boost::asio::awaitable<void> subscribeLoop();
+    boost::asio::awaitable<void> pause(Duration duration);
+
+    void takeConfig(const ConfigReading &reading);
+    void takeNotices(const UpstreamDirectory::Notices &notices);
+    void noteStore(bool reachable, const std::string &reason);
+    void receive(const proto::Datagram &datagram, const Address &sender);
+    bool isReady() const;
+    Address stewardOf(const UpstreamEntry &entry) const;
+    size_t gatewayCount() const;
+    RetryAllowance &allowanceOf(const std::string &service);
+
+    boost::asio::io_context &context;
+    const GatewaySettings settings;
+    FleetStore &store;
+    const RequestCodec &codec;
+    Metrics &metrics;
+    HttpClient client;
+    HttpServer callerServer;
+    HttpServer readinessServer;
+    DatagramPort datagrams;
+
+    std::shared_ptr<const FleetConfig> config;
+    UpstreamDirectory directory;
+    Dispatcher dispatcher;
+    DemandMeter demand;
+    Signal snapshotArrived;
+    std::map<std::string, RetryAllowance> allowances;
+    // Other gateways by name, with the time of their last datagram.
+    std::map<std::string, Instant> peers;
+    bool upstreamsKnown = false;
+    bool storeReachable = true;
+    bool stopping = false;
+};
+
+} // namespace tray
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,11 +1,14 @@
 // Client side of HTTP/1.1 by Boost.Beast.
 #include "net/HttpClient.h"
 
+#include "net/SocketOptions.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <mutex>
 
@@ -22,9 +25,13 @@
 
 // Kept connections of one address; more are closed after use.
 constexpr size_t MaxIdleConnections = 64;
-// Peers close idle connections after a minute; a shorter limit keeps from meeting one that just
-// closed.
-constexpr auto MaxIdleTime = std::chrono::seconds(10);
+// A kept connection is given up this long before the peer's announced idle timeout, so that a
+// request does not cross the peer's close.
+constexpr auto IdleMargin = std::chrono::milliseconds(1200);
+// Answers to earlier calls that are skipped on one connection before it is given up.
+constexpr int MaxForeignAnswers = 4;
+// Size of the pieces in which bodies are read, in bytes.
+constexpr size_t PieceSize = 8192;
 
 struct Connection
 {
@@ -33,8 +40,22 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Instant idleSince;
+    // Longest idle time that the peer allows; from its Keep-Alive header.
+    Duration peerIdle = std::chrono::hours(1);
 };
 
+/// Reads "timeout=N" of a Keep-Alive header, in seconds.
+void noteKeepAlive(Connection &connection, std::string_view text)
+{
+    const auto at = text.find("timeout=");
+    if (at == std::string_view::npos)
+        return;
+    int seconds = 0;
+    const auto digits = text.substr(at + 8);
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec == std::errc{})
+        connection.peerIdle = std::chrono::seconds(seconds);
+}
+
 /// A kept connection is usable if the peer has neither closed it nor sent anything unasked.
 bool isUsable(Connection &connection)
 {
@@ -57,21 +78,22 @@
 {
     explicit Impl(asio::io_context &context) : context(context) {}
 
-    std::unique_ptr<Connection> takeIdle(const std::string &key)
+    std::shared_ptr<Connection> takeIdle(const std::string &key, Duration maxIdle)
     {
         const std::lock_guard lock(this->mutex);
         auto &list = this->idle[key];
         while (!list.empty()) {
             auto connection = std::move(list.back());
             list.pop_back();
-            if (std::chrono::steady_clock::now() - connection->idleSince < MaxIdleTime &&
+            const auto idleTime = std::chrono::steady_clock::now() - connection->idleSince;
+            if (idleTime < maxIdle && idleTime + IdleMargin < connection->peerIdle &&
                 isUsable(*connection))
                 return connection;
         }
         return nullptr;
     }
 
-    void giveBack(const std::string &key, std::unique_ptr<Connection> connection)
+    void giveBack(const std::string &key, std::shared_ptr<Connection> connection)
     {
         connection->stream.expires_never();
         connection->idleSince = std::chrono::steady_clock::now();
@@ -81,27 +103,38 @@
             list.push_back(std::move(connection));
     }
 
-    asio::awaitable<Result<std::unique_ptr<Connection>>> connect(const Address &address,
-                                                                 Instant deadline)
+    asio::awaitable<Result<std::shared_ptr<Connection>>> connect(const Address &address,
+                                                                 Instant deadline,
+                                                                 HttpCallOptions options)
     {
-        if (auto kept = this->takeIdle(toString(address)))
+        if (auto kept = this->takeIdle(toString(address), options.maxIdle)) {
+            this->attach(options, kept);
             co_return kept;
-        auto connection = std::make_unique<Connection>(this->context.get_executor());
+        }
+        auto connection = std::make_shared<Connection>(this->context.get_executor());
         beast::error_code code;
         const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
-        connection->stream.expires_at(deadline);
+        connection->stream.expires_at(
+            std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
+        this->attach(options, connection);
+        ++this->dialled;
         if (!code)
             std::tie(code) = co_await connection->stream.async_connect(endpoint, Await);
         if (code)
             co_return Error{ErrorKind::UpstreamUnreachable,
                             toString(address) + ": " + code.message()};
-        connection->stream.socket().set_option(tcp::no_delay(true), code);
+        setUpSocket(connection->stream.socket());
         co_return connection;
     }
 
+    /// Lets the owner of the call close its connection.
+    static void attach(const HttpCallOptions &options,
+                       const std::shared_ptr<Connection> &connection);
+
     asio::io_context &context;
+    std::atomic<uint64_t> dialled{0};
     std::mutex mutex;
-    std::map<std::string, std::vector<std::unique_ptr<Connection>>> idle;
+    std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
 };
 
 namespace {
@@ -112,7 +145,8 @@
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(http::field::host, toString(address));
+    if (findHeader(request.headers, "Host").empty())
+        message.set(http::field::host, toString(address));
     for (const auto &[name, text] : request.headers)
         message.insert(name, text);
     message.body() = std::move(request.body);
@@ -136,49 +170,69 @@
 class BeastStream : public HttpStream
 {
 public:
-    BeastStream(std::function<void(std::unique_ptr<Connection>)> giveBack,
-                std::unique_ptr<Connection> connection)
+    BeastStream(std::function<void(std::shared_ptr<Connection>)> giveBack,
+                std::shared_ptr<Connection> connection)
         : giveBack(std::move(giveBack)), connection(std::move(connection))
     {
-        this->parser.body_limit(boost::none);
+        this->parser->body_limit(boost::none);
     }
 
     ~BeastStream() override
     {
-        if (this->connection && this->whole && this->parser.get().keep_alive())
+        // Bytes after the end of the answer belong to no call.
+        if (this->connection && this->whole && this->parser->get().keep_alive() &&
+            this->connection->buffer.size() == 0 && this->connection->stream.socket().is_open())
             this->giveBack(std::move(this->connection));
+        else if (this->connection)
+            this->connection->stream.close();
     }
 
-    asio::awaitable<beast::error_code> readHeader(Instant deadline)
+    asio::awaitable<beast::error_code>
+    readHeader(Instant deadline, std::function<bool(const HttpHeaders &)> isOurs)
     {
-        this->connection->stream.expires_at(deadline);
-        const auto [code, bytes] = co_await http::async_read_header(
-            this->connection->stream, this->connection->buffer, this->parser, Await);
-        this->fields = toHeaders(this->parser.get());
-        this->whole = this->parser.is_done();
-        co_return code;
+        for (int foreign = 0; foreign <= MaxForeignAnswers; ++foreign) {
+            this->connection->stream.expires_at(deadline);
+            const auto [code, bytes] = co_await http::async_read_header(
+                this->connection->stream, this->connection->buffer, *this->parser, Await);
+            if (code)
+                co_return code;
+            this->fields = toHeaders(this->parser->get());
+            this->whole = this->parser->is_done();
+            if (!isOurs || isOurs(this->fields)) {
+                noteKeepAlive(*this->connection, this->parser->get()[http::field::keep_alive]);
+                co_return code;
+            }
+            while (!this->whole) {
+                auto piece = co_await this->read(deadline - std::chrono::steady_clock::now());
+                if (!isOk(piece))
+                    co_return make_error_code(http::error::partial_message);
+            }
+            this->parser.emplace();
+            this->parser->body_limit(boost::none);
+        }
+        co_return make_error_code(http::error::unexpected_body);
     }
 
-    int status() const override { return this->parser.get().result_int(); }
+    int status() const override { return this->parser->get().result_int(); }
 
     const HttpHeaders &headers() const override { return this->fields; }
 
     asio::awaitable<Result<std::string>> read(Duration silence) override
     {
         while (!this->whole) {
-            std::string piece(16384, '\0');
-            this->parser.get().body().data = piece.data();
-            this->parser.get().body().size = piece.size();
+            std::string piece(PieceSize, '\0');
+            this->parser->get().body().data = piece.data();
+            this->parser->get().body().size = piece.size();
             this->connection->stream.expires_after(silence);
             auto [code, bytes] = co_await http::async_read_some(
-                this->connection->stream, this->connection->buffer, this->parser, Await);
+                this->connection->stream, this->connection->buffer, *this->parser, Await);
             if (code == http::error::need_buffer)
                 code = {};
-            piece.resize(piece.size() - this->parser.get().body().size);
+            piece.resize(piece.size() - this->parser->get().body().size);
             if (code)
                 co_return Error{ErrorKind::StreamBroken,
                                 "the stream ended early: " + code.message()};
-            this->whole = this->parser.is_done();
+            this->whole = this->parser->is_done();
             if (!piece.empty())
                 co_return piece;
         }
@@ -186,25 +240,58 @@
     }
 
 private:
-    std::function<void(std::unique_ptr<Connection>)> giveBack;
-    std::unique_ptr<Connection> connection;
-    http::response_parser<http::buffer_body> parser;
+    std::function<void(std::shared_ptr<Connection>)> giveBack;
+    std::shared_ptr<Connection> connection;
+    // Made anew for each answer that is read from the connection.
+    std::optional<http::response_parser<http::buffer_body>> parser{std::in_place};
     HttpHeaders fields;
     bool whole = false;
 };
 
 } // namespace
 
+void HttpClient::Impl::attach(const HttpCallOptions &options,
+                              const std::shared_ptr<Connection> &connection)
+{
+    if (!options.cancel)
+        return;
+    const std::weak_ptr<Connection> weak = connection;
+    options.cancel->closeConnection = [weak] {
+        if (const auto open = weak.lock())
+            open->stream.close();
+    };
+}
+
+void HttpCancel::cancel()
+{
+    this->cancelled = true;
+    if (this->closeConnection)
+        this->closeConnection();
+}
+
+void HttpClient::forget(const Address &address)
+{
+    const std::lock_guard lock(this->impl->mutex);
+    this->impl->idle.erase(toString(address));
+}
+
+uint64_t HttpClient::dialled() const
+{
+    return this->impl->dialled;
+}
+
 HttpClient::HttpClient(asio::io_context &context) : impl(std::make_shared<Impl>(context)) {}
 
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>>
-HttpClient::open(Address address, HttpRequest request, Duration timeout)
+HttpClient::open(Address address, HttpRequest request, Duration timeout, HttpCallOptions options)
 {
     const auto self = this->impl;
+    if (options.cancel && options.cancel->isCancelled())
+        co_return Error{ErrorKind::Cancelled, "the call was cancelled before it began"};
     const Instant deadline = std::chrono::steady_clock::now() + timeout;
-    auto connected = co_await self->connect(address, deadline);
+    auto connected = co_await self->connect(address, deadline, options);
     if (!isOk(connected))
         co_return error(connected);
     auto connection = value(std::move(connected));
@@ -215,9 +302,10 @@
         co_return failure(code, toString(address));
     const std::string key = toString(address);
     auto stream = std::make_unique<BeastStream>(
-        [self, key](std::unique_ptr<Connection> kept) { self->giveBack(key, std::move(kept)); },
+        [self, key](std::shared_ptr<Connection> kept) { self->giveBack(key, std::move(kept)); },
         std::move(connection));
-    if (const auto headerCode = co_await stream->readHeader(deadline); headerCode)
+    const auto headerCode = co_await stream->readHeader(deadline, options.isOurs);
+    if (headerCode)
         co_return failure(headerCode, toString(address));
     co_return std::unique_ptr<HttpStream>(std::move(stream));
 }
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -23,9 +23,38 @@
     virtual const HttpHeaders &headers() const = 0;
     /// Next piece of the body; empty at the mark of a whole body. Fails with StreamBroken if the
     /// connection ends or stays silent for the time given, so a cut body is never taken for whole.
+    /// A body without a length is whole when the peer closes in order.
     virtual boost::asio::awaitable<Result<std::string>> read(Duration silence) = 0;
 };
 
+/// Ends a call from outside: its connection is closed at once, so that the peer sees the cancel.
+class HttpCancel
+{
+public:
+    /// Closes the connection of the call; a call that begins later fails at once.
+    void cancel();
+    bool isCancelled() const { return this->cancelled; }
+    /// Set by the client once the call has a connection.
+    std::function<void()> closeConnection;
+
+private:
+    bool cancelled = false;
+};
+
+/// Choices for one call.
+struct HttpCallOptions
+{
+    /// Kept connections that have been idle for longer are not used; 0 always dials afresh.
+    Duration maxIdle = std::chrono::seconds(10);
+    /// Longest time to establish a connection.
+    Duration connectTimeout = std::chrono::seconds(60);
+    /// Ends the call from outside; may be empty.
+    std::shared_ptr<HttpCancel> cancel;
+    /// Tells whether an answer belongs to this call. Others, which the peer sent late for earlier
+    /// calls, are read and dropped. Empty takes every answer.
+    std::function<bool(const HttpHeaders &)> isOurs;
+};
+
 /// Sends requests. Safe to use from any thread; each call runs on the caller's executor.
 class HttpClient
 {
@@ -41,10 +70,16 @@
 
     /// Sends a request and returns once the header of the answer is there. Errors as for request().
     boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>>
-    open(Address address, HttpRequest request, Duration timeout);
+    open(Address address, HttpRequest request, Duration timeout, HttpCallOptions options = {});
+
+    /// Closes the kept connections to an address.
+    void forget(const Address &address);
+    /// Connections dialled since the start.
+    uint64_t dialled() const;
 
 private:
     struct Impl;
+
     std::shared_ptr<Impl> impl;
 };
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -2,6 +2,7 @@
 #include "net/HttpServer.h"
 
 #include "net/Listener.h"
+#include "net/SocketOptions.h"
 
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -11,7 +12,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <mutex>
+#include <poll.h>
 #include <spdlog/spdlog.h>
 #include <unordered_set>
 
@@ -25,6 +28,8 @@
 using asio::ip::tcp;
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+// Pause between looks at a connection on which the peer has sent more than its request.
+constexpr auto PeerCheckPause = std::chrono::milliseconds(200);
 
 HttpResponse defaultRefusal(const Error &reason)
 {
@@ -71,6 +76,7 @@
     HttpRefusal refusal;
     std::unique_ptr<Listener> listener;
     std::atomic<bool> draining{false};
+    std::atomic<bool> leaving{false};
     std::atomic<size_t> inFlight{0};
     std::mutex mutex;
     // Connections that exist, to close idle ones on drain.
@@ -97,7 +103,7 @@
 
     asio::awaitable<void> run()
     {
-        this->stream.socket().set_option(tcp::no_delay(true));
+        setUpSocket(this->stream.socket());
         while (co_await this->serveOne()) {
         }
         beast::error_code ignored;
@@ -170,6 +176,12 @@
         co_return !code;
     }
 
+    void onPeerGone(std::function<void()> callback) override
+    {
+        this->peerGone = std::make_shared<std::function<void()>>(std::move(callback));
+        this->watchPeer();
+    }
+
     bool isStarted() const override { return this->started; }
 
     bool isPeerGone() override
@@ -191,7 +203,7 @@
     }
 
 private:
-    bool keepsAlive() const { return this->requestKeepsAlive && !this->server->draining; }
+    bool keepsAlive() const { return this->requestKeepsAlive && !this->server->draining && !this->server->leaving; }
 
     asio::awaitable<bool> serveOne()
     {
@@ -240,9 +252,49 @@
         // A stream that was not finished is cut, so that the peer does not take it for whole.
         if (this->streaming)
             this->abort();
+        this->peerGone.reset();
         co_return !this->closing && this->started && !this->server->draining;
     }
 
+    /// Waits until the peer sends something or closes while a request is being answered.
+    void watchPeer()
+    {
+        const std::weak_ptr<std::function<void()>> watched = this->peerGone;
+        this->stream.socket().async_wait(
+            tcp::socket::wait_read, [this, watched](beast::error_code code) {
+                // The callback lives as long as the request, and so does the connection.
+                const auto callback = watched.lock();
+                if (!callback || code)
+                    return;
+                if (this->isPeerGone() || this->hasPeerHungUp())
+                    (*callback)();
+                else
+                    this->checkPeerLater(watched);
+            });
+    }
+
+    /// Bytes of a next request hide the end of the connection from reads, so that looks are needed.
+    void checkPeerLater(std::weak_ptr<std::function<void()>> watched)
+    {
+        auto timer =
+            std::make_shared<asio::steady_timer>(this->stream.get_executor(), PeerCheckPause);
+        timer->async_wait([this, watched, timer](beast::error_code code) {
+            const auto callback = watched.lock();
+            if (!callback || code)
+                return;
+            if (this->hasPeerHungUp())
+                (*callback)();
+            else
+                this->checkPeerLater(watched);
+        });
+    }
+
+    bool hasPeerHungUp()
+    {
+        pollfd state{this->stream.socket().native_handle(), POLLRDHUP, 0};
+        return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
     /// Waits for the first byte of a request. False if the peer closed or the server drains.
     asio::awaitable<bool> waitForRequest()
     {
@@ -265,6 +317,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::shared_ptr<int> alive = std::make_shared<int>();
+    // Set while a request is being answered.
+    std::shared_ptr<std::function<void()>> peerGone;
     bool idle = false;
     bool started = false;
     bool streaming = false;
@@ -314,6 +368,16 @@
         connection->closeIfIdle();
 }
 
+void HttpServer::beginLeaving()
+{
+    this->impl->leaving = true;
+}
+
+void HttpServer::setLimits(HttpServerLimits limits)
+{
+    this->impl->limits = limits;
+}
+
 size_t HttpServer::inFlight() const
 {
     return this->impl->inFlight;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -41,6 +41,9 @@
     virtual bool isStarted() const = 0;
     /// True once the peer has closed its connection; checks without waiting.
     virtual bool isPeerGone() = 0;
+    /// Calls back once if the peer closes its connection, or its sending half, before this request
+    /// is answered.
+    virtual void onPeerGone(std::function<void()> callback) = 0;
     /// Closes the connection without finishing the answer, so that the peer sees a broken stream.
     virtual void abort() = 0;
 };
@@ -65,6 +68,10 @@
     /// Stops to accept, closes idle connections and lets requests in flight finish. Answers then
     /// carry "Connection: close".
     void drain();
+    /// Puts "Connection: close" on all further answers, so that peers move elsewhere by themselves.
+    void beginLeaving();
+    /// Replaces the limits; connections use them from their next request on.
+    void setLimits(HttpServerLimits limits);
     /// Requests in flight.
     size_t inFlight() const;
 
--- /dev/null
+++ b/src/steward/OrderPlanner.cpp
@@ -0,0 +1,194 @@
+// Orders for models and adapters of one engine.
+#include "steward/OrderPlanner.h"
+
+#include <algorithm>
+
+namespace tray {
+
+namespace {
+
+// Memory beside weights and adapters that is left free, in MB: figures are rounded.
+constexpr double SpareMb = 1;
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+size_t countAdapters(const std::vector<HeldModel> &models)
+{
+    size_t count = 0;
+    for (const auto &model : models)
+        count += model.adapters.size();
+    return count;
+}
+
+double weightsOf(const EngineSpec &spec, const std::string &model)
+{
+    const auto *found = spec.findModel(model);
+    // A model that the configuration no longer names is taken for one that fills the engine.
+    return found == nullptr ? spec.weightsMb : found->weightsMb;
+}
+
+double adapterMbOf(const EngineSpec &spec, const std::string &model)
+{
+    const auto *found = spec.findModel(model);
+    return found == nullptr ? 0 : found->adapterMb;
+}
+
+} // namespace
+
+bool OrderPlanner::wishModels(uint64_t term, std::vector<std::string> models, Instant now)
+{
+    if (term < this->plannerTerm)
+        return false;
+    this->plannerTerm = term;
+    this->wished = std::move(models);
+    this->wishedAt = now;
+    return true;
+}
+
+void OrderPlanner::wishAdapter(const std::string &model, const std::string &adapter, Instant now)
+{
+    this->adapterWishes[{model, adapter}] = now;
+}
+
+std::optional<EngineOrder> OrderPlanner::next(const EngineReport &report, const EngineSpec &spec,
+                                              Instant now) const
+{
+    if (report.leaving)
+        return std::nullopt;
+    // Requests wait for adapters, so these go first.
+    if (auto order = this->nextForAdapters(report, spec, now))
+        return order;
+    return this->nextForModels(report, spec, now);
+}
+
+std::optional<EngineOrder> OrderPlanner::nextForModels(const EngineReport &report,
+                                                       const EngineSpec &spec, Instant now) const
+{
+    if (report.busy || this->wishedAt == Instant{} || now >= this->wishedAt + WishLifetime)
+        return std::nullopt;
+    EngineOrder order;
+    order.expectedSequence = report.sequence;
+    for (const auto &model : this->wished) {
+        if (findHeldModel(report.models, model) != nullptr || spec.findModel(model) == nullptr)
+            continue;
+        if (this->fits(report, spec, weightsOf(spec, model))) {
+            order.verb = OrderVerb::Load;
+            order.model = model;
+            return order;
+        }
+        for (const auto &held : report.models) {
+            if (contains(this->wished, held.name))
+                continue;
+            order.verb = OrderVerb::Unload;
+            order.model = held.name;
+            return order;
+        }
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<EngineOrder> OrderPlanner::nextForAdapters(const EngineReport &report,
+                                                         const EngineSpec &spec, Instant now) const
+{
+    const size_t arriving = countAdapters(report.arriving);
+    const size_t places = countAdapters(report.models) + arriving;
+    for (const auto &[key, wishedAt] : this->adapterWishes) {
+        if (now >= wishedAt + AdapterWishLifetime ||
+            !isHeld(report.models, key.model, "") || this->unloading(report) == key.model ||
+            isHeld(report.models, key.model, key.adapter) ||
+            isHeld(report.arriving, key.model, key.adapter))
+            continue;
+        EngineOrder order;
+        order.expectedSequence = report.sequence;
+        if (places + SparePlaces < spec.adapterSlots && arriving < MaxArriving &&
+            this->fits(report, spec, adapterMbOf(spec, key.model))) {
+            order.verb = OrderVerb::Load;
+            order.model = key.model;
+            order.adapter = key.adapter;
+            return order;
+        }
+        if (places + SparePlaces < spec.adapterSlots)
+            continue;
+        if (const auto victim = this->leastWanted(report, now)) {
+            order.verb = OrderVerb::Unload;
+            order.model = victim->model;
+            order.adapter = victim->adapter;
+            return order;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<OrderPlanner::AdapterKey> OrderPlanner::leastWanted(const EngineReport &report,
+                                                                  Instant now) const
+{
+    std::optional<AdapterKey> least;
+    Instant leastAt = now - AdapterInUse;
+    for (const auto &model : report.models) {
+        for (const auto &adapter : model.adapters) {
+            const AdapterKey key{model.name, adapter};
+            const auto wish = this->adapterWishes.find(key);
+            const Instant wishedAt = wish == this->adapterWishes.end() ? Instant{} : wish->second;
+            if (wishedAt < leastAt) {
+                least = key;
+                leastAt = wishedAt;
+            }
+        }
+    }
+    return least;
+}
+
+double OrderPlanner::usedMb(const EngineReport &report, const EngineSpec &spec) const
+{
+    double used = SpareMb;
+    for (const auto &model : report.models)
+        used += weightsOf(spec, model.name) +
+                adapterMbOf(spec, model.name) * static_cast<double>(model.adapters.size());
+    for (const auto &model : report.arriving)
+        used += adapterMbOf(spec, model.name) * static_cast<double>(model.adapters.size());
+    if (!report.busy)
+        return used;
+    // Somebody else's order, as from before a restart of this process, may be about any model.
+    if (!this->modelOrder)
+        return spec.weightsMb;
+    if (this->modelOrder->verb == OrderVerb::Load &&
+        findHeldModel(report.models, this->modelOrder->model) == nullptr)
+        used += weightsOf(spec, this->modelOrder->model);
+    return used;
+}
+
+bool OrderPlanner::fits(const EngineReport &report, const EngineSpec &spec, double moreMb) const
+{
+    return this->usedMb(report, spec) + moreMb <= spec.weightsMb;
+}
+
+void OrderPlanner::noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report)
+{
+    if (!order.adapter.empty())
+        return;
+    // An order without an answer may be the one that makes the engine busy.
+    if (reply == OrderReply::Accepted || reply == OrderReply::Unknown)
+        this->modelOrder = order;
+    else if (!report.busy)
+        this->modelOrder.reset();
+}
+
+std::string OrderPlanner::loading(const EngineReport &report) const
+{
+    const bool underWay =
+        report.busy && this->modelOrder && this->modelOrder->verb == OrderVerb::Load;
+    return underWay ? this->modelOrder->model : "";
+}
+
+std::string OrderPlanner::unloading(const EngineReport &report) const
+{
+    const bool underWay =
+        report.busy && this->modelOrder && this->modelOrder->verb == OrderVerb::Unload;
+    return underWay ? this->modelOrder->model : "";
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/steward/OrderPlanner.h
@@ -0,0 +1,70 @@
+// Decides the next order to an engine from its report and what is wished of it.
+#pragma once
+
+#include "fleet/FleetConfig.h"
+#include "fleet/OrderPort.h"
+
+#include <map>
+#include <optional>
+
+namespace tray {
+
+/// Every order rests on one report and names its sequence. Once the engine has accepted any other
+/// order, an earlier one that is still under way no longer takes effect; so an order that fits the
+/// memory by the report that it names can never overcommit it, however late it arrives.
+class OrderPlanner
+{
+public:
+    /// Placement wishes lapse after this time, so that a planner that fell silent moves nothing.
+    static constexpr Duration WishLifetime = std::chrono::seconds(4);
+    /// An adapter wish is open for this long: the caller's request waits no longer.
+    static constexpr Duration AdapterWishLifetime = milliseconds(400);
+    /// An adapter that was wished within this time probably has running requests.
+    static constexpr Duration AdapterInUse = milliseconds(1500);
+    /// Adapters that an engine fetches at the same time.
+    static constexpr size_t MaxArriving = 4;
+    /// Places for adapters that are left free of adapters on their way, so that the engine is never
+    /// asked for more than it has.
+    static constexpr size_t SparePlaces = 0;
+
+    /// Takes over the models that the planner of a term wishes. False if the term is an old one.
+    bool wishModels(uint64_t term, std::vector<std::string> models, Instant now);
+    void wishAdapter(const std::string &model, const std::string &adapter, Instant now);
+    uint64_t term() const { return this->plannerTerm; }
+
+    /// The next order that is useful and safe; nothing if there is none now.
+    std::optional<EngineOrder> next(const EngineReport &report, const EngineSpec &spec,
+                                    Instant now) const;
+    /// Tells what became of an order.
+    void noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report);
+
+    /// Model that is being loaded or unloaded by the report; empty if none.
+    std::string loading(const EngineReport &report) const;
+    std::string unloading(const EngineReport &report) const;
+
+private:
+    struct AdapterKey
+    {
+        std::string model;
+        std::string adapter;
+        auto operator<=>(const AdapterKey &) const = default;
+    };
+
+    std::optional<EngineOrder> nextForModels(const EngineReport &report, const EngineSpec &spec,
+                                             Instant now) const;
+    std::optional<EngineOrder> nextForAdapters(const EngineReport &report, const EngineSpec &spec,
+                                               Instant now) const;
+    std::optional<AdapterKey> leastWanted(const EngineReport &report, Instant now) const;
+    double usedMb(const EngineReport &report, const EngineSpec &spec) const;
+    bool fits(const EngineReport &report, const EngineSpec &spec, double moreMb) const;
+
+    uint64_t plannerTerm = 0;
+    std::vector<std::string> wished;
+    Instant wishedAt{};
+    // Last wish for each adapter.
+    std::map<AdapterKey, Instant> adapterWishes;
+    // The model order that the engine accepted last; it is under way while a report says busy.
+    std::optional<EngineOrder> modelOrder;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/steward/Steward.cpp
@@ -0,0 +1,275 @@
+// Loops of a steward.
+#include "steward/Steward.h"
+
+#include "base/Hash.h"
+#include "observe/DecisionLog.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Records of stewards in the store, one for each instance.
+constexpr auto StewardRecords = "stewards";
+// Time between reports of the engine, which cost nothing on its own instance.
+constexpr Duration ReportPeriod = milliseconds(120);
+// Longest time between two snapshots to a subscriber.
+constexpr Duration AnnouncePeriod = milliseconds(250);
+constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
+// Pause after an order that was refused or not answered.
+constexpr Duration OrderPause = milliseconds(30);
+constexpr Duration FirstRetry = milliseconds(200);
+constexpr Duration LongestRetry = std::chrono::seconds(1);
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+Steward::Steward(asio::io_context &context, StewardSettings settings, FleetStore &store,
+                 OrderPort &engine, Metrics &metrics)
+    : context(context), settings(std::move(settings)), store(store), engine(engine),
+      metrics(metrics), datagrams(context, this->settings.instance,
+                                  [this](const proto::Datagram &datagram, const Address &sender) {
+                                      this->receive(datagram, sender);
+                                  })
+{}
+
+Result<Unit> Steward::start()
+{
+    if (const auto bound = this->datagrams.listen(this->settings.datagrams); !isOk(bound))
+        return error(bound);
+    asio::co_spawn(this->context, this->obtainAuthority(), asio::detached);
+    asio::co_spawn(this->context, this->reportLoop(), asio::detached);
+    return Unit{};
+}
+
+asio::awaitable<void> Steward::pause(Duration duration)
+{
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> Steward::stop()
+{
+    this->stopping = true;
+    logDecision(LogWeight::Notable, clockNow(), "event=stop_begin");
+    // An order that is under way ends within its timeout; its outcome is noted, no other follows.
+    while (this->working)
+        co_await this->pause(milliseconds(10));
+    this->datagrams.close();
+    logDecision(LogWeight::Notable, clockNow(), "event=stop_end");
+}
+
+bool Steward::canOrder() const
+{
+    return this->fencingToken != 0 && this->config && !this->upstreamId.empty();
+}
+
+asio::awaitable<void> Steward::obtainAuthority()
+{
+    Duration retry = FirstRetry;
+    while (!this->stopping && (this->fencingToken == 0 || !this->config)) {
+        if (!this->config)
+            co_await this->readSpec();
+        if (this->fencingToken == 0) {
+            const auto token = co_await this->raiseToken();
+            if (isOk(token)) {
+                this->fencingToken = value(token);
+                logDecision(LogWeight::Notable, clockNow(),
+                            fmt::format("event=fencing_token token={}", this->fencingToken));
+            } else {
+                logDecision(LogWeight::Notable, clockNow(),
+                            fmt::format("event=store_failed call=fencing_token reason=\"{}\"",
+                                        error(token).message));
+            }
+        }
+        if (this->fencingToken != 0 && this->config)
+            break;
+        co_await this->pause(retry);
+        retry = std::min(retry * 2, LongestRetry);
+    }
+    this->wake();
+}
+
+asio::awaitable<void> Steward::readSpec()
+{
+    const auto reading = co_await this->store.readConfig();
+    if (isOk(reading)) {
+        this->config = value(reading).config;
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=config_in_force version={}", this->config->version));
+    }
+}
+
+asio::awaitable<Result<uint64_t>> Steward::raiseToken()
+{
+    // The nonce makes each write a change, so that its revision is a new one.
+    Record record{this->settings.instance, toHex(newNonce()), 0};
+    auto created = co_await this->store.writeRecord(StewardRecords, record);
+    if (isOk(created) || error(created).kind != ErrorKind::VersionConflict)
+        co_return created;
+    const auto present =
+        co_await this->store.readRecord(StewardRecords, this->settings.instance);
+    if (!isOk(present))
+        co_return error(present);
+    record.revision = value(present).revision;
+    auto replaced = co_await this->store.writeRecord(StewardRecords, record);
+    co_return replaced;
+}
+
+asio::awaitable<void> Steward::reportLoop()
+{
+    while (!this->stopping) {
+        const Instant now = clockNow();
+        std::erase_if(this->subscribers,
+                      [&](const auto &item) { return item.second.until <= now; });
+        if (!this->working && !this->subscribers.empty()) {
+            auto reading = co_await this->engine.report();
+            if (isOk(reading))
+                this->takeReport(value(std::move(reading)));
+            else
+                this->report.reset();
+            this->announce(clockNow());
+            this->wake();
+        }
+        co_await this->pause(ReportPeriod);
+    }
+}
+
+void Steward::takeReport(EngineReport next)
+{
+    if (this->report && next.bornMs != this->report->bornMs)
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=engine_restarted born_ms={}", next.bornMs));
+    this->report = std::move(next);
+}
+
+void Steward::wake()
+{
+    if (this->working || this->stopping || !this->report || !this->canOrder())
+        return;
+    this->working = true;
+    asio::co_spawn(this->context, this->work(), asio::detached);
+}
+
+asio::awaitable<void> Steward::work()
+{
+    while (!this->stopping && this->report && this->canOrder()) {
+        const auto *service = this->config->findService(this->settings.service);
+        if (service == nullptr || !service->engine)
+            break;
+        const auto order = this->planner.next(*this->report, *service->engine, clockNow());
+        if (!order)
+            break;
+        // The identity that the gateways told must be that of the engine that reported.
+        if (this->listedBornMs != 0 && this->report->bornMs != this->listedBornMs)
+            break;
+        const OrderAuthority authority{this->settings.instance, this->fencingToken,
+                                       this->upstreamId};
+        const auto reply = co_await this->engine.order(*order, authority);
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=order verb={} model={} adapter={} sequence={} token={} "
+                                "upstream={} reply={}",
+                                enumName(order->verb), order->model, order->adapter,
+                                order->expectedSequence, this->fencingToken, this->upstreamId,
+                                enumName(reply)));
+        this->metrics
+            .counter("tray_steward_orders_total",
+                     "reply=\"" + std::string(enumName(reply)) + "\"")
+            .add();
+        if (reply == OrderReply::Fenced) {
+            this->fencingToken = 0;
+            asio::co_spawn(this->context, this->obtainAuthority(), asio::detached);
+        }
+        if (reply != OrderReply::Accepted && reply != OrderReply::AlreadyHolds)
+            co_await this->pause(OrderPause);
+        auto reading = co_await this->engine.report();
+        if (!isOk(reading)) {
+            this->report.reset();
+            break;
+        }
+        this->takeReport(value(std::move(reading)));
+        this->planner.noteReply(*order, reply, *this->report);
+        this->announce(clockNow());
+    }
+    this->working = false;
+}
+
+void Steward::receive(const proto::Datagram &datagram, const Address &sender)
+{
+    const Instant now = clockNow();
+    if (datagram.has_subscribe()) {
+        const auto &subscribe = datagram.subscribe();
+        this->upstreamId = subscribe.upstream_id();
+        this->listedBornMs = subscribe.born_ms();
+        const bool isNew = !this->subscribers.contains(datagram.sender());
+        this->subscribers[datagram.sender()] = {sender, now + SubscriptionLifetime};
+        if (isNew)
+            this->announcedAt = {};
+    } else if (datagram.has_adapter_wish()) {
+        const auto &wish = datagram.adapter_wish();
+        if (wish.upstream_id() != this->upstreamId)
+            return;
+        this->planner.wishAdapter(wish.model(), wish.adapter(), now);
+        this->wake();
+    } else if (datagram.has_placement_wish()) {
+        const auto &wish = datagram.placement_wish();
+        if (wish.upstream_id() != this->upstreamId)
+            return;
+        if (this->planner.wishModels(wish.term(), {wish.models().begin(), wish.models().end()},
+                                     now))
+            this->wake();
+    }
+}
+
+void Steward::announce(Instant now)
+{
+    if (!this->report || this->upstreamId.empty())
+        return;
+    proto::EngineSnapshot snapshot;
+    snapshot.set_upstream_id(this->upstreamId);
+    snapshot.set_born_ms(this->report->bornMs);
+    snapshot.set_sequence(this->report->sequence);
+    for (const auto &model : this->report->models) {
+        auto *held = snapshot.add_models();
+        held->set_name(model.name);
+        for (const auto &adapter : model.adapters)
+            held->add_adapters(adapter);
+    }
+    snapshot.set_loading(this->planner.loading(*this->report));
+    snapshot.set_unloading(this->planner.unloading(*this->report));
+    for (const auto &model : this->report->modelsInMemory)
+        snapshot.add_models_in_memory(model);
+    for (const auto &model : this->report->modelsOnDisk)
+        snapshot.add_models_on_disk(model);
+    snapshot.set_planner_term(this->planner.term());
+    snapshot.set_leaving(this->report->leaving);
+    snapshot.set_can_order(this->canOrder());
+    const std::string state = snapshot.SerializeAsString();
+    if (state == this->announcedState && now < this->announcedAt + AnnouncePeriod)
+        return;
+    this->announcedState = state;
+    this->announcedAt = now;
+    snapshot.set_running(this->report->running);
+    snapshot.set_waiting(this->report->waiting);
+    snapshot.set_kv_used_tokens(this->report->kvUsedTokens);
+    snapshot.set_kv_total_tokens(this->report->kvTotalTokens);
+    for (const auto &[name, subscriber] : this->subscribers) {
+        proto::Datagram datagram;
+        *datagram.mutable_snapshot() = snapshot;
+        this->datagrams.send(subscriber.address, std::move(datagram));
+    }
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/steward/Steward.h
@@ -0,0 +1,77 @@
+// The process beside one engine: its only source of orders, and its voice towards the gateways.
+#pragma once
+
+#include "fleet/DatagramPort.h"
+#include "fleet/FleetStore.h"
+#include "fleet/OrderPort.h"
+#include "observe/Metrics.h"
+#include "steward/OrderPlanner.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+
+namespace tray {
+
+struct StewardSettings
+{
+    std::string instance;
+    /// Service of the engine.
+    std::string service;
+    Address datagrams;
+};
+
+/// Runs on one thread. A fencing token is the store's revision of this instance's record, written
+/// anew by each process, so that tokens only rise.
+class Steward
+{
+public:
+    Steward(boost::asio::io_context &context, StewardSettings settings, FleetStore &store,
+            OrderPort &engine, Metrics &metrics);
+
+    Result<Unit> start();
+    boost::asio::awaitable<void> stop();
+
+private:
+    struct Subscriber
+    {
+        Address address;
+        Instant until;
+    };
+
+    boost::asio::awaitable<void> obtainAuthority();
+    boost::asio::awaitable<Result<uint64_t>> raiseToken();
+    boost::asio::awaitable<void> readSpec();
+    boost::asio::awaitable<void> reportLoop();
+    boost::asio::awaitable<void> work();
+    boost::asio::awaitable<void> pause(Duration duration);
+
+    void receive(const proto::Datagram &datagram, const Address &sender);
+    void wake();
+    void takeReport(EngineReport report);
+    void announce(Instant now);
+    bool canOrder() const;
+
+    boost::asio::io_context &context;
+    const StewardSettings settings;
+    FleetStore &store;
+    OrderPort &engine;
+    Metrics &metrics;
+    DatagramPort datagrams;
+    OrderPlanner planner;
+    std::shared_ptr<const FleetConfig> config;
+    // Identity and start of the engine, as the gateways learned them from the instance list.
+    std::string upstreamId;
+    uint64_t listedBornMs = 0;
+    uint64_t fencingToken = 0;
+    std::optional<EngineReport> report;
+    Instant announcedAt{};
+    std::string announcedState;
+    std::map<std::string, Subscriber> subscribers;
+    // One order is under way at a time; wishes that come meanwhile are seen by its loop.
+    bool working = false;
+    bool stopping = false;
+    bool refreshing = false;
+};
+
+} // namespace tray
