Place models by demand with a planner among the gateways

A gateway that has won one conditional write of the store plans; the others tell it their demand, and stewards obey the highest term. Each model keeps a replica, and room goes to the models with the most work per replica. Loads from the weight store are counted against the bound of a window. Ruled out: on-demand loading by each gateway, since each would replicate for itself.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -92,6 +92,15 @@
                                           : this->held(found->second, now);
 }
 
+const proto::EngineSnapshot *Dispatcher::snapshotOf(const std::string &upstreamId,
+                                                    Instant now) const
+{
+    const auto found = this->upstreams.find(upstreamId);
+    if (found == this->upstreams.end() || !this->hasSnapshot(found->second, now))
+        return nullptr;
+    return &*found->second.snapshot;
+}
+
 bool Dispatcher::holds(const std::string &upstreamId, const std::string &model,
                        const std::string &adapter, Instant now) const
 {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -86,6 +86,8 @@
 
     /// Models and adapters of an upstream by the newest word on them.
     std::vector<HeldModel> heldModels(const std::string &upstreamId, Instant now) const;
+    /// A steward's newest word on an engine; null if there is none that is fresh.
+    const proto::EngineSnapshot *snapshotOf(const std::string &upstreamId, Instant now) const;
     bool holds(const std::string &upstreamId, const std::string &model, const std::string &adapter,
                Instant now) const;
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -33,7 +33,6 @@
 constexpr Duration StopMargin = milliseconds(400);
 // Gateways that share the repeats before the peers are known.
 constexpr size_t UnknownGateways = 6;
-constexpr Duration PeerLifetime = std::chrono::seconds(15);
 
 Instant clockNow()
 {
@@ -82,7 +81,14 @@
                      ? Proximity::SameRegion
                      : Proximity::OtherRegion;
       }),
-      snapshotArrived(context)
+      snapshotArrived(context),
+      desk(context, this->settings.instance, this->settings.datagrams, this->settings.loads,
+           {store, this->datagrams, this->dispatcher, this->demand,
+            [this](const UpstreamEntry &entry) { return this->stewardOf(entry); },
+            [this] { return this->config; },
+            [this]() -> const std::map<std::string, UpstreamEntry> & {
+                return this->directory.entries();
+            }})
 {}
 
 Gateway::~Gateway() = default;
@@ -98,6 +104,7 @@
     asio::co_spawn(this->context, this->followConfig(), asio::detached);
     asio::co_spawn(this->context, this->followUpstreams(), asio::detached);
     asio::co_spawn(this->context, this->subscribeLoop(), asio::detached);
+    this->desk.start();
     return Unit{};
 }
 
@@ -121,6 +128,7 @@
         co_await this->pause(milliseconds(20));
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
+    this->desk.stop();
     this->datagrams.close();
 }
 
@@ -270,7 +278,7 @@
         this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow());
         this->snapshotArrived.raise();
     } else if (datagram.has_demand()) {
-        this->peers[datagram.sender()] = clockNow();
+        this->desk.noteDemand(datagram.sender(), datagram.demand(), clockNow());
     }
 }
 
@@ -281,11 +289,7 @@
 
 size_t Gateway::gatewayCount() const
 {
-    const Instant now = clockNow();
-    size_t count = 1;
-    for (const auto &[name, heardAt] : this->peers)
-        count += now < heardAt + PeerLifetime ? 1 : 0;
-    return std::max(count, UnknownGateways);
+    return std::max(this->desk.gatewayCount(clockNow()), UnknownGateways);
 }
 
 RetryAllowance &Gateway::allowanceOf(const std::string &service)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "fleet/DatagramPort.h"
 #include "fleet/FleetStore.h"
 #include "gateway/DemandMeter.h"
+#include "gateway/PlannerDesk.h"
 #include "gateway/RequestCodec.h"
 #include "gateway/Signal.h"
 #include "net/HttpClient.h"
@@ -32,6 +33,7 @@
     uint16_t stewardPort = 0;
     Address admin;
     RetryBounds retries;
+    LoadBounds loads;
     /// Time between SIGTERM and the end of the process.
     Duration stopGrace = std::chrono::seconds(8);
 };
@@ -82,8 +84,7 @@
     DemandMeter demand;
     Signal snapshotArrived;
     std::map<std::string, RetryAllowance> allowances;
-    // Other gateways by name, with the time of their last datagram.
-    std::map<std::string, Instant> peers;
+    PlannerDesk desk;
     bool upstreamsKnown = false;
     bool storeReachable = true;
     bool stopping = false;
--- /dev/null
+++ b/src/gateway/PlannerDesk.cpp
@@ -0,0 +1,271 @@
+// Election, exchange of demand, and wishes to stewards.
+#include "gateway/PlannerDesk.h"
+
+#include "base/Hash.h"
+#include "observe/DecisionLog.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Records of gateways in the store, one for each instance, with its address for datagrams.
+constexpr auto GatewayRecords = "gateways";
+constexpr auto LeaseRecords = "leases";
+constexpr auto PlannerRecord = "planner";
+// Time between two words to the planner, and between two plans.
+constexpr Duration TickPeriod = milliseconds(500);
+// Time between words to all peers while a planner is known.
+constexpr Duration HelloPeriod = std::chrono::seconds(5);
+// A peer that was silent for this long counts no longer; its demand is forgotten sooner.
+constexpr Duration PeerLifetime = std::chrono::seconds(15);
+constexpr Duration DemandLifetime = std::chrono::seconds(3);
+constexpr Duration FirstRetry = milliseconds(300);
+constexpr Duration LongestRetry = milliseconds(1500);
+
+Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+PlannerDesk::PlannerDesk(asio::io_context &context, std::string instance, Address address,
+                         LoadBounds bounds, Ports ports)
+    : context(context), instance(std::move(instance)), address(std::move(address)), bounds(bounds),
+      ports(std::move(ports)), election(hash64(this->instance), clockNow())
+{}
+
+void PlannerDesk::start()
+{
+    asio::co_spawn(this->context, this->registerLoop(), asio::detached);
+    asio::co_spawn(this->context, this->tickLoop(), asio::detached);
+}
+
+asio::awaitable<void> PlannerDesk::pause(Duration duration)
+{
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> PlannerDesk::registerLoop()
+{
+    Duration retry = FirstRetry;
+    bool written = false;
+    while (!this->stopping) {
+        if (!written) {
+            const Record record{this->instance, toString(this->address), 0};
+            const auto result = co_await this->ports.store.writeRecord(GatewayRecords, record);
+            // A record of an earlier life of this instance has the same address.
+            written = isOk(result) || error(result).kind == ErrorKind::VersionConflict;
+        }
+        if (written) {
+            const auto records = co_await this->ports.store.listRecords(GatewayRecords);
+            if (isOk(records)) {
+                for (const auto &record : value(records)) {
+                    const auto parsed = parseAddress(record.text);
+                    if (record.name != this->instance && isOk(parsed))
+                        this->peers[record.name].address = value(parsed);
+                }
+                co_return;
+            }
+        }
+        co_await this->pause(retry);
+        retry = std::min(retry * 2, LongestRetry);
+    }
+}
+
+asio::awaitable<void> PlannerDesk::tickLoop()
+{
+    while (!this->stopping) {
+        const Instant now = clockNow();
+        this->tellPeers(now);
+        if (this->election.isPlanner()) {
+            this->plan(now);
+        } else if (this->election.wantsRole(now) && !this->electing) {
+            this->electing = true;
+            asio::co_spawn(this->context, this->takeRole(), asio::detached);
+        }
+        co_await this->pause(TickPeriod);
+    }
+}
+
+asio::awaitable<void> PlannerDesk::takeRole()
+{
+    this->election.tryBegan(clockNow());
+    Record record{PlannerRecord, this->instance + " " + toHex(newNonce()), 0};
+    const auto present = co_await this->ports.store.readRecord(LeaseRecords, PlannerRecord);
+    const bool exists = isOk(present);
+    const bool readable = exists || error(present).kind == ErrorKind::NotFound;
+    if (exists)
+        record.revision = value(present).revision;
+    // A planner may have been heard meanwhile.
+    if (readable && this->election.wantsRole(clockNow() + PlannerElection::RetryPause)) {
+        const auto written = co_await this->ports.store.writeRecord(LeaseRecords, record);
+        if (isOk(written)) {
+            this->election.won(value(written), clockNow());
+            for (auto &[service, planner] : this->planners)
+                planner.restart(clockNow());
+            this->planners.clear();
+            logDecision(LogWeight::Notable, clockNow(),
+                        fmt::format("event=planner_elected term={}", value(written)));
+        } else if (error(written).kind == ErrorKind::VersionConflict) {
+            this->election.lost(clockNow());
+        }
+    }
+    this->electing = false;
+}
+
+void PlannerDesk::tellPeers(Instant now)
+{
+    proto::Datagram datagram;
+    auto *report = datagram.mutable_demand();
+    *report = this->ports.demand.report(now);
+    report->set_address(toString(this->address));
+    report->set_planner_term(this->election.ownTerm());
+    const bool toAll = this->election.isPlanner() || !this->election.knowsPlanner(now) ||
+                       now >= this->helloAt + HelloPeriod;
+    if (toAll)
+        this->helloAt = now;
+    // The planner's own demand is of no use to the others.
+    if (this->election.isPlanner())
+        report->clear_models();
+    for (const auto &[name, peer] : this->peers) {
+        if (toAll || name == this->plannerName)
+            this->ports.datagrams.send(peer.address, datagram);
+    }
+}
+
+void PlannerDesk::noteDemand(const std::string &sender, const proto::DemandReport &report,
+                             Instant now)
+{
+    const auto parsed = parseAddress(report.address());
+    if (sender == this->instance || !isOk(parsed))
+        return;
+    auto &peer = this->peers[sender];
+    peer.address = value(parsed);
+    peer.heardAt = now;
+    peer.report = report;
+    peer.reportAt = now;
+    if (report.planner_term() == 0)
+        return;
+    const bool wasPlanner = this->election.isPlanner();
+    this->election.heard(report.planner_term(), now);
+    if (wasPlanner && !this->election.isPlanner())
+        logDecision(LogWeight::Notable, now,
+                    fmt::format("event=planner_resigned to={} term={}", sender,
+                                report.planner_term()));
+    if (this->plannerName != sender && this->election.knowsPlanner(now)) {
+        this->plannerName = sender;
+        logDecision(LogWeight::Notable, now,
+                    fmt::format("event=planner_known planner={} term={}", sender,
+                                report.planner_term()));
+    }
+}
+
+size_t PlannerDesk::gatewayCount(Instant now) const
+{
+    size_t count = 1;
+    for (const auto &[name, peer] : this->peers)
+        count += peer.heardAt && now < *peer.heardAt + PeerLifetime ? 1 : 0;
+    return count;
+}
+
+std::map<std::string, PlannedDemand> PlannerDesk::totalDemand(Instant now)
+{
+    std::map<std::string, PlannedDemand> total;
+    const auto add = [&](const proto::DemandReport &report) {
+        for (const auto &row : report.models()) {
+            auto &demand = total[row.model()];
+            demand.requests += row.requests_milli() / 1000.0;
+            demand.promptTokens += row.prompt_tokens();
+            demand.outputTokens += row.output_tokens();
+            demand.refused += row.refused_milli() / 1000.0;
+        }
+    };
+    add(this->ports.demand.report(now));
+    for (const auto &[name, peer] : this->peers) {
+        if (peer.heardAt && now < peer.reportAt + DemandLifetime)
+            add(peer.report);
+    }
+    return total;
+}
+
+std::vector<PlannedEngine> PlannerDesk::engines(const std::string &service, Instant now) const
+{
+    std::vector<PlannedEngine> engines;
+    for (const auto &[id, entry] : this->ports.upstreams()) {
+        if (entry.service != service || entry.phase != UpstreamPhase::Ready)
+            continue;
+        PlannedEngine engine;
+        engine.id = id;
+        engine.dataCentre = entry.dataCentre;
+        engine.bornMs = entry.bornMs;
+        for (const auto &model : this->ports.dispatcher.heldModels(id, now))
+            engine.models.push_back(model.name);
+        if (const auto *snapshot = this->ports.dispatcher.snapshotOf(id, now)) {
+            engine.canChange = snapshot->can_order() && !snapshot->leaving();
+            engine.loading = snapshot->loading();
+            engine.unloading = snapshot->unloading();
+            engine.inMemory = {snapshot->models_in_memory().begin(),
+                               snapshot->models_in_memory().end()};
+            engine.onDisk = {snapshot->models_on_disk().begin(),
+                             snapshot->models_on_disk().end()};
+            if (snapshot->born_ms() != 0)
+                engine.bornMs = snapshot->born_ms();
+        }
+        engines.push_back(std::move(engine));
+    }
+    return engines;
+}
+
+void PlannerDesk::plan(Instant now)
+{
+    const auto config = this->ports.config();
+    if (!config)
+        return;
+    const auto demand = this->totalDemand(now);
+    for (const auto &service : config->services) {
+        if (!service.engine)
+            continue;
+        auto found = this->planners.find(service.name);
+        if (found == this->planners.end()) {
+            found = this->planners.emplace(service.name, ReplicaPlanner(this->bounds)).first;
+            found->second.restart(now);
+        }
+        auto &planner = found->second;
+        const auto engines = this->engines(service.name, now);
+        for (const auto &move : planner.plan(*service.engine, engines, demand, now)) {
+            const auto wanted = demand.find(move.load);
+            logDecision(LogWeight::Notable, now,
+                        fmt::format("event=move engine={} load={} unload={} gain={:.3f} "
+                                    "requests_per_s={:.2f} term={}",
+                                    move.engineId, move.load, move.unload, move.gain,
+                                    wanted == demand.end() ? 0.0 : wanted->second.requests,
+                                    this->election.ownTerm()));
+        }
+        for (const auto &engine : engines) {
+            const auto wish = planner.wishFor(engine.id);
+            const auto entry = this->ports.upstreams().find(engine.id);
+            if (!wish || entry == this->ports.upstreams().end())
+                continue;
+            proto::Datagram datagram;
+            auto *message = datagram.mutable_placement_wish();
+            message->set_upstream_id(engine.id);
+            message->set_term(this->election.ownTerm());
+            for (const auto &model : *wish)
+                message->add_models(model);
+            this->ports.datagrams.send(this->ports.stewardOf(entry->second), std::move(datagram));
+        }
+    }
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/gateway/PlannerDesk.h
@@ -0,0 +1,78 @@
+// Runs the election and the planner among the gateways, over datagrams and one record of the store.
+#pragma once
+
+#include "dispatch/Dispatcher.h"
+#include "fleet/DatagramPort.h"
+#include "fleet/FleetStore.h"
+#include "gateway/DemandMeter.h"
+#include "replicas/PlannerElection.h"
+#include "replicas/ReplicaPlanner.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace tray {
+
+/// Runs on the gateway's thread.
+class PlannerDesk
+{
+public:
+    struct Ports
+    {
+        FleetStore &store;
+        DatagramPort &datagrams;
+        Dispatcher &dispatcher;
+        DemandMeter &demand;
+        /// Address of the steward beside an upstream.
+        std::function<Address(const UpstreamEntry &entry)> stewardOf;
+        std::function<std::shared_ptr<const FleetConfig>()> config;
+        std::function<const std::map<std::string, UpstreamEntry> &()> upstreams;
+    };
+
+    PlannerDesk(boost::asio::io_context &context, std::string instance, Address address,
+                LoadBounds bounds, Ports ports);
+
+    void start();
+    void stop() { this->stopping = true; }
+    /// A peer's word.
+    void noteDemand(const std::string &sender, const proto::DemandReport &report, Instant now);
+    /// Gateways that were heard lately, this one included.
+    size_t gatewayCount(Instant now) const;
+
+private:
+    struct Peer
+    {
+        Address address;
+        // Time of the last word; none for peers that are only known from the store.
+        std::optional<Instant> heardAt;
+        proto::DemandReport report;
+        Instant reportAt{};
+    };
+
+    boost::asio::awaitable<void> registerLoop();
+    boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> takeRole();
+    boost::asio::awaitable<void> pause(Duration duration);
+
+    void tellPeers(Instant now);
+    void plan(Instant now);
+    std::map<std::string, PlannedDemand> totalDemand(Instant now);
+    std::vector<PlannedEngine> engines(const std::string &service, Instant now) const;
+
+    boost::asio::io_context &context;
+    const std::string instance;
+    const Address address;
+    const LoadBounds bounds;
+    Ports ports;
+    PlannerElection election;
+    // One planner for each service with engines.
+    std::map<std::string, ReplicaPlanner> planners;
+    std::map<std::string, Peer> peers;
+    // The peer that plans, by its last word.
+    std::string plannerName;
+    Instant helloAt{};
+    bool electing = false;
+    bool stopping = false;
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/replicas/PlannerElection.cpp
@@ -0,0 +1,53 @@
+// Taking, keeping and giving up the planner's role.
+#include "replicas/PlannerElection.h"
+
+#include <algorithm>
+
+namespace tray {
+
+PlannerElection::PlannerElection(uint64_t candidateHash, Instant now)
+    : patience(Silence + milliseconds(candidateHash % static_cast<uint64_t>(toMs(Spread)))),
+      heardAt(now)
+{}
+
+void PlannerElection::heard(uint64_t term, Instant now)
+{
+    if (term == 0 || term < this->heardTerm)
+        return;
+    this->heardTerm = term;
+    this->heardAt = now;
+    if (term > this->term)
+        this->term = 0;
+}
+
+bool PlannerElection::wantsRole(Instant now) const
+{
+    return !this->isPlanner() && now >= this->heardAt + this->patience &&
+           now >= this->triedAt + RetryPause;
+}
+
+void PlannerElection::tryBegan(Instant now)
+{
+    this->triedAt = now;
+}
+
+void PlannerElection::won(uint64_t term, Instant now)
+{
+    // A higher term may have been heard while the write was on its way.
+    if (term <= this->heardTerm)
+        return this->lost(now);
+    this->term = term;
+    this->heardAt = now;
+}
+
+void PlannerElection::lost(Instant now)
+{
+    this->heardAt = now;
+}
+
+bool PlannerElection::knowsPlanner(Instant now) const
+{
+    return !this->isPlanner() && this->heardTerm != 0 && now < this->heardAt + Silence;
+}
+
+} // namespace tray
--- /dev/null
+++ b/src/replicas/PlannerElection.h
@@ -0,0 +1,53 @@
+// Which gateway plans the placement of models.
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+
+namespace tray {
+
+/// One gateway's view of the planner's role. The role is taken by a conditional write of one record;
+/// its revision is the planner's term. Nothing is renewed in the store: the planner tells its peers
+/// that it lives, and a candidate writes only after it has heard no planner for a while. Stewards
+/// obey the highest term that they have seen, so two planners at once cost moves, never safety.
+class PlannerElection
+{
+public:
+    /// Silence after which the role is taken over; several times the period of the planner's word.
+    static constexpr Duration Silence = milliseconds(2000);
+    /// Candidates differ by up to this in their patience, so that few of them write at once.
+    static constexpr Duration Spread = milliseconds(800);
+    /// Time between two tries while the store does not answer.
+    static constexpr Duration RetryPause = milliseconds(1000);
+
+    /// The candidate's patience is drawn from its name's hash.
+    PlannerElection(uint64_t candidateHash, Instant now);
+
+    /// A peer told that it holds the role.
+    void heard(uint64_t term, Instant now);
+    /// The role's record is to be written now.
+    bool wantsRole(Instant now) const;
+    /// A try began; none other begins until it ends or the pause is over.
+    void tryBegan(Instant now);
+    /// The record was written with this revision.
+    void won(uint64_t term, Instant now);
+    /// Somebody else wrote it; his word is awaited.
+    void lost(Instant now);
+
+    bool isPlanner() const { return this->term != 0; }
+    uint64_t ownTerm() const { return this->term; }
+    /// A planner that is not this gateway was heard lately.
+    bool knowsPlanner(Instant now) const;
+
+private:
+    const Duration patience;
+    // Term that this gateway holds; 0 if it does not plan.
+    uint64_t term = 0;
+    // Highest term that was heard from a peer, and when any planner was heard last.
+    uint64_t heardTerm = 0;
+    Instant heardAt;
+    Instant triedAt{};
+};
+
+} // namespace tray
--- /dev/null
+++ b/src/replicas/ReplicaPlanner.h
@@ -0,0 +1,110 @@
+// Plans which engines hold which models.
+//
+// The load that it answers: a few models get most requests and the others few, which ones changes
+// within seconds, and engines crash and come back empty. Every model keeps a replica; what room is
+// left goes to the models with the most work per replica.
+#pragma once
+
+#include "base/Time.h"
+#include "fleet/FleetConfig.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tray {
+
+/// An engine as the planner sees it.
+struct PlannedEngine
+{
+    std::string id;
+    std::string dataCentre;
+    uint64_t bornMs = 0;
+    /// Its steward was heard lately and may order it.
+    bool canChange = false;
+    std::vector<std::string> models;
+    std::string loading;
+    std::string unloading;
+    std::set<std::string> inMemory;
+    std::set<std::string> onDisk;
+};
+
+/// Demand for a model over all gateways, per second.
+struct PlannedDemand
+{
+    double requests = 0;
+    double promptTokens = 0;
+    double outputTokens = 0;
+    double refused = 0;
+};
+
+/// Bound on the loads from the weight store that begin within a window, over all engines.
+struct LoadBounds
+{
+    Duration window = std::chrono::seconds(5);
+    /// Loads in a window, as a multiple of what the store's rate gives, plus a constant.
+    double excess = 1.1;
+    double constant = 3;
+};
+
+/// A change that was granted: one engine loads a model, and drops another one for it if it must.
+struct PlannedMove
+{
+    std::string engineId;
+    std::string load;
+    std::string unload;
+    /// Why it pays: expected work that it takes from the model's other replicas.
+    double gain = 0;
+};
+
+class ReplicaPlanner
+{
+public:
+    /// A move that has not shown after this time is given up.
+    static constexpr Duration MoveTimeout = std::chrono::seconds(25);
+    /// Work that a move must gain, in engines, beyond what its victim loses.
+    static constexpr double MinGain = 0.06;
+    /// A victim's loss counts this much more than a gain of the same size.
+    static constexpr double Hysteresis = 1.5;
+
+    explicit ReplicaPlanner(LoadBounds bounds) : bounds(bounds) {}
+
+    /// Takes over the planner's role: what other planners granted before is unknown.
+    void restart(Instant now);
+    /// Grants the moves that pay now; returns the new ones.
+    std::vector<PlannedMove> plan(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
+                                  const std::map<std::string, PlannedDemand> &demand, Instant now);
+    /// Models that an engine should hold, those to be loaded last; nothing if it is to be left alone.
+    std::optional<std::vector<std::string>> wishFor(const std::string &engineId) const;
+
+private:
+    struct Grant
+    {
+        PlannedMove move;
+        uint64_t bornMs = 0;
+        Instant grantedAt{};
+        bool fromStore = false;
+        // The load was seen on the engine.
+        bool begun = false;
+    };
+
+    void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
+    bool mayLoadFromStore(const EngineSpec &spec, Instant now);
+    std::optional<PlannedMove> bestMove(const EngineSpec &spec,
+                                        const std::vector<PlannedEngine> &engines,
+                                        const std::map<std::string, PlannedDemand> &demand,
+                                        bool storeAllowed) const;
+
+    const LoadBounds bounds;
+    // Grants under way, by engine. One engine changes one model at a time.
+    std::map<std::string, Grant> grants;
+    std::map<std::string, std::vector<std::string>> wishes;
+    // Begins of the loads from the store that were seen lately.
+    std::deque<Instant> storeLoads;
+    std::optional<Instant> restartedAt;
+};
+
+} // namespace tray
