--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -125,7 +125,8 @@
     if (!isHeld(models, query.model, ""))
         return false;
     // Only a steward that can order its engine can bring a missing adapter.
-    return isHeld(models, query.model, query.adapter) || (fresh && upstream.snapshot->can_order());
+    return isHeld(models, query.model, query.adapter) ||
+           (fresh && upstream.snapshot->can_order() && !upstream.snapshot->busy());
 }
 
 double Dispatcher::engineCost(const Upstream &upstream, const DispatchQuery &query,
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -197,6 +197,7 @@
     this->lastUpstream = target.upstreamId;
     this->lastSnapshotAge = target.snapshotAge;
     this->lastCost = target.cost;
+    ++this->runs;
     if (this->sends++ == 0)
         this->gateway.allowanceOf(this->service).noteFirst(began);
     const uint32_t promptTokens = this->facts.promptTokens;
@@ -238,8 +239,8 @@
     }
     if (this->callerGone)
         result.outcome = AttemptOutcome::Abandoned;
-    if (result.mayHaveRun)
-        ++this->runs;
+    if (!result.mayHaveRun)
+        --this->runs;
     dispatcher.end(target.upstreamId, promptTokens, answered, result.outcome, clockNow());
     if (!result.done && !this->callerGone)
         logDecision(LogWeight::Notable, clockNow(),
@@ -297,7 +298,9 @@
     }
     this->events.dropRest();
     while (!this->callerGone) {
-        auto piece = co_await stream.read(this->deadline - clockNow());
+        const Instant waitedSince = clockNow();
+        auto piece = co_await stream.read(this->deadline - waitedSince);
+        this->longestPause = std::max(this->longestPause, clockNow() - waitedSince);
         if (!isOk(piece)) {
             result.outcome = this->deadlinePassed(clockNow()) ? AttemptOutcome::Silent
                                                               : AttemptOutcome::Broken;
@@ -411,13 +414,13 @@
         served ? LogWeight::Routine : LogWeight::Notable, now,
         fmt::format("event=request id={} route={} model={} adapter={} outcome={} status={} "
                     "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
-                    "first_ms={} ms={} reason=\"{}\"",
+                    "first_ms={} longest_pause_ms={} ms={} reason=\"{}\"",
                     this->facts.id, routeName, this->facts.model, this->facts.adapter, outcome,
                     status, this->lastUpstream, this->sends, this->runs,
-                    this->config ? this->config->version : 0, toMs(this->lastSnapshotAge),
+                    this->config ? this->config->version : 0, this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
                     this->lastCost,
                     this->firstAnswerAt ? toMs(*this->firstAnswerAt - this->arrived) : -1,
-                    toMs(now - this->arrived), reason));
+                    toMs(this->longestPause), toMs(now - this->arrived), reason));
 }
 
 } // namespace tray
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -69,6 +69,8 @@
     Duration lastSnapshotAge{-1};
     double lastCost = 0;
     std::optional<Instant> firstAnswerAt;
+    // Longest pause between two pieces of a stream.
+    Duration longestPause{};
 };
 
 } // namespace tray
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -94,11 +94,14 @@
 std::optional<EngineOrder> OrderPlanner::nextForAdapters(const EngineReport &report,
                                                          const EngineSpec &spec, Instant now) const
 {
+    // An engine carries out one order about a model at a time and refuses adapters meanwhile.
+    if (report.busy)
+        return std::nullopt;
     const size_t arriving = countAdapters(report.arriving);
     const size_t places = countAdapters(report.models) + arriving;
     for (const auto &[key, wishedAt] : this->adapterWishes) {
         if (now >= wishedAt + AdapterWishLifetime ||
-            !isHeld(report.models, key.model, "") || this->unloading(report) == key.model ||
+            !isHeld(report.models, key.model, "") ||
             isHeld(report.models, key.model, key.adapter) ||
             isHeld(report.arriving, key.model, key.adapter))
             continue;
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -256,6 +256,7 @@
     snapshot.set_planner_term(this->planner.term());
     snapshot.set_leaving(this->report->leaving);
     snapshot.set_can_order(this->canOrder());
+    snapshot.set_busy(this->report->busy);
     const std::string state = snapshot.SerializeAsString();
     if (state == this->announcedState && now < this->announcedAt + AnnouncePeriod)
         return;
