Weigh moves by the requests that they serve well, with learned pace

Now the gateways learn each model's pace from the quickest answers, the planner weighs the requests per second that are served well at a utilization, victims count by the replicas that answer now, the last one stays, and a model on the rise is planned for as risen. Stewards tell when their engine no longer answers.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -12,9 +12,9 @@
 
 // Costs are in milliseconds of expected wait.
 
-// Time that an engine reads a prompt token in; a middle value of the models, since the
-// configuration does not tell their pace.
-constexpr double ReadMsPerToken = 0.04;
+// An engine that does not answer its steward is the last choice, not none: the steward may be the
+// one that is cut off.
+constexpr double SilentMs = 3000;
 // Slow-down of all tokens by one more running request.
 constexpr double RunningMs = 2;
 // Wait behind one request that waits at an engine.
@@ -141,8 +141,11 @@
         waiting += upstream.toldWaiting;
         running = std::max<double>(running, upstream.toldRunning);
     }
-    const double unread = ReadMsPerToken * static_cast<double>(upstream.unreadTokens);
+    const double readMs = this->paceMeter.msPerToken(query.model);
+    const double unread = readMs * static_cast<double>(upstream.unreadTokens);
     double cost = std::max(unread, waiting * WaitingMs) + running * RunningMs;
+    if (this->hasSnapshot(upstream, now) && upstream.snapshot->silent())
+        cost += SilentMs;
     const auto &models = this->held(upstream, now);
     if (!query.adapter.empty()) {
         // The same engines first, so that an adapter is loaded on few of them.
@@ -152,7 +155,7 @@
         if (!isHeld(models, query.model, query.adapter))
             cost += AdapterMs;
     } else if (query.sharedParts != 0) {
-        cost += ReadMsPerToken * query.sharedTokens *
+        cost += readMs * query.sharedTokens *
                 static_cast<double>(rank(upstream.entry.id, query.sharedParts) >> 11) /
                 static_cast<double>(uint64_t{1} << 53);
     }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "dispatch/PaceMeter.h"
 #include "dispatch/UpstreamHealth.h"
 #include "fleet/Upstream.h"
 
@@ -75,6 +76,8 @@
     void begin(const std::string &upstreamId, uint32_t promptTokens);
     /// The first bytes of an answer came.
     void firstAnswer(const std::string &upstreamId, uint32_t promptTokens);
+    /// How fast engines read the prompts of each model.
+    PaceMeter &paces() { return this->paceMeter; }
     /// An attempt ended; answered tells whether firstAnswer() was called for it.
     void end(const std::string &upstreamId, uint32_t promptTokens, bool answered,
              AttemptOutcome outcome, Instant now);
@@ -120,6 +123,7 @@
 
     const ProximityOf proximityOf;
     std::map<std::string, Upstream> upstreams;
+    PaceMeter paceMeter;
 };
 
 } // namespace tray
--- a/src/gateway/DemandMeter.cpp
+++ b/src/gateway/DemandMeter.cpp
@@ -21,11 +21,12 @@
     this->promptTokens *= factor;
     this->outputTokens *= factor;
     this->refused *= factor;
+    this->workMs *= factor;
     this->at = now;
 }
 
 void DemandMeter::note(const std::string &model, uint32_t promptTokens, uint32_t outputTokens,
-                       Instant now)
+                       double workMs, Instant now)
 {
     auto &rate = this->rates[model];
     rate.decay(now);
@@ -33,6 +34,7 @@
     rate.requests += 1 / seconds(TimeConstant);
     rate.promptTokens += promptTokens / seconds(TimeConstant);
     rate.outputTokens += outputTokens / seconds(TimeConstant);
+    rate.workMs += workMs / seconds(TimeConstant);
 }
 
 void DemandMeter::noteRefused(const std::string &model, Instant now)
@@ -58,6 +60,7 @@
         row->set_prompt_tokens(static_cast<uint32_t>(rate.promptTokens));
         row->set_output_tokens(static_cast<uint32_t>(rate.outputTokens));
         row->set_refused_milli(static_cast<uint32_t>(rate.refused * 1000));
+        row->set_work_ms(static_cast<uint32_t>(rate.workMs));
         ++it;
     }
     return report;
--- a/src/gateway/DemandMeter.h
+++ b/src/gateway/DemandMeter.h
@@ -19,7 +19,9 @@
     /// Rates below this, in requests per second, are forgotten.
     static constexpr double Forgotten = 0.002;
 
-    void note(const std::string &model, uint32_t promptTokens, uint32_t outputTokens, Instant now);
+    /// A request arrived that will keep an engine busy for the given time.
+    void note(const std::string &model, uint32_t promptTokens, uint32_t outputTokens,
+              double workMs, Instant now);
     /// A request found no engine for its model.
     void noteRefused(const std::string &model, Instant now);
     /// Rates of all models that were asked for lately.
@@ -32,6 +34,7 @@
         double promptTokens = 0;
         double outputTokens = 0;
         double refused = 0;
+        double workMs = 0;
         Instant at{};
 
         void decay(Instant now);
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -28,6 +28,8 @@
 constexpr size_t MaxAnswerBytes = 8u << 20;
 // Pause before callers return after a refusal for want of room.
 constexpr Duration FullRetry = milliseconds(500);
+// Work of an output token in a full batch, in prompt tokens.
+constexpr double OutputTokenWork = 1.5;
 // Requests with a longer goal give way to others of their rank.
 constexpr Duration PatientGoal = std::chrono::seconds(5);
 constexpr int UrgencyOfFirstRank = 2;
@@ -72,11 +74,20 @@
         this->gateway.snapshotArrived.raise();
     });
     if (!this->facts.model.empty())
-        this->gateway.demand.note(this->facts.model, this->facts.promptTokens,
-                                  this->facts.expectedOutputTokens, this->arrived);
+        this->noteDemand();
     co_await this->serveRoute();
 }
 
+void Exchange::noteDemand()
+{
+    const double tokens =
+        this->facts.promptTokens + OutputTokenWork * this->facts.expectedOutputTokens;
+    const double workMs =
+        tokens * this->gateway.dispatcher.paces().msPerToken(this->facts.model);
+    this->gateway.demand.note(this->facts.model, this->facts.promptTokens,
+                              this->facts.expectedOutputTokens, workMs, this->arrived);
+}
+
 asio::awaitable<void> Exchange::serveRoute()
 {
     AttemptResult last;
@@ -234,6 +245,7 @@
         answered = true;
         dispatcher.firstAnswer(target.upstreamId, promptTokens);
         this->firstAnswerAt = clockNow();
+        this->notePace(*this->firstAnswerAt - began);
         const auto stream = std::move(value(opened));
         result = co_await this->takeAnswer(target.upstreamId, *stream);
     }
@@ -251,6 +263,17 @@
     co_return result;
 }
 
+void Exchange::notePace(Duration firstAnswer)
+{
+    if (this->facts.parts.empty() || this->streaming)
+        return;
+    // Shared parts may lie in the engine's memory already.
+    const uint32_t ownTokens = this->facts.parts.back().tokens;
+    this->gateway.dispatcher.paces().note(
+        this->facts.model, ownTokens,
+        std::chrono::duration<double, std::milli>(firstAnswer).count());
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::takeAnswer(std::string upstreamId,
                                                               HttpStream &stream)
 {
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -40,6 +40,8 @@
     boost::asio::awaitable<void> refuseFailed(AttemptResult result);
 
     DispatchQuery makeQuery() const;
+    void noteDemand();
+    void notePace(Duration firstAnswer);
     bool mayTryAgain(const AttemptResult &result, Instant now);
     bool deadlinePassed(Instant now) const { return now >= this->deadline; }
     int urgency() const;
--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -115,6 +115,8 @@
             for (auto &[service, planner] : this->planners)
                 planner.restart(clockNow());
             this->planners.clear();
+            // The others must not write as well.
+            this->tellPeers(clockNow());
             logDecision(LogWeight::Notable, clockNow(),
                         fmt::format("event=planner_elected term={}", value(written)));
         } else if (error(written).kind == ErrorKind::VersionConflict) {
@@ -186,9 +188,7 @@
         for (const auto &row : report.models()) {
             auto &demand = total[row.model()];
             demand.requests += row.requests_milli() / 1000.0;
-            demand.promptTokens += row.prompt_tokens();
-            demand.outputTokens += row.output_tokens();
-            demand.refused += row.refused_milli() / 1000.0;
+            demand.work += row.work_ms() / 1000.0;
         }
     };
     add(this->ports.demand.report(now));
@@ -212,6 +212,8 @@
         for (const auto &model : this->ports.dispatcher.heldModels(id, now))
             engine.models.push_back(model.name);
         if (const auto *snapshot = this->ports.dispatcher.snapshotOf(id, now)) {
+            if (snapshot->silent())
+                continue;
             engine.canChange = snapshot->can_order() && !snapshot->leaving();
             engine.loading = snapshot->loading();
             engine.unloading = snapshot->unloading();
@@ -247,9 +249,10 @@
             const auto wanted = demand.find(move.load);
             logDecision(LogWeight::Notable, now,
                         fmt::format("event=move engine={} load={} unload={} gain={:.3f} "
-                                    "requests_per_s={:.2f} term={}",
+                                    "requests_per_s={:.2f} work={:.3f} term={}",
                                     move.engineId, move.load, move.unload, move.gain,
                                     wanted == demand.end() ? 0.0 : wanted->second.requests,
+                                    wanted == demand.end() ? 0.0 : wanted->second.work,
                                     this->election.ownTerm()));
         }
         for (const auto &engine : engines) {
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -8,19 +8,39 @@
 
 namespace {
 
-// What one engine does per second of one kind of work; middle values of the engines in use.
-constexpr double PromptTokensPerSecond = 19000;
-constexpr double OutputTokensPerSecond = 4500;
-// Value of a model's first replica, above that of any work.
-constexpr double FirstReplicaValue = 100;
-// Value of a second replica beside its work: it survives the loss of an engine.
-constexpr double SpareReplicaValue = 0.02;
+// Requests per second that a silent model counts for: it must stay reachable.
+constexpr double ReachableRate = 0.25;
+// Part of a model's requests that a second replica saves on average, by outliving the other one.
+constexpr double SpareShare = 0.03;
+// Utilization up to which requests are served well, and the one at which half of them still are.
+constexpr double EasyUtilization = 0.12;
+constexpr double HalfUtilization = 0.55;
+// Demand moves on within seconds, before a load ends: a model that has this part of the busiest
+// one's requests is planned for as if it had the larger part.
+constexpr double RisingShare = 0.1;
+constexpr double RisenShare = 0.6;
+// Penalty for another replica beside a busy one, in the unit of gains, for each engine of work.
+constexpr double CrowdingCost = 0.5;
 // Most moves that one round grants.
 constexpr int MovesPerRound = 6;
 
-double workOf(const PlannedDemand &demand)
+/// Part of the requests that engines serve well at a utilization.
+double qualityAt(double utilization)
 {
-    return demand.promptTokens / PromptTokensPerSecond + demand.outputTokens / OutputTokensPerSecond;
+    if (utilization <= EasyUtilization)
+        return 1;
+    if (utilization <= HalfUtilization)
+        return 1 - 0.5 * (utilization - EasyUtilization) / (HalfUtilization - EasyUtilization);
+    return 0.5 * HalfUtilization / utilization;
+}
+
+/// Requests per second that are served well with a number of replicas.
+double servedWell(const PlannedDemand &demand, int replicas)
+{
+    if (replicas <= 0)
+        return 0;
+    const double spare = replicas >= 2 ? SpareShare : 0;
+    return demand.requests * (qualityAt(demand.work / replicas) + spare);
 }
 
 bool contains(const std::vector<std::string> &names, const std::string &name)
@@ -53,13 +73,18 @@
     return used <= spec.weightsMb;
 }
 
-/// Cost of reaching a model's weights, in the unit of gains: small against any real gain, so that it
-/// only orders engines that are otherwise alike.
+// Cost of a second replica in one data centre, in the unit of gains.
+constexpr double SpreadCost = 0.2;
+
+/// Cost of the way to a model's weights, in the unit of gains: a copy on the engine's host saves the
+/// requests of the seconds that a load from the store takes longer.
 double reachCost(const PlannedEngine &engine, const std::string &model)
 {
+    constexpr double DiskCost = 0.1;
+    constexpr double StoreCost = 1;
     if (engine.inMemory.contains(model))
         return 0;
-    return engine.onDisk.contains(model) ? 0.005 : 0.05;
+    return engine.onDisk.contains(model) ? DiskCost : StoreCost;
 }
 
 } // namespace
@@ -123,79 +148,148 @@
     return static_cast<double>(counted) + 1 <= std::floor(allowed) - 1;
 }
 
-std::optional<PlannedMove>
-ReplicaPlanner::bestMove(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
-                         const std::map<std::string, PlannedDemand> &demand,
-                         bool storeAllowed) const
+struct ReplicaPlanner::Outlook
 {
-    // Replicas as they will be once all grants are carried out.
+    std::map<std::string, std::vector<std::string>> models;
     std::map<std::string, int> replicas;
-    std::map<std::string, std::vector<std::string>> planned;
+    // Replicas that answer now and that no grant takes away.
+    std::map<std::string, int> ready;
     std::map<std::string, std::set<std::string>> dataCentres;
+    // Demand that is planned for, and the work of each engine under it.
+    std::map<std::string, PlannedDemand> demand;
+    std::map<std::string, double> engineWork;
+
+    PlannedDemand demandOf(const std::string &model) const
+    {
+        const auto found = this->demand.find(model);
+        return found == this->demand.end() ? PlannedDemand{ReachableRate, 0} : found->second;
+    }
+
+    int replicasOf(const std::string &model) const { return countOf(this->replicas, model); }
+    int readyOf(const std::string &model) const { return countOf(this->ready, model); }
+
+private:
+    static int countOf(const std::map<std::string, int> &counts, const std::string &model)
+    {
+        const auto found = counts.find(model);
+        return found == counts.end() ? 0 : found->second;
+    }
+};
+
+ReplicaPlanner::Outlook
+ReplicaPlanner::outlook(const std::vector<PlannedEngine> &engines,
+                        const std::map<std::string, PlannedDemand> &demand) const
+{
+    Outlook outlook;
     for (const auto &engine : engines) {
-        auto &models = planned[engine.id];
+        auto &models = outlook.models[engine.id];
         for (const auto &model : engine.models) {
             if (model != engine.unloading)
                 models.push_back(model);
         }
+        for (const auto &model : models)
+            ++outlook.ready[model];
         if (!engine.loading.empty() && !contains(models, engine.loading))
             models.push_back(engine.loading);
         if (const auto grant = this->grants.find(engine.id); grant != this->grants.end()) {
-            std::erase(models, grant->second.move.unload);
-            if (!contains(models, grant->second.move.load))
-                models.push_back(grant->second.move.load);
+            const auto &move = grant->second.move;
+            if (std::erase(models, move.unload) > 0)
+                --outlook.ready[move.unload];
+            if (!contains(models, move.load))
+                models.push_back(move.load);
         }
         for (const auto &model : models) {
-            ++replicas[model];
-            dataCentres[model].insert(engine.dataCentre);
+            ++outlook.replicas[model];
+            outlook.dataCentres[model].insert(engine.dataCentre);
+        }
+    }
+    double busiest = 0;
+    for (const auto &[model, row] : demand)
+        busiest = std::max(busiest, row.requests);
+    for (const auto &[model, row] : demand) {
+        PlannedDemand planned = row;
+        if (row.requests > 0 && row.requests >= RisingShare * busiest &&
+            row.requests < RisenShare * busiest) {
+            planned.work *= RisenShare * busiest / row.requests;
+            planned.requests = RisenShare * busiest;
+        }
+        planned.requests = std::max(planned.requests, ReachableRate);
+        outlook.demand.emplace(model, planned);
+    }
+    for (const auto &[engineId, models] : outlook.models) {
+        for (const auto &model : models)
+            outlook.engineWork[engineId] +=
+                outlook.demandOf(model).work / std::max(1, outlook.replicasOf(model));
+    }
+    return outlook;
+}
+
+std::optional<PlannedMove> ReplicaPlanner::moveFor(const EngineSpec &spec,
+                                                   const PlannedEngine &engine,
+                                                   const std::string &model,
+                                                   const Outlook &outlook, double &value) const
+{
+    const auto &models = outlook.models.at(engine.id);
+    const auto demand = outlook.demandOf(model);
+    const int replicas = outlook.replicasOf(model);
+    const double gain = servedWell(demand, replicas + 1) - servedWell(demand, replicas);
+    PlannedMove move{engine.id, model, "", gain};
+    std::vector<std::string> after = models;
+    after.push_back(model);
+    double loss = MinGainOfFreeRoom;
+    if (!fits(spec, after)) {
+        double least = 0;
+        for (const auto &victim : models) {
+            const auto victimDemand = outlook.demandOf(victim);
+            // Replicas that are still being loaded serve nobody for as long as the unload costs.
+            const int count = outlook.readyOf(victim);
+            // Every model stays reachable, whatever its demand.
+            if (count <= 1 || !contains(engine.models, victim))
+                continue;
+            const double victimLoss =
+                servedWell(victimDemand, count) - servedWell(victimDemand, count - 1);
+            if (move.unload.empty() || victimLoss < least) {
+                move.unload = victim;
+                least = victimLoss;
+            }
         }
+        std::erase(after, move.unload);
+        if (move.unload.empty() || !fits(spec, after))
+            return std::nullopt;
+        // A model without any replica is worth a load whatever its rate.
+        loss = least * Hysteresis + (replicas == 0 ? MinGainOfFreeRoom : MinGain);
     }
-    const auto work = [&](const std::string &model) {
-        const auto found = demand.find(model);
-        return found == demand.end() ? 0.0 : workOf(found->second);
-    };
-    // Work that one more or one less replica takes from or adds to the others.
-    const auto gainOf = [&](const std::string &model, int count) {
-        if (count == 0)
-            return FirstReplicaValue + work(model);
-        const double spare = count == 1 ? SpareReplicaValue : 0;
-        return work(model) / count - work(model) / (count + 1) + spare;
-    };
+    const auto dataCentres = outlook.dataCentres.find(model);
+    const bool isSpread = dataCentres == outlook.dataCentres.end() ||
+                          !dataCentres->second.contains(engine.dataCentre);
+    const auto work = outlook.engineWork.find(engine.id);
+    const double crowding = work == outlook.engineWork.end() ? 0 : work->second * CrowdingCost;
+    if (gain <= loss)
+        return std::nullopt;
+    value = gain - loss - crowding - reachCost(engine, model) - (isSpread ? 0 : SpreadCost);
+    return move;
+}
+
+std::optional<PlannedMove>
+ReplicaPlanner::bestMove(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
+                         const std::map<std::string, PlannedDemand> &demand,
+                         bool storeAllowed) const
+{
+    const Outlook outlook = this->outlook(engines, demand);
     std::optional<PlannedMove> best;
     double bestValue = 0;
     for (const auto &model : spec.models) {
-        const double gain = gainOf(model.name, replicas[model.name]);
         for (const auto &engine : engines) {
-            const auto &models = planned[engine.id];
             const bool needsStore = !engine.inMemory.contains(model.name) &&
                                     !engine.onDisk.contains(model.name);
             if (!engine.canChange || this->grants.contains(engine.id) ||
                 !engine.loading.empty() || !engine.unloading.empty() ||
-                contains(models, model.name) || (needsStore && !storeAllowed))
+                contains(outlook.models.at(engine.id), model.name) ||
+                (needsStore && !storeAllowed))
                 continue;
-            PlannedMove move{engine.id, model.name, "", gain};
-            std::vector<std::string> after = models;
-            after.push_back(model.name);
-            double loss = 0;
-            if (!fits(spec, after)) {
-                double least = 0;
-                for (const auto &victim : models) {
-                    const double victimLoss = gainOf(victim, replicas[victim] - 1) * Hysteresis;
-                    if (move.unload.empty() || victimLoss < least) {
-                        move.unload = victim;
-                        least = victimLoss;
-                    }
-                }
-                if (move.unload.empty())
-                    continue;
-                std::erase(after, move.unload);
-                if (!fits(spec, after))
-                    continue;
-                loss = least + MinGain;
-            }
-            const double spread = dataCentres[model.name].contains(engine.dataCentre) ? 0.01 : 0;
-            const double value = gain - loss - reachCost(engine, model.name) * 0.1 - spread;
-            if (value > bestValue) {
+            double value = 0;
+            const auto move = this->moveFor(spec, engine, model.name, outlook, value);
+            if (move && (!best || value > bestValue)) {
                 bestValue = value;
                 best = move;
             }
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -32,13 +32,13 @@
     std::set<std::string> onDisk;
 };
 
-/// Demand for a model over all gateways, per second.
+/// Demand for a model over all gateways.
 struct PlannedDemand
 {
+    /// Requests per second.
     double requests = 0;
-    double promptTokens = 0;
-    double outputTokens = 0;
-    double refused = 0;
+    /// Engines that the requests would keep busy.
+    double work = 0;
 };
 
 /// Bound on the loads from the weight store that begin within a window, over all engines.
@@ -56,7 +56,7 @@
     std::string engineId;
     std::string load;
     std::string unload;
-    /// Why it pays: expected work that it takes from the model's other replicas.
+    /// Why it pays: more requests per second that are served well.
     double gain = 0;
 };
 
@@ -65,10 +65,12 @@
 public:
     /// A move that has not shown after this time is given up.
     static constexpr Duration MoveTimeout = std::chrono::seconds(25);
-    /// Work that a move must gain, in engines, beyond what its victim loses.
-    static constexpr double MinGain = 0.06;
+    /// Requests per second that a move must gain beyond what its victim loses.
+    static constexpr double MinGain = 0.4;
+    /// The same for room that nobody uses.
+    static constexpr double MinGainOfFreeRoom = 0.005;
     /// A victim's loss counts this much more than a gain of the same size.
-    static constexpr double Hysteresis = 1.5;
+    static constexpr double Hysteresis = 1.3;
 
     explicit ReplicaPlanner(LoadBounds bounds) : bounds(bounds) {}
 
@@ -91,6 +93,14 @@
         bool begun = false;
     };
 
+    /// What is planned for each engine and model, once all grants are carried out.
+    struct Outlook;
+
+    Outlook outlook(const std::vector<PlannedEngine> &engines,
+                    const std::map<std::string, PlannedDemand> &demand) const;
+    std::optional<PlannedMove> moveFor(const EngineSpec &spec, const PlannedEngine &engine,
+                                       const std::string &model, const Outlook &outlook,
+                                       double &value) const;
     void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
     bool mayLoadFromStore(const EngineSpec &spec, Instant now);
     std::optional<PlannedMove> bestMove(const EngineSpec &spec,
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -139,7 +139,7 @@
             if (isOk(reading))
                 this->takeReport(value(std::move(reading)));
             else
-                this->report.reset();
+                this->noteSilence(error(reading).message);
             this->announce(clockNow());
             this->wake();
         }
@@ -147,8 +147,18 @@
     }
 }
 
+void Steward::noteSilence(const std::string &reason)
+{
+    if (!this->silent)
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=engine_lost reason=\"{}\"", reason));
+    this->silent = true;
+}
+
 void Steward::takeReport(EngineReport next)
 {
+    if (std::exchange(this->silent, false))
+        logDecision(LogWeight::Notable, clockNow(), "event=engine_regained");
     if (this->report && next.bornMs != this->report->bornMs)
         logDecision(LogWeight::Notable, clockNow(),
                     fmt::format("event=engine_restarted born_ms={}", next.bornMs));
@@ -157,7 +167,7 @@
 
 void Steward::wake()
 {
-    if (this->working || this->stopping || !this->report || !this->canOrder())
+    if (this->working || this->stopping || this->silent || !this->report || !this->canOrder())
         return;
     this->working = true;
     asio::co_spawn(this->context, this->work(), asio::detached);
@@ -165,7 +175,7 @@
 
 asio::awaitable<void> Steward::work()
 {
-    while (!this->stopping && this->report && this->canOrder()) {
+    while (!this->stopping && !this->silent && this->report && this->canOrder()) {
         const auto *service = this->config->findService(this->settings.service);
         if (service == nullptr || !service->engine)
             break;
@@ -196,7 +206,7 @@
             co_await this->pause(OrderPause);
         auto reading = co_await this->engine.report();
         if (!isOk(reading)) {
-            this->report.reset();
+            this->noteSilence(error(reading).message);
             break;
         }
         this->takeReport(value(std::move(reading)));
@@ -257,6 +267,7 @@
     snapshot.set_leaving(this->report->leaving);
     snapshot.set_can_order(this->canOrder());
     snapshot.set_busy(this->report->busy);
+    snapshot.set_silent(this->silent);
     const std::string state = snapshot.SerializeAsString();
     if (state == this->announcedState && now < this->announcedAt + AnnouncePeriod)
         return;
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -49,6 +49,7 @@
     void receive(const proto::Datagram &datagram, const Address &sender);
     void wake();
     void takeReport(EngineReport report);
+    void noteSilence(const std::string &reason);
     void announce(Instant now);
     bool canOrder() const;
 
@@ -64,14 +65,16 @@
     std::string upstreamId;
     uint64_t listedBornMs = 0;
     uint64_t fencingToken = 0;
+    // The last report; none before the first one.
     std::optional<EngineReport> report;
+    // The engine did not answer the last question.
+    bool silent = false;
     Instant announcedAt{};
     std::string announcedState;
     std::map<std::string, Subscriber> subscribers;
     // One order is under way at a time; wishes that come meanwhile are seen by its loop.
     bool working = false;
     bool stopping = false;
-    bool refreshing = false;
 };
 
 } // namespace tray
