Send prompts to an engine one at a time and count overdue answers

An engine reads prompts in pieces of thousands of tokens between the tokens of its streams, so prompts that arrive together stall all of them. A gateway now has as much unread prompt at an engine as takes 140 ms to read, by the learned pace, and lets further requests wait, the most urgent first; they are answered no later, since the engine reads one after the other anyway. An attempt whose first answer is overdue counts against its upstream at once, not only at its end: hung requests were learned of after 8 to 15 s.

Ruled out: shorter pauses by the engines' own priorities, which order admission only.

The watch for callers that leave now reads bytes of a next request instead of polling for a hang-up behind them.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -28,6 +28,19 @@
 constexpr double OtherRegionMs = 150;
 // Cost of one recent failure.
 constexpr double FailureMs = 400;
+// Reading time of the prompts that are sent to an engine at the same time: a fraction of the pauses
+// that callers accept within a stream.
+constexpr double ReadAtOnceMs = 140;
+// The same for engines of another region, where the word of a prompt's end is on its way for long.
+constexpr double FarReadAtOnceMs = 220;
+// An answer that is this much later than expected counts against the upstream already.
+constexpr Duration ServiceDue = milliseconds(700);
+constexpr Duration EngineDue = milliseconds(1800);
+constexpr double DueFactor = 4;
+// Part of an engine's token memory from which it may have to put requests back, and the cost of the
+// last token.
+constexpr double FullMemoryShare = 0.85;
+constexpr double FullMemoryMs = 900;
 // A told load is trusted for this long.
 constexpr Duration ToldLifetime = std::chrono::seconds(1);
 // An adapter stays with the first engines of its own order unless they are this much busier.
@@ -142,10 +155,16 @@
         running = std::max<double>(running, upstream.toldRunning);
     }
     const double readMs = this->paceMeter.msPerToken(query.model);
-    const double unread = readMs * static_cast<double>(upstream.unreadTokens);
+    const double unread = readMs * static_cast<double>(unreadTokens(upstream));
     double cost = std::max(unread, waiting * WaitingMs) + running * RunningMs;
     if (this->hasSnapshot(upstream, now) && upstream.snapshot->silent())
         cost += SilentMs;
+    if (this->hasSnapshot(upstream, now) && upstream.snapshot->kv_total_tokens() > 0) {
+        const double used = static_cast<double>(upstream.snapshot->kv_used_tokens()) /
+                            upstream.snapshot->kv_total_tokens();
+        if (used > FullMemoryShare)
+            cost += FullMemoryMs * (used - FullMemoryShare) / (1 - FullMemoryShare);
+    }
     const auto &models = this->held(upstream, now);
     if (!query.adapter.empty()) {
         // The same engines first, so that an adapter is loaded on few of them.
@@ -188,7 +207,36 @@
         cost += OtherRegionMs;
         break;
     }
-    return cost + FailureMs * upstream.health.score(now);
+    return cost + FailureMs * (upstream.health.score(now) + overdue(upstream, now));
+}
+
+uint64_t Dispatcher::unreadTokens(const Upstream &upstream)
+{
+    uint64_t tokens = 0;
+    for (const auto &[ticket, attempt] : upstream.unanswered)
+        tokens += attempt.promptTokens;
+    return tokens;
+}
+
+int Dispatcher::overdue(const Upstream &upstream, Instant now)
+{
+    int count = 0;
+    for (const auto &[ticket, attempt] : upstream.unanswered)
+        count += now >= attempt.dueAt ? 1 : 0;
+    return count;
+}
+
+bool Dispatcher::isOpen(const Upstream &upstream, const DispatchQuery &query) const
+{
+    if (query.model.empty())
+        return true;
+    const uint64_t unread = unreadTokens(upstream);
+    if (unread == 0)
+        return true;
+    const bool far = this->proximityOf(upstream.entry.dataCentre) == Proximity::OtherRegion;
+    const double readMs = this->paceMeter.msPerToken(query.model);
+    return readMs * static_cast<double>(unread + query.promptTokens) <=
+           (far ? FarReadAtOnceMs : ReadAtOnceMs);
 }
 
 Dispatch Dispatcher::choose(const DispatchQuery &query, Instant now) const
@@ -206,6 +254,8 @@
     }
     if (best == nullptr)
         return this->refusal(query, now);
+    if (!this->isOpen(*best, query))
+        return DispatchWait{best->entry.id, bestCost};
     DispatchTarget target;
     target.upstreamId = best->entry.id;
     target.address = best->entry.address;
@@ -228,36 +278,52 @@
     return {ErrorKind::NoReplica, "no engine can serve the model", MissingModelRetry};
 }
 
-void Dispatcher::begin(const std::string &upstreamId, uint32_t promptTokens)
+AttemptTicket Dispatcher::begin(const std::string &upstreamId, const DispatchQuery &query,
+                                Instant now)
 {
+    const AttemptTicket ticket = this->nextTicket++;
     const auto found = this->upstreams.find(upstreamId);
     if (found == this->upstreams.end())
-        return;
-    ++found->second.inFlight;
-    ++found->second.begunSince;
-    found->second.unreadTokens += promptTokens;
+        return ticket;
+    auto &upstream = found->second;
+    Duration due = ServiceDue;
+    if (!query.model.empty()) {
+        const double expectedMs =
+            this->paceMeter.msPerToken(query.model) *
+            static_cast<double>(unreadTokens(upstream) + query.promptTokens);
+        due = std::max<Duration>(EngineDue,
+                                 milliseconds(static_cast<int64_t>(DueFactor * expectedMs)));
+    }
+    ++upstream.inFlight;
+    ++upstream.begunSince;
+    upstream.unanswered.emplace(ticket, Unanswered{now, query.promptTokens, now + due});
+    return ticket;
 }
 
-void Dispatcher::firstAnswer(const std::string &upstreamId, uint32_t promptTokens)
+void Dispatcher::firstAnswer(const std::string &upstreamId, AttemptTicket ticket)
 {
     const auto found = this->upstreams.find(upstreamId);
-    if (found == this->upstreams.end())
-        return;
-    auto &unread = found->second.unreadTokens;
-    unread -= std::min<uint64_t>(unread, promptTokens);
+    if (found != this->upstreams.end())
+        found->second.unanswered.erase(ticket);
 }
 
-void Dispatcher::end(const std::string &upstreamId, uint32_t promptTokens, bool answered,
-                     AttemptOutcome outcome, Instant now)
+void Dispatcher::end(const std::string &upstreamId, AttemptTicket ticket, AttemptOutcome outcome,
+                     Instant now)
 {
     // The upstream may have gone meanwhile.
     const auto found = this->upstreams.find(upstreamId);
     if (found == this->upstreams.end())
         return;
-    if (!answered)
-        this->firstAnswer(upstreamId, promptTokens);
-    found->second.inFlight -= std::min(found->second.inFlight, 1u);
-    found->second.health.note(outcome, now);
+    auto &upstream = found->second;
+    const auto attempt = upstream.unanswered.find(ticket);
+    if (attempt != upstream.unanswered.end()) {
+        // The caller lost patience with the upstream, not with us.
+        if (outcome == AttemptOutcome::Abandoned && now >= attempt->second.dueAt)
+            outcome = AttemptOutcome::Silent;
+        upstream.unanswered.erase(attempt);
+    }
+    upstream.inFlight -= std::min(upstream.inFlight, 1u);
+    upstream.health.note(outcome, now);
 }
 
 void Dispatcher::noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting,
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -50,7 +50,21 @@
     Duration retryAfter{};
 };
 
-using Dispatch = std::variant<DispatchTarget, DispatchRefusal>;
+/// The best upstream reads other prompts of this instance now: ask again when one of them is read.
+///
+/// An engine reads prompts in large pieces between the tokens of its running requests. Two prompts
+/// at once are answered no sooner than one after the other, but the streams beside them pause for
+/// both; so prompts are sent one at a time, and wait here.
+struct DispatchWait
+{
+    std::string upstreamId;
+    double cost = 0;
+};
+
+using Dispatch = std::variant<DispatchTarget, DispatchWait, DispatchRefusal>;
+
+/// Identifies an attempt between begin() and end().
+using AttemptTicket = uint64_t;
 
 /// Places of an upstream relative to this instance.
 enum class Proximity : uint8_t { SameDataCentre, SameRegion, OtherRegion };
@@ -73,14 +87,14 @@
     Dispatch choose(const DispatchQuery &query, Instant now) const;
 
     /// A request was sent; pair with end().
-    void begin(const std::string &upstreamId, uint32_t promptTokens);
+    AttemptTicket begin(const std::string &upstreamId, const DispatchQuery &query, Instant now);
     /// The first bytes of an answer came.
-    void firstAnswer(const std::string &upstreamId, uint32_t promptTokens);
+    void firstAnswer(const std::string &upstreamId, AttemptTicket ticket);
     /// How fast engines read the prompts of each model.
     PaceMeter &paces() { return this->paceMeter; }
-    /// An attempt ended; answered tells whether firstAnswer() was called for it.
-    void end(const std::string &upstreamId, uint32_t promptTokens, bool answered,
-             AttemptOutcome outcome, Instant now);
+    /// An attempt ended, with or without a first answer.
+    void end(const std::string &upstreamId, AttemptTicket ticket, AttemptOutcome outcome,
+             Instant now);
     /// An upstream told its load with an answer.
     void noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting, Instant now);
     /// The upstream answered that it lacks what the request needs: the view of it is old.
@@ -95,14 +109,22 @@
                Instant now) const;
 
 private:
+    /// An attempt without a first answer.
+    struct Unanswered
+    {
+        Instant began;
+        uint32_t promptTokens;
+        // A healthy upstream answers by then.
+        Instant dueAt;
+    };
+
     struct Upstream
     {
         UpstreamEntry entry;
         UpstreamHealth health;
         // Attempts of this instance that have not ended.
         uint32_t inFlight = 0;
-        // Prompt tokens of the attempts without a first answer.
-        uint64_t unreadTokens = 0;
+        std::map<AttemptTicket, Unanswered> unanswered;
         std::optional<proto::EngineSnapshot> snapshot;
         std::vector<HeldModel> snapshotModels;
         Instant snapshotAt{};
@@ -119,11 +141,15 @@
     double cost(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
     double engineCost(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
     double serviceCost(const Upstream &upstream, Instant now) const;
+    bool isOpen(const Upstream &upstream, const DispatchQuery &query) const;
+    static uint64_t unreadTokens(const Upstream &upstream);
+    static int overdue(const Upstream &upstream, Instant now);
     DispatchRefusal refusal(const DispatchQuery &query, Instant now) const;
 
     const ProximityOf proximityOf;
     std::map<std::string, Upstream> upstreams;
     PaceMeter paceMeter;
+    AttemptTicket nextTicket = 1;
 };
 
 } // namespace tray
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -28,6 +28,8 @@
 constexpr size_t MaxAnswerBytes = 8u << 20;
 // Pause before callers return after a refusal for want of room.
 constexpr Duration FullRetry = milliseconds(500);
+// Longest time between two looks for room; word of it may be lost with an attempt's upstream.
+constexpr Duration RoomRecheck = milliseconds(100);
 // Work of an output token in a full batch, in prompt tokens.
 constexpr double OutputTokenWork = 1.5;
 // Requests with a longer goal give way to others of their rank.
@@ -72,6 +74,7 @@
         if (this->cancel)
             this->cancel->cancel();
         this->gateway.snapshotArrived.raise();
+        this->gateway.roomChanged.raise();
     });
     if (!this->facts.model.empty())
         this->noteDemand();
@@ -106,6 +109,10 @@
             co_await this->refuse(refusal->kind, refusal->reason, refusal->retryAfter);
             co_return;
         }
+        if (std::holds_alternative<DispatchWait>(choice)) {
+            co_await this->waitForRoom();
+            continue;
+        }
         const auto target = std::get<DispatchTarget>(choice);
         if (!this->facts.adapter.empty()) {
             const bool ready = co_await this->ensureAdapter(target);
@@ -131,6 +138,13 @@
     co_await this->refuseFailed(std::move(last));
 }
 
+asio::awaitable<void> Exchange::waitForRoom()
+{
+    const Duration left = this->deadline - clockNow();
+    const Duration limit = std::min(left, RoomRecheck);
+    co_await this->gateway.roomChanged.wait(limit, this->urgency());
+}
+
 DispatchQuery Exchange::makeQuery() const
 {
     DispatchQuery query;
@@ -211,8 +225,7 @@
     ++this->runs;
     if (this->sends++ == 0)
         this->gateway.allowanceOf(this->service).noteFirst(began);
-    const uint32_t promptTokens = this->facts.promptTokens;
-    dispatcher.begin(target.upstreamId, promptTokens);
+    const AttemptTicket ticket = dispatcher.begin(target.upstreamId, this->makeQuery(), began);
 
     Forwarding forwarding;
     forwarding.timeLeft = this->deadline - began;
@@ -233,7 +246,6 @@
     auto opened = co_await this->gateway.client.open(target.address, std::move(message),
                                                      forwarding.timeLeft, options);
     AttemptResult result;
-    bool answered = false;
     if (!isOk(opened)) {
         const auto kind = error(opened).kind;
         result.reason = error(opened).message;
@@ -242,8 +254,8 @@
                          : kind == ErrorKind::Timeout           ? AttemptOutcome::Silent
                                                                 : AttemptOutcome::Broken;
     } else {
-        answered = true;
-        dispatcher.firstAnswer(target.upstreamId, promptTokens);
+        dispatcher.firstAnswer(target.upstreamId, ticket);
+        this->gateway.roomChanged.raise();
         this->firstAnswerAt = clockNow();
         this->notePace(*this->firstAnswerAt - began);
         const auto stream = std::move(value(opened));
@@ -253,7 +265,8 @@
         result.outcome = AttemptOutcome::Abandoned;
     if (!result.mayHaveRun)
         --this->runs;
-    dispatcher.end(target.upstreamId, promptTokens, answered, result.outcome, clockNow());
+    dispatcher.end(target.upstreamId, ticket, result.outcome, clockNow());
+    this->gateway.roomChanged.raise();
     if (!result.done && !this->callerGone)
         logDecision(LogWeight::Notable, clockNow(),
                     fmt::format("event=attempt_failed id={} upstream={} outcome={} may_have_run={} "
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -30,6 +30,7 @@
     };
 
     boost::asio::awaitable<void> serveRoute();
+    boost::asio::awaitable<void> waitForRoom();
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
     boost::asio::awaitable<AttemptResult> takeAnswer(std::string upstreamId, HttpStream &stream);
     boost::asio::awaitable<AttemptResult> relayEvents(HttpStream &stream);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -81,7 +81,7 @@
                      ? Proximity::SameRegion
                      : Proximity::OtherRegion;
       }),
-      snapshotArrived(context),
+      snapshotArrived(context), roomChanged(context),
       desk(context, this->settings.instance, this->settings.datagrams, this->settings.loads,
            {store, this->datagrams, this->dispatcher, this->demand,
             [this](const UpstreamEntry &entry) { return this->stewardOf(entry); },
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -83,6 +83,8 @@
     Dispatcher dispatcher;
     DemandMeter demand;
     Signal snapshotArrived;
+    // An attempt ended or its prompt was read.
+    Signal roomChanged;
     std::map<std::string, RetryAllowance> allowances;
     PlannerDesk desk;
     bool upstreamsKnown = false;
--- a/src/gateway/Signal.h
+++ b/src/gateway/Signal.h
@@ -16,14 +16,22 @@
 public:
     explicit Signal(boost::asio::io_context &context) : context(context) {}
 
-    /// Returns once raise() was called or the time is over.
-    boost::asio::awaitable<void> wait(Duration limit);
+    /// Returns once raise() was called or the time is over. Of several waiters the lower rank is
+    /// woken first, and among equals the one that came first.
+    boost::asio::awaitable<void> wait(Duration limit, int rank = 0);
     /// Wakes all that wait now.
     void raise();
 
 private:
+    struct Waiter
+    {
+        int rank;
+        boost::asio::steady_timer *timer;
+    };
+
     boost::asio::io_context &context;
-    std::list<boost::asio::steady_timer *> waiting;
+    // In the order of waking.
+    std::list<Waiter> waiting;
 };
 
 } // namespace tray
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -12,9 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <mutex>
-#include <poll.h>
 #include <spdlog/spdlog.h>
 #include <unordered_set>
 
@@ -28,8 +26,10 @@
 using asio::ip::tcp;
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
-// Pause between looks at a connection on which the peer has sent more than its request.
-constexpr auto PeerCheckPause = std::chrono::milliseconds(200);
+// Bytes of next requests that are read while one is being answered, in all and in one piece. A peer
+// that sends more is not watched any further.
+constexpr size_t MaxEarlyBytes = 65536;
+constexpr size_t EarlyPiece = 4096;
 
 HttpResponse defaultRefusal(const Error &reason)
 {
@@ -266,33 +266,26 @@
                 const auto callback = watched.lock();
                 if (!callback || code)
                     return;
-                if (this->isPeerGone() || this->hasPeerHungUp())
+                if (!this->takeEarlyBytes())
                     (*callback)();
-                else
-                    this->checkPeerLater(watched);
+                else if (this->buffer.size() < MaxEarlyBytes)
+                    this->watchPeer();
             });
     }
 
-    /// Bytes of a next request hide the end of the connection from reads, so that looks are needed.
-    void checkPeerLater(std::weak_ptr<std::function<void()>> watched)
+    /// Keeps bytes of a next request, which would hide the end of the connection. False if the
+    /// connection has ended.
+    bool takeEarlyBytes()
     {
-        auto timer =
-            std::make_shared<asio::steady_timer>(this->stream.get_executor(), PeerCheckPause);
-        timer->async_wait([this, watched, timer](beast::error_code code) {
-            const auto callback = watched.lock();
-            if (!callback || code)
-                return;
-            if (this->hasPeerHungUp())
-                (*callback)();
-            else
-                this->checkPeerLater(watched);
-        });
-    }
-
-    bool hasPeerHungUp()
-    {
-        pollfd state{this->stream.socket().native_handle(), POLLRDHUP, 0};
-        return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        auto &socket = this->stream.socket();
+        if (!socket.is_open())
+            return false;
+        const auto room = this->buffer.prepare(EarlyPiece);
+        const auto size =
+            ::recv(socket.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+        if (size > 0)
+            this->buffer.commit(static_cast<size_t>(size));
+        return size > 0 || (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
     }
 
     /// Waits for the first byte of a request. False if the peer closed or the server drains.
