--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -46,14 +46,27 @@
 // An adapter stays with the first engines of its own order unless they are this much busier.
 constexpr double AdapterHomeMs = 120;
 // Pause before a caller comes back for a model that no engine can serve now.
-constexpr Duration MissingModelRetry = milliseconds(1500);
-constexpr Duration LoadingModelRetry = milliseconds(1000);
+constexpr Duration MissingModelRetry = milliseconds(2500);
+// Time from the end of a load until the gateways know of it.
+constexpr Duration LoadedMargin = milliseconds(300);
 
 uint64_t rank(const std::string &upstreamId, uint64_t key)
 {
     return hash64(upstreamId, key);
 }
 
+/// Both hold the same models and can take the same orders; adapters aside.
+bool isSamePlacement(const proto::EngineSnapshot &one, const proto::EngineSnapshot &other)
+{
+    const bool sameModels = std::equal(
+        one.models().begin(), one.models().end(), other.models().begin(), other.models().end(),
+        [](const auto &left, const auto &right) { return left.name() == right.name(); });
+    return sameModels && one.loading() == other.loading() &&
+           one.unloading() == other.unloading() && one.busy() == other.busy() &&
+           one.silent() == other.silent() && one.can_order() == other.can_order() &&
+           one.leaving() == other.leaving();
+}
+
 } // namespace
 
 void Dispatcher::setUpstreams(const std::map<std::string, UpstreamEntry> &entries)
@@ -70,15 +83,16 @@
     }
 }
 
-void Dispatcher::noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now)
+bool Dispatcher::noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now)
 {
     const auto found = this->upstreams.find(snapshot.upstream_id());
     if (found == this->upstreams.end())
-        return;
+        return false;
     auto &upstream = found->second;
     const uint64_t bornMs = upstream.entry.bornMs;
     if (bornMs != 0 && snapshot.born_ms() != 0 && bornMs != snapshot.born_ms())
-        return;
+        return false;
+    const bool changed = !upstream.snapshot || !isSamePlacement(*upstream.snapshot, snapshot);
     upstream.snapshot = snapshot;
     upstream.snapshotAt = now;
     upstream.begunSince = 0;
@@ -86,6 +100,7 @@
     for (const auto &model : snapshot.models())
         upstream.snapshotModels.push_back(
             {model.name(), {model.adapters().begin(), model.adapters().end()}});
+    return changed;
 }
 
 bool Dispatcher::hasSnapshot(const Upstream &upstream, Instant now) const
@@ -243,9 +258,11 @@
 {
     const Upstream *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
+    size_t candidates = 0;
     for (const auto &[id, upstream] : this->upstreams) {
         if (!this->isEligible(upstream, query, now))
             continue;
+        ++candidates;
         const double cost = this->cost(upstream, query, now);
         if (cost < bestCost) {
             best = &upstream;
@@ -255,7 +272,7 @@
     if (best == nullptr)
         return this->refusal(query, now);
     if (!this->isOpen(*best, query))
-        return DispatchWait{best->entry.id, bestCost};
+        return DispatchWait{best->entry.id, bestCost, candidates};
     DispatchTarget target;
     target.upstreamId = best->entry.id;
     target.address = best->entry.address;
@@ -271,11 +288,24 @@
 {
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used", MissingModelRetry};
+    if (const auto left = this->timeUntilLoaded(query.model, now))
+        return {ErrorKind::NoReplica, "the model is being loaded", *left + LoadedMargin};
+    return {ErrorKind::NoReplica, "no engine can serve the model", MissingModelRetry};
+}
+
+std::optional<Duration> Dispatcher::timeUntilLoaded(const std::string &model, Instant now) const
+{
+    std::optional<Duration> least;
     for (const auto &[id, upstream] : this->upstreams) {
-        if (this->hasSnapshot(upstream, now) && upstream.snapshot->loading() == query.model)
-            return {ErrorKind::NoReplica, "the model is being loaded", LoadingModelRetry};
+        if (!this->hasSnapshot(upstream, now) || upstream.snapshot->loading() != model)
+            continue;
+        const Duration left = std::max<Duration>(
+            Duration::zero(), milliseconds(upstream.snapshot->loading_left_ms()) -
+                                  (now - upstream.snapshotAt));
+        if (!least || left < *least)
+            least = left;
     }
-    return {ErrorKind::NoReplica, "no engine can serve the model", MissingModelRetry};
+    return least;
 }
 
 AttemptTicket Dispatcher::begin(const std::string &upstreamId, const DispatchQuery &query,
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -58,7 +58,10 @@
 struct DispatchWait
 {
     std::string upstreamId;
+    /// Expected wait at that upstream, in ms.
     double cost = 0;
+    /// Upstreams that could take the request.
+    size_t candidates = 0;
 };
 
 using Dispatch = std::variant<DispatchTarget, DispatchWait, DispatchRefusal>;
@@ -81,8 +84,9 @@
 
     /// Takes over the instance list.
     void setUpstreams(const std::map<std::string, UpstreamEntry> &entries);
-    /// Takes over what a steward tells of its engine.
-    void noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now);
+    /// Takes over what a steward tells of its engine. True if it holds, loads or may take something
+    /// else than by the last word.
+    bool noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now);
 
     Dispatch choose(const DispatchQuery &query, Instant now) const;
 
@@ -145,6 +149,7 @@
     static uint64_t unreadTokens(const Upstream &upstream);
     static int overdue(const Upstream &upstream, Instant now);
     DispatchRefusal refusal(const DispatchQuery &query, Instant now) const;
+    std::optional<Duration> timeUntilLoaded(const std::string &model, Instant now) const;
 
     const ProximityOf proximityOf;
     std::map<std::string, Upstream> upstreams;
--- a/src/fleet/FleetConfig.h
+++ b/src/fleet/FleetConfig.h
@@ -76,6 +76,9 @@
     double adapterMb = 0;
     /// Time to load the model from the weight store.
     Duration loadTime = std::chrono::seconds(10);
+    /// The same from a copy in the memory or on the disk of the engine's host.
+    Duration memoryLoadTime = std::chrono::seconds(1);
+    Duration diskLoadTime = std::chrono::seconds(2);
 };
 
 /// What the engines of a service can hold.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -30,6 +30,11 @@
 constexpr Duration FullRetry = milliseconds(500);
 // Longest time between two looks for room; word of it may be lost with an attempt's upstream.
 constexpr Duration RoomRecheck = milliseconds(100);
+// Callers give up a stream without a first event after this time: a constant, or so many times its
+// goal or its longest pause, whichever is longest; a little less than what they announce.
+constexpr Duration ShortestPatience = milliseconds(1800);
+constexpr int PatienceGoals = 3;
+constexpr int PatiencePauses = 7;
 // Work of an output token in a full batch, in prompt tokens.
 constexpr double OutputTokenWork = 1.5;
 // Requests with a longer goal give way to others of their rank.
@@ -103,16 +108,20 @@
         const DispatchQuery query = this->makeQuery();
         const Dispatch choice = this->gateway.dispatcher.choose(query, clockNow());
         if (const auto *refusal = std::get_if<DispatchRefusal>(&choice)) {
-            if (this->sends > 0)
+            // What was tried may have run, or answered; otherwise nothing ran, and this is why.
+            if (this->runs > 0 || last.failure || this->streaming)
                 break;
             this->gateway.demand.noteRefused(this->facts.model, clockNow());
             co_await this->refuse(refusal->kind, refusal->reason, refusal->retryAfter);
             co_return;
         }
-        if (std::holds_alternative<DispatchWait>(choice)) {
-            co_await this->waitForRoom();
+        if (const auto *wait = std::get_if<DispatchWait>(&choice)) {
+            const bool worthwhile = co_await this->waitForRoom(*wait);
+            if (!worthwhile)
+                co_return;
             continue;
         }
+        this->leaveRoom();
         const auto target = std::get<DispatchTarget>(choice);
         if (!this->facts.adapter.empty()) {
             const bool ready = co_await this->ensureAdapter(target);
@@ -138,11 +147,46 @@
     co_await this->refuseFailed(std::move(last));
 }
 
-asio::awaitable<void> Exchange::waitForRoom()
+Duration Exchange::callerPatience(Instant now) const
 {
-    const Duration left = this->deadline - clockNow();
-    const Duration limit = std::min(left, RoomRecheck);
+    const Duration byGoal = std::max<Duration>(
+        {ShortestPatience, PatienceGoals * this->route->goal, PatiencePauses * this->route->gapGoal});
+    return std::min(this->arrived + byGoal, this->deadline) - now;
+}
+
+asio::awaitable<bool> Exchange::waitForRoom(DispatchWait wait)
+{
+    const Instant now = clockNow();
+    auto &room = this->gateway.room;
+    if (!this->placeInRoom) {
+        const double readMs = this->gateway.dispatcher.paces().msPerToken(this->facts.model) *
+                              this->facts.promptTokens;
+        const Duration predicted = room.predict(this->facts.model, this->urgency(),
+                                                wait.cost + readMs, wait.candidates);
+        const Duration patience = this->callerPatience(now);
+        if (predicted > patience) {
+            co_await this->refuse(ErrorKind::Overloaded,
+                                  fmt::format("{} prompts wait; predicted {} ms, patience {} ms",
+                                              room.size(), toMs(predicted), toMs(patience)),
+                                  predicted - patience / 2);
+            co_return false;
+        }
+        this->placeInRoom = room.enter(this->facts.model, this->urgency(), readMs);
+    }
+    const Duration limit = std::min<Duration>(this->deadline - now, RoomRecheck);
     co_await this->gateway.roomChanged.wait(limit, this->urgency());
+    co_return true;
+}
+
+Exchange::~Exchange()
+{
+    this->leaveRoom();
+}
+
+void Exchange::leaveRoom()
+{
+    if (this->placeInRoom)
+        this->gateway.room.leave(*std::exchange(this->placeInRoom, std::nullopt));
 }
 
 DispatchQuery Exchange::makeQuery() const
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -13,6 +13,8 @@
 public:
     Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived);
 
+    ~Exchange();
+
     boost::asio::awaitable<void> run();
 
 private:
@@ -30,7 +32,8 @@
     };
 
     boost::asio::awaitable<void> serveRoute();
-    boost::asio::awaitable<void> waitForRoom();
+    boost::asio::awaitable<bool> waitForRoom(DispatchWait wait);
+    Duration callerPatience(Instant now) const;
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
     boost::asio::awaitable<AttemptResult> takeAnswer(std::string upstreamId, HttpStream &stream);
     boost::asio::awaitable<AttemptResult> relayEvents(HttpStream &stream);
@@ -42,6 +45,7 @@
 
     DispatchQuery makeQuery() const;
     void noteDemand();
+    void leaveRoom();
     void notePace(Duration firstAnswer);
     bool mayTryAgain(const AttemptResult &result, Instant now);
     bool deadlinePassed(Instant now) const { return now >= this->deadline; }
@@ -65,6 +69,8 @@
     int sends = 0;
     std::shared_ptr<HttpCancel> cancel;
     bool callerGone = false;
+    // Set while the request waits for an engine to read other prompts.
+    std::optional<WaitingRoom::Ticket> placeInRoom;
     // The head of the answer went out; only events of the same stream may follow.
     bool streaming = false;
     EventSplitter events;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -275,7 +275,8 @@
 void Gateway::receive(const proto::Datagram &datagram, const Address &)
 {
     if (datagram.has_snapshot()) {
-        this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow());
+        if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow()))
+            this->desk.planSoon();
         this->snapshotArrived.raise();
     } else if (datagram.has_demand()) {
         this->desk.noteDemand(datagram.sender(), datagram.demand(), clockNow());
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/Dispatcher.h"
 #include "dispatch/RetryAllowance.h"
+#include "dispatch/WaitingRoom.h"
 #include "fleet/DatagramPort.h"
 #include "fleet/FleetStore.h"
 #include "gateway/DemandMeter.h"
@@ -85,6 +86,7 @@
     Signal snapshotArrived;
     // An attempt ended or its prompt was read.
     Signal roomChanged;
+    WaitingRoom room;
     std::map<std::string, RetryAllowance> allowances;
     PlannerDesk desk;
     bool upstreamsKnown = false;
--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -23,6 +23,8 @@
 constexpr auto PlannerRecord = "planner";
 // Time between two words to the planner, and between two plans.
 constexpr Duration TickPeriod = milliseconds(500);
+// Pause after an engine's change before the next plan.
+constexpr Duration ChangePause = milliseconds(60);
 // Time between words to all peers while a planner is known.
 constexpr Duration HelloPeriod = std::chrono::seconds(5);
 // A peer that was silent for this long counts no longer; its demand is forgotten sooner.
@@ -41,7 +43,7 @@
 PlannerDesk::PlannerDesk(asio::io_context &context, std::string instance, Address address,
                          LoadBounds bounds, Ports ports)
     : context(context), instance(std::move(instance)), address(std::move(address)), bounds(bounds),
-      ports(std::move(ports)), election(hash64(this->instance), clockNow())
+      ports(std::move(ports)), election(hash64(this->instance), clockNow()), changed(context)
 {}
 
 void PlannerDesk::start()
@@ -85,16 +87,23 @@
 
 asio::awaitable<void> PlannerDesk::tickLoop()
 {
+    Instant tellAt = clockNow();
     while (!this->stopping) {
         const Instant now = clockNow();
-        this->tellPeers(now);
+        if (now >= tellAt) {
+            this->tellPeers(now);
+            tellAt = now + TickPeriod;
+        }
         if (this->election.isPlanner()) {
             this->plan(now);
         } else if (this->election.wantsRole(now) && !this->electing) {
             this->electing = true;
             asio::co_spawn(this->context, this->takeRole(), asio::detached);
         }
-        co_await this->pause(TickPeriod);
+        co_await this->changed.wait(tellAt - clockNow());
+        // Changes come in groups.
+        if (clockNow() < tellAt)
+            co_await this->pause(ChangePause);
     }
 }
 
--- a/src/gateway/PlannerDesk.h
+++ b/src/gateway/PlannerDesk.h
@@ -5,6 +5,7 @@
 #include "fleet/DatagramPort.h"
 #include "fleet/FleetStore.h"
 #include "gateway/DemandMeter.h"
+#include "gateway/Signal.h"
 #include "replicas/PlannerElection.h"
 #include "replicas/ReplicaPlanner.h"
 
@@ -34,6 +35,8 @@
 
     void start();
     void stop() { this->stopping = true; }
+    /// An engine's state has changed: the next plan need not wait for its period.
+    void planSoon() { this->changed.raise(); }
     /// A peer's word.
     void noteDemand(const std::string &sender, const proto::DemandReport &report, Instant now);
     /// Gateways that were heard lately, this one included.
@@ -71,6 +74,7 @@
     // The peer that plans, by its last word.
     std::string plannerName;
     Instant helloAt{};
+    Signal changed;
     bool electing = false;
     bool stopping = false;
 };
--- a/src/replicas/PlannerElection.cpp
+++ b/src/replicas/PlannerElection.cpp
@@ -7,7 +7,7 @@
 
 PlannerElection::PlannerElection(uint64_t candidateHash, Instant now)
     : patience(Silence + milliseconds(candidateHash % static_cast<uint64_t>(toMs(Spread)))),
-      heardAt(now)
+      heardAt(now - (Silence - FirstSilence))
 {}
 
 void PlannerElection::heard(uint64_t term, Instant now)
--- a/src/replicas/PlannerElection.h
+++ b/src/replicas/PlannerElection.h
@@ -17,7 +17,9 @@
     /// Silence after which the role is taken over; several times the period of the planner's word.
     static constexpr Duration Silence = milliseconds(2000);
     /// Candidates differ by up to this in their patience, so that few of them write at once.
-    static constexpr Duration Spread = milliseconds(800);
+    static constexpr Duration Spread = milliseconds(500);
+    /// The same after a start, when no planner may be left: longer than the planner's period.
+    static constexpr Duration FirstSilence = milliseconds(700);
     /// Time between two tries while the store does not answer.
     static constexpr Duration RetryPause = milliseconds(1000);
 
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -22,7 +22,7 @@
 // Penalty for another replica beside a busy one, in the unit of gains, for each engine of work.
 constexpr double CrowdingCost = 0.5;
 // Most moves that one round grants.
-constexpr int MovesPerRound = 6;
+constexpr int MovesPerRound = 24;
 
 /// Part of the requests that engines serve well at a utilization.
 double qualityAt(double utilization)
@@ -94,6 +94,7 @@
     this->grants.clear();
     this->wishes.clear();
     this->storeLoads.clear();
+    this->foreignLoads.clear();
     this->restartedAt = now;
 }
 
@@ -103,6 +104,21 @@
     return found == this->wishes.end() ? std::nullopt : std::optional(found->second);
 }
 
+void ReplicaPlanner::noteForeignLoads(const std::vector<PlannedEngine> &engines, Instant now)
+{
+    for (const auto &engine : engines) {
+        auto &seen = this->foreignLoads[engine.id];
+        const auto grant = this->grants.find(engine.id);
+        const bool foreign = !engine.loading.empty() &&
+                             (grant == this->grants.end() ||
+                              grant->second.move.load != engine.loading);
+        if (foreign && seen != engine.loading && !engine.onDisk.contains(engine.loading) &&
+            !engine.inMemory.contains(engine.loading))
+            this->storeLoads.push_back(now);
+        seen = foreign ? engine.loading : "";
+    }
+}
+
 void ReplicaPlanner::settleGrants(const std::vector<PlannedEngine> &engines, Instant now)
 {
     std::map<std::string, Grant> open;
@@ -136,16 +152,15 @@
 
 bool ReplicaPlanner::mayLoadFromStore(const EngineSpec &spec, Instant now)
 {
-    // What an earlier planner granted may begin within the first window.
-    if (this->restartedAt && now < *this->restartedAt + this->bounds.window)
-        return false;
     const double windowSeconds = std::chrono::duration<double>(this->bounds.window).count();
     const double allowed =
         spec.loadsPerSecond * windowSeconds * this->bounds.excess + this->bounds.constant;
     size_t counted = this->storeLoads.size();
     for (const auto &[id, grant] : this->grants)
         counted += grant.fromStore && !grant.begun ? 1 : 0;
-    return static_cast<double>(counted) + 1 <= std::floor(allowed) - 1;
+    // What an earlier planner granted may still begin, or have begun on an engine that was lost.
+    const bool isNew = this->restartedAt && now < *this->restartedAt + this->bounds.window;
+    return static_cast<double>(counted) + 1 <= std::floor(isNew ? allowed / 2 : allowed - 1);
 }
 
 struct ReplicaPlanner::Outlook
@@ -303,6 +318,7 @@
                                               const std::map<std::string, PlannedDemand> &demand,
                                               Instant now)
 {
+    this->noteForeignLoads(engines, now);
     this->settleGrants(engines, now);
     std::vector<PlannedMove> moves;
     for (int round = 0; round < MovesPerRound; ++round) {
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -101,6 +101,7 @@
     std::optional<PlannedMove> moveFor(const EngineSpec &spec, const PlannedEngine &engine,
                                        const std::string &model, const Outlook &outlook,
                                        double &value) const;
+    void noteForeignLoads(const std::vector<PlannedEngine> &engines, Instant now);
     void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
     bool mayLoadFromStore(const EngineSpec &spec, Instant now);
     std::optional<PlannedMove> bestMove(const EngineSpec &spec,
@@ -114,6 +115,8 @@
     std::map<std::string, std::vector<std::string>> wishes;
     // Begins of the loads from the store that were seen lately.
     std::deque<Instant> storeLoads;
+    // Loads that this planner did not grant, by engine, as last seen.
+    std::map<std::string, std::string> foreignLoads;
     std::optional<Instant> restartedAt;
 };
 
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -169,17 +169,39 @@
     return this->usedMb(report, spec) + moreMb <= spec.weightsMb;
 }
 
-void OrderPlanner::noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report)
+void OrderPlanner::noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report,
+                             Instant now)
 {
     if (!order.adapter.empty())
         return;
     // An order without an answer may be the one that makes the engine busy.
     if (reply == OrderReply::Accepted || reply == OrderReply::Unknown)
-        this->modelOrder = order;
+        this->noteModelOrder(order, now);
     else if (!report.busy)
         this->modelOrder.reset();
 }
 
+void OrderPlanner::noteModelOrder(const EngineOrder &order, Instant now)
+{
+    this->modelOrder = order;
+    this->modelOrderAt = now;
+}
+
+Duration OrderPlanner::loadingLeft(const EngineReport &report, const EngineSpec &spec,
+                                   Instant now) const
+{
+    const std::string model = this->loading(report);
+    const auto *found = spec.findModel(model);
+    if (model.empty() || found == nullptr)
+        return Duration::zero();
+    Duration expected = found->loadTime;
+    if (contains(report.modelsInMemory, model))
+        expected = found->memoryLoadTime;
+    else if (contains(report.modelsOnDisk, model))
+        expected = found->diskLoadTime;
+    return std::max<Duration>(Duration::zero(), this->modelOrderAt + expected - now);
+}
+
 std::string OrderPlanner::loading(const EngineReport &report) const
 {
     const bool underWay =
--- a/src/steward/OrderPlanner.h
+++ b/src/steward/OrderPlanner.h
@@ -36,11 +36,14 @@
     std::optional<EngineOrder> next(const EngineReport &report, const EngineSpec &spec,
                                     Instant now) const;
     /// Tells what became of an order.
-    void noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report);
+    void noteReply(const EngineOrder &order, OrderReply reply, const EngineReport &report,
+                   Instant now);
 
     /// Model that is being loaded or unloaded by the report; empty if none.
     std::string loading(const EngineReport &report) const;
     std::string unloading(const EngineReport &report) const;
+    /// Expected time until the load that is under way ends; zero if there is none.
+    Duration loadingLeft(const EngineReport &report, const EngineSpec &spec, Instant now) const;
 
 private:
     struct AdapterKey
@@ -54,6 +57,7 @@
                                              Instant now) const;
     std::optional<EngineOrder> nextForAdapters(const EngineReport &report, const EngineSpec &spec,
                                                Instant now) const;
+    void noteModelOrder(const EngineOrder &order, Instant now);
     std::optional<AdapterKey> leastWanted(const EngineReport &report, Instant now) const;
     double usedMb(const EngineReport &report, const EngineSpec &spec) const;
     bool fits(const EngineReport &report, const EngineSpec &spec, double moreMb) const;
@@ -65,6 +69,7 @@
     std::map<AdapterKey, Instant> adapterWishes;
     // The model order that the engine accepted last; it is under way while a report says busy.
     std::optional<EngineOrder> modelOrder;
+    Instant modelOrderAt{};
 };
 
 } // namespace tray
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -210,7 +210,7 @@
             break;
         }
         this->takeReport(value(std::move(reading)));
-        this->planner.noteReply(*order, reply, *this->report);
+        this->planner.noteReply(*order, reply, *this->report, clockNow());
         this->announce(clockNow());
     }
     this->working = false;
@@ -243,6 +243,16 @@
     }
 }
 
+uint32_t Steward::loadingLeftMs(Instant now) const
+{
+    const auto *service =
+        this->config ? this->config->findService(this->settings.service) : nullptr;
+    if (service == nullptr || !service->engine)
+        return 0;
+    return static_cast<uint32_t>(
+        toMs(this->planner.loadingLeft(*this->report, *service->engine, now)));
+}
+
 void Steward::announce(Instant now)
 {
     if (!this->report || this->upstreamId.empty())
@@ -273,6 +283,7 @@
         return;
     this->announcedState = state;
     this->announcedAt = now;
+    snapshot.set_loading_left_ms(this->loadingLeftMs(now));
     snapshot.set_running(this->report->running);
     snapshot.set_waiting(this->report->waiting);
     snapshot.set_kv_used_tokens(this->report->kvUsedTokens);
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -52,6 +52,7 @@
     void noteSilence(const std::string &reason);
     void announce(Instant now);
     bool canOrder() const;
+    uint32_t loadingLeftMs(Instant now) const;
 
     boost::asio::io_context &context;
     const StewardSettings settings;
--- /dev/null
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -0,0 +1,214 @@
+// Choice of upstreams from loads, models, distance and health.
+#include "dispatch/Dispatcher.h"
+
+#include <doctest/doctest.h>
+
+using namespace tray;
+
+namespace {
+
+const Instant Start{std::chrono::hours(1)};
+
+UpstreamEntry engineNamed(const std::string &id, const std::string &dataCentre = "near")
+{
+    UpstreamEntry entry;
+    entry.id = id;
+    entry.service = "llm";
+    entry.address = {"10.0.0.1", 80};
+    entry.dataCentre = dataCentre;
+    entry.slots = 64;
+    entry.bornMs = 1;
+    entry.models = {{"m1", {"a1"}}};
+    return entry;
+}
+
+proto::EngineSnapshot snapshotOf(const std::string &id)
+{
+    proto::EngineSnapshot snapshot;
+    snapshot.set_upstream_id(id);
+    snapshot.set_born_ms(1);
+    snapshot.add_models()->set_name("m1");
+    snapshot.mutable_models(0)->add_adapters("a1");
+    snapshot.set_can_order(true);
+    return snapshot;
+}
+
+Proximity proximityOf(const std::string &dataCentre)
+{
+    if (dataCentre == "near")
+        return Proximity::SameDataCentre;
+    return dataCentre == "beside" ? Proximity::SameRegion : Proximity::OtherRegion;
+}
+
+DispatchQuery queryOf(const std::string &adapter = "")
+{
+    DispatchQuery query;
+    query.service = "llm";
+    query.model = "m1";
+    query.adapter = adapter;
+    query.promptTokens = 1500;
+    return query;
+}
+
+std::string chosen(const Dispatcher &dispatcher, const DispatchQuery &query, Instant now)
+{
+    const auto choice = dispatcher.choose(query, now);
+    const auto *target = std::get_if<DispatchTarget>(&choice);
+    return target == nullptr ? "" : target->upstreamId;
+}
+
+} // namespace
+
+TEST_CASE("A model request goes to an engine that holds the model")
+{
+    Dispatcher dispatcher(proximityOf);
+    auto other = engineNamed("other");
+    other.models = {{"m2", {}}};
+    dispatcher.setUpstreams({{"a", engineNamed("a")}, {"other", other}});
+    CHECK(chosen(dispatcher, queryOf(), Start) == "a");
+
+    SUBCASE("a leaving engine gets none, by the list or by its steward's word")
+    {
+        auto leaving = engineNamed("a");
+        leaving.phase = UpstreamPhase::Draining;
+        dispatcher.setUpstreams({{"a", leaving}});
+        CHECK(chosen(dispatcher, queryOf(), Start).empty());
+        dispatcher.setUpstreams({{"a", engineNamed("a")}});
+        auto snapshot = snapshotOf("a");
+        snapshot.set_leaving(true);
+        dispatcher.noteSnapshot(snapshot, Start);
+        CHECK(chosen(dispatcher, queryOf(), Start).empty());
+    }
+    SUBCASE("a refusal tells when to come back")
+    {
+        auto query = queryOf();
+        query.model = "m9";
+        const auto choice = dispatcher.choose(query, Start);
+        const auto *refusal = std::get_if<DispatchRefusal>(&choice);
+        REQUIRE(refusal != nullptr);
+        CHECK(refusal->retryAfter > Duration::zero());
+    }
+    SUBCASE("a snapshot of an earlier life under the same identity is not believed")
+    {
+        auto snapshot = snapshotOf("a");
+        snapshot.set_born_ms(77);
+        snapshot.clear_models();
+        dispatcher.noteSnapshot(snapshot, Start);
+        CHECK(chosen(dispatcher, queryOf(), Start) == "a");
+    }
+    SUBCASE("an engine that answered that it lacks the model is not asked again")
+    {
+        dispatcher.noteMissing("a", "m1", "");
+        CHECK(chosen(dispatcher, queryOf(), Start).empty());
+    }
+    SUBCASE("a failed connection pauses its use, and the pause ends")
+    {
+        const auto ticket = dispatcher.begin("a", queryOf(), Start);
+        dispatcher.end("a", ticket, AttemptOutcome::Unreachable, Start);
+        CHECK(chosen(dispatcher, queryOf(), Start).empty());
+        CHECK(chosen(dispatcher, queryOf(), Start + UpstreamHealth::LongestPause) == "a");
+    }
+}
+
+TEST_CASE("A missing adapter is wished of an engine that can take the order")
+{
+    Dispatcher dispatcher(proximityOf);
+    dispatcher.setUpstreams({{"a", engineNamed("a")}});
+    SUBCASE("no steward is heard: only adapters that are there can be used")
+    {
+        CHECK(chosen(dispatcher, queryOf("a1"), Start) == "a");
+        CHECK(chosen(dispatcher, queryOf("a2"), Start).empty());
+    }
+    SUBCASE("the steward can order")
+    {
+        dispatcher.noteSnapshot(snapshotOf("a"), Start);
+        const auto choice = dispatcher.choose(queryOf("a2"), Start);
+        REQUIRE(std::holds_alternative<DispatchTarget>(choice));
+        CHECK(std::get<DispatchTarget>(choice).needsAdapter);
+    }
+    SUBCASE("an engine that loads a model takes no order for an adapter")
+    {
+        auto snapshot = snapshotOf("a");
+        snapshot.set_busy(true);
+        dispatcher.noteSnapshot(snapshot, Start);
+        CHECK(chosen(dispatcher, queryOf("a1"), Start) == "a");
+        CHECK(chosen(dispatcher, queryOf("a2"), Start).empty());
+    }
+}
+
+TEST_CASE("Requests stay near unless the near engines are much busier")
+{
+    Dispatcher dispatcher(proximityOf);
+    dispatcher.setUpstreams({{"far", engineNamed("far", "away")},
+                             {"mid", engineNamed("mid", "beside")},
+                             {"near", engineNamed("near")}});
+    CHECK(chosen(dispatcher, queryOf(), Start) == "near");
+    auto busy = snapshotOf("near");
+    busy.set_waiting(2);
+    dispatcher.noteSnapshot(busy, Start);
+    CHECK(chosen(dispatcher, queryOf(), Start) == "mid");
+}
+
+TEST_CASE("Prompts are sent to an engine one at a time")
+{
+    Dispatcher dispatcher(proximityOf);
+    dispatcher.setUpstreams({{"a", engineNamed("a")}});
+    auto query = queryOf();
+    query.promptTokens = 2000;
+    const auto first = dispatcher.begin("a", query, Start);
+    CHECK(std::holds_alternative<DispatchWait>(dispatcher.choose(query, Start)));
+    SUBCASE("the next one follows when the first is read")
+    {
+        dispatcher.firstAnswer("a", first);
+        CHECK(chosen(dispatcher, query, Start) == "a");
+    }
+    SUBCASE("quick models take several")
+    {
+        dispatcher.paces().note("m1", 2000, 20);
+        CHECK(chosen(dispatcher, query, Start) == "a");
+    }
+    SUBCASE("the attempt ends without an answer")
+    {
+        dispatcher.end("a", first, AttemptOutcome::Broken, Start);
+        CHECK(chosen(dispatcher, query, Start) == "a");
+    }
+}
+
+TEST_CASE("An engine that hangs is left before its first request has ended")
+{
+    Dispatcher dispatcher(proximityOf);
+    dispatcher.setUpstreams(
+        {{"hung", engineNamed("hung")}, {"well", engineNamed("well", "away")}});
+    dispatcher.paces().note("m1", 2000, 20);
+    CHECK(chosen(dispatcher, queryOf(), Start) == "hung");
+    const auto ticket = dispatcher.begin("hung", queryOf(), Start);
+    const Instant later = Start + std::chrono::seconds(3);
+    CHECK(chosen(dispatcher, queryOf(), later) == "well");
+    SUBCASE("a caller that lost patience with it counts as its failure")
+    {
+        dispatcher.end("hung", ticket, AttemptOutcome::Abandoned, later);
+        CHECK(chosen(dispatcher, queryOf(), later) == "well");
+    }
+}
+
+TEST_CASE("Work at a plain service goes where slots are free")
+{
+    Dispatcher dispatcher(proximityOf);
+    std::map<std::string, UpstreamEntry> entries;
+    for (const auto *id : {"near", "mid"}) {
+        auto entry = engineNamed(id, id == std::string("near") ? "near" : "beside");
+        entry.service = "shop";
+        entry.slots = 2;
+        entry.models.clear();
+        entries.emplace(id, entry);
+    }
+    dispatcher.setUpstreams(entries);
+    DispatchQuery query;
+    query.service = "shop";
+    CHECK(chosen(dispatcher, query, Start) == "near");
+    for (int i = 0; i < 4; ++i)
+        dispatcher.begin("near", query, Start);
+    CHECK(chosen(dispatcher, query, Start) == "mid");
+    query.tried = {"mid"};
+    CHECK(chosen(dispatcher, query, Start) == "near");
+}
--- /dev/null
+++ b/tests/fleet/FleetConfigTest.cpp
@@ -0,0 +1,66 @@
+// Routes by host and path, and shares of split routes.
+#include "fleet/FleetConfig.h"
+
+#include <doctest/doctest.h>
+
+using namespace tray;
+
+namespace {
+
+Route routeOf(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.services = {{"svc", 1}};
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("A request finds its route by host and longest prefix")
+{
+    FleetConfig config;
+    config.routes = {routeOf("short", "a.example", "/x/"), routeOf("long", "a.example", "/x/y/"),
+                     routeOf("other", "b.example", "/")};
+    CHECK(config.findRoute("a.example", "/x/1")->name == "short");
+    CHECK(config.findRoute("a.example", "/x/y/1")->name == "long");
+    CHECK(config.findRoute("b.example", "/x/y/1")->name == "other");
+    CHECK(config.findRoute("a.example", "/x") == nullptr);
+    CHECK(config.findRoute("c.example", "/x/1") == nullptr);
+}
+
+TEST_CASE("A split route spreads its requests by weight")
+{
+    Route route = routeOf("split", "a.example", "/");
+    route.services = {{"main", 90}, {"trial", 10}};
+    int trial = 0;
+    for (uint64_t hash = 0; hash < 1000; ++hash)
+        trial += chooseService(route, hash) == "trial" ? 1 : 0;
+    CHECK(trial == 100);
+    SUBCASE("a service with weight zero gets none")
+    {
+        route.services = {{"off", 0}, {"on", 5}};
+        for (uint64_t hash = 0; hash < 20; ++hash)
+            CHECK(chooseService(route, hash) == "on");
+    }
+    SUBCASE("weights that are all zero fall back to the first service")
+    {
+        route.services = {{"only", 0}};
+        CHECK(chooseService(route, 7) == "only");
+    }
+}
+
+TEST_CASE("Only idempotent routes and streams that may be resumed are repeated")
+{
+    Route route = routeOf("r", "a.example", "/");
+    route.kind = RouteKind::Safe;
+    CHECK(route.isRepeatable());
+    route.kind = RouteKind::Unsafe;
+    CHECK_FALSE(route.isRepeatable());
+    route.kind = RouteKind::Streaming;
+    CHECK_FALSE(route.isRepeatable());
+    route.resumable = true;
+    CHECK(route.isRepeatable());
+}
--- /dev/null
+++ b/tests/platform/GatewayPathTest.cpp
@@ -0,0 +1,436 @@
+// The whole path of a request over real sockets: store, gateway and upstreams that misbehave.
+#include "HeaderCodec.h"
+#include "StoreClient.h"
+#include "StoreStandIn.h"
+#include "UpstreamStandIn.h"
+#include "gateway/Gateway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+using namespace tray;
+using namespace tray::platform;
+using namespace tray::test;
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string Config = R"({"version":1,"routes":[
+ {"name":"look","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":1500,
+  "max_attempts":2,"service":"shop"},
+ {"name":"take","host":"a.example","path_prefix":"/take/","kind":"unsafe","timeout_ms":1500,
+  "max_attempts":1,"service":"shop"},
+ {"name":"tell","host":"a.example","path_prefix":"/tell/","kind":"streaming","timeout_ms":1500,
+  "max_attempts":1,"service":"shop"},
+ {"name":"retell","host":"a.example","path_prefix":"/retell/","kind":"streaming",
+  "timeout_ms":1500,"max_attempts":2,"resumable":true,"service":"shop"}],
+ "services":[{"name":"shop","max_conns":50}],
+ "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
+  "idle_timeout_ms":5000}})";
+
+/// A gateway before two upstreams in one process.
+class Path
+{
+public:
+    explicit Path(UpstreamStandIn::Behaviour first, UpstreamStandIn::Behaviour second = {})
+        : store(this->context), http(this->context), caller(this->context),
+          client(this->http, this->store.listen()), first(this->context, std::move(first)),
+          second(this->context, second ? std::move(second)
+                                       : [](const HttpRequest &request) -> UpstreamReply {
+                                             return {UpstreamStandIn::answerTo(request, 200,
+                                                                               "second")};
+                                         })
+    {
+        this->store.put("config", "main", Config);
+        // The first one is nearer and so gets the first attempt.
+        this->addUpstream("i-1", "here", this->first.listen());
+        this->addUpstream("i-2", "there", this->second.listen());
+        GatewaySettings settings;
+        settings.instance = "front-1";
+        settings.dataCentre = "here";
+        settings.region = "r";
+        settings.regions = {{"here", "r"}, {"there", "r"}};
+        settings.callers = freeAddress();
+        settings.readiness = freeAddress();
+        settings.datagrams = {"127.0.0.1", 0};
+        this->address = settings.callers;
+        this->readiness = settings.readiness;
+        this->gateway.emplace(this->context, settings, this->client, this->codec, this->metrics);
+        REQUIRE(isOk(this->gateway->start()));
+    }
+
+    void addUpstream(const std::string &id, const std::string &zone, const Address &address)
+    {
+        this->store.put("servers", id,
+                        fmt::format(R"({{"service":"shop","address":"{}","zone":"{}","slots":4,)"
+                                    R"("state":"ready","sequence":1,"models":[]}})",
+                                    toString(address), zone));
+    }
+
+    /// Sends a request once the gateway is ready, and returns the whole answer.
+    Result<HttpResponse> send(const std::string &target, HttpHeaders headers = {},
+                              std::string body = "", Duration timeout = std::chrono::seconds(5))
+    {
+        HttpRequest request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.target = target;
+        request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+        request.body = std::move(body);
+        std::optional<Result<HttpResponse>> answer;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                co_await this->awaitReady();
+                auto result = co_await this->caller.request(this->address, request, timeout);
+                answer = std::move(result);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run_for(std::chrono::seconds(20));
+        REQUIRE(answer.has_value());
+        return std::move(*answer);
+    }
+
+    void runFor(Duration duration)
+    {
+        this->context.restart();
+        this->context.run_for(duration);
+    }
+
+    int statusOf(const std::string &target, const std::string &body = "")
+    {
+        const auto answer = this->send(target, {}, body);
+        return isOk(answer) ? value(answer).status : 0;
+    }
+
+    asio::io_context context;
+    StoreStandIn store;
+    HttpClient http;
+    HttpClient caller;
+    StoreClient client;
+    HeaderCodec codec;
+    Metrics metrics;
+    UpstreamStandIn first;
+    UpstreamStandIn second;
+    Address address;
+    Address readiness;
+    std::optional<Gateway> gateway;
+
+private:
+    static Address freeAddress()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(
+            context, {asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+
+    asio::awaitable<void> awaitReady()
+    {
+        for (int i = 0; i < 400; ++i) {
+            HttpRequest question;
+            question.target = "/v1/readiness";
+            const auto answer = co_await this->caller.request(this->readiness, question,
+                                                              std::chrono::seconds(1));
+            if (isOk(answer) && value(answer).status == 200)
+                co_return;
+            asio::steady_timer timer(this->context, milliseconds(10));
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+};
+
+UpstreamReply wholeAnswer(const HttpRequest &request)
+{
+    return {UpstreamStandIn::answerTo(request, 200, "first")};
+}
+
+std::string eventOf(int id)
+{
+    return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+}
+
+/// The first two events and half of the third one, then the connection ends.
+UpstreamReply brokenStream(const HttpRequest &request)
+{
+    UpstreamReply reply;
+    reply.bytes = UpstreamStandIn::streamHeadFor(request) +
+                  UpstreamStandIn::chunkOf(eventOf(1) + eventOf(2)) +
+                  UpstreamStandIn::chunkOf("id: 3\nda");
+    reply.reset = true;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("A request is passed on and its answer comes back unchanged")
+{
+    Path path(wholeAnswer);
+    const auto answer = path.send("/look/1?x=2", {{"Marjoramtray-Deadline-Ms", "900"}});
+    REQUIRE(isOk(answer));
+    CHECK(value(answer).status == 200);
+    CHECK(value(answer).body == "first");
+    CHECK(findHeader(value(answer).headers, "Marjoramtray-Response-Seal") == "s1");
+    REQUIRE(path.first.received.size() == 1);
+    const auto &received = path.first.received.front();
+    CHECK(received.target == "/look/1?x=2");
+    CHECK(findHeader(received.headers, "Marjoramtray-Expect-Instance") == "i-1");
+    const int left = std::stoi(std::string(findHeader(received.headers, "Marjoramtray-Deadline-Ms")));
+    CHECK(left <= 900);
+    CHECK(left > 500);
+
+    SUBCASE("a path without a route is not found")
+    {
+        CHECK(path.statusOf("/none/1") == 404);
+    }
+    SUBCASE("a new version of the configuration is in force soon")
+    {
+        auto next = Config;
+        next.replace(next.find("\"version\":1"), 11, "\"version\":2");
+        next.replace(next.find("/look/"), 6, "/gone/");
+        path.store.put("config", "main", next);
+        path.runFor(milliseconds(600));
+        CHECK(path.statusOf("/look/1") == 404);
+        CHECK(path.statusOf("/gone/1") == 200);
+    }
+    SUBCASE("an upstream that leaves gets no more requests")
+    {
+        path.store.remove("servers", "i-1");
+        path.runFor(milliseconds(900));
+        const auto after = path.send("/look/1");
+        REQUIRE(isOk(after));
+        CHECK(value(after).body == "second");
+    }
+}
+
+TEST_CASE("A request that must not be repeated reaches one upstream")
+{
+    SUBCASE("its connection is reset: the outcome is unknown")
+    {
+        UpstreamReply cut;
+        cut.reset = true;
+        Path path([&](const HttpRequest &) { return cut; });
+        CHECK(path.statusOf("/take/1", "x") == 502);
+        CHECK(path.first.received.size() == 1);
+        CHECK(path.second.received.empty());
+    }
+    SUBCASE("it gets no answer in time")
+    {
+        UpstreamReply hang;
+        hang.hang = true;
+        Path path([&](const HttpRequest &) { return hang; });
+        CHECK(path.statusOf("/take/1", "x") == 504);
+        CHECK(path.second.received.empty());
+    }
+    SUBCASE("refused without running it, it may go elsewhere")
+    {
+        Path path([](const HttpRequest &) -> UpstreamReply {
+            return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        });
+        const auto answer = path.send("/take/1", {}, "x");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).body == "second");
+    }
+    SUBCASE("refused everywhere, the caller is told that it did not run and when to return")
+    {
+        const auto full = [](const HttpRequest &) -> UpstreamReply {
+            return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+        };
+        Path path(full, full);
+        const auto answer = path.send("/take/1", {}, "x");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 429);
+        CHECK_FALSE(findHeader(value(answer).headers, "Retry-After").empty());
+    }
+    SUBCASE("a failure that the upstream answered is passed on")
+    {
+        Path path([](const HttpRequest &request) -> UpstreamReply {
+            return {UpstreamStandIn::answerTo(request, 500, "failed")};
+        });
+        const auto answer = path.send("/take/1", {}, "x");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 500);
+        CHECK(value(answer).body == "failed");
+        CHECK(path.second.received.empty());
+    }
+}
+
+TEST_CASE("Only whole and genuine answers of the request itself are passed on")
+{
+    SUBCASE("an answer that ends early is tried again elsewhere if that is allowed")
+    {
+        UpstreamReply cut;
+        cut.close = true;
+        Path path([&](const HttpRequest &request) {
+            cut.bytes = UpstreamStandIn::answerTo(request, 200, "whole answer");
+            cut.bytes.resize(cut.bytes.size() - 4);
+            return cut;
+        });
+        const auto answer = path.send("/look/1");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).body == "second");
+    }
+    SUBCASE("a success without the upstream's signature is none")
+    {
+        Path path([](const HttpRequest &) -> UpstreamReply {
+            return {"HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\nContent-Length: 2\r\n\r\nno"};
+        });
+        CHECK(path.statusOf("/take/1", "x") == 502);
+    }
+    SUBCASE("bytes that are no answer")
+    {
+        Path path([](const HttpRequest &) -> UpstreamReply { return {"garbage\r\n\r\n"}; });
+        CHECK(path.statusOf("/take/1", "x") == 502);
+    }
+    SUBCASE("a second answer on the connection belongs to no request")
+    {
+        Path path([](const HttpRequest &request) -> UpstreamReply {
+            return {UpstreamStandIn::answerTo(request, 200, "first") +
+                    UpstreamStandIn::answerTo(request, 200, "extra")};
+        });
+        for (int i = 0; i < 3; ++i) {
+            const auto answer = path.send("/take/1", {}, "x");
+            REQUIRE(isOk(answer));
+            CHECK(value(answer).body == "first");
+        }
+    }
+    SUBCASE("an answer without a length is whole when the connection ends in order")
+    {
+        Path path([](const HttpRequest &) -> UpstreamReply {
+            UpstreamReply reply;
+            reply.bytes = "HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                          "Marjoramtray-Response-Seal: s1\r\nConnection: close\r\n\r\nunframed";
+            reply.close = true;
+            return reply;
+        });
+        const auto answer = path.send("/take/1", {}, "x");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).body == "unframed");
+    }
+    SUBCASE("and is not when it was reset")
+    {
+        Path path([](const HttpRequest &) -> UpstreamReply {
+            UpstreamReply reply;
+            reply.bytes = "HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                          "Marjoramtray-Response-Seal: s1\r\nConnection: close\r\n\r\nunframed";
+            reply.reset = true;
+            return reply;
+        });
+        CHECK(path.statusOf("/take/1", "x") == 502);
+    }
+}
+
+TEST_CASE("A stream that breaks")
+{
+    SUBCASE("goes on at another upstream after the last whole event, if it may")
+    {
+        Path path(brokenStream, [](const HttpRequest &request) -> UpstreamReply {
+            CHECK(findHeader(request.headers, "Last-Event-Id") == "2");
+            return {UpstreamStandIn::streamHeadFor(request) +
+                    UpstreamStandIn::chunkOf(eventOf(3) + eventOf(4)) + "0\r\n\r\n"};
+        });
+        const auto answer = path.send("/retell/1", {}, "x");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).body == eventOf(1) + eventOf(2) + eventOf(3) + eventOf(4));
+    }
+    SUBCASE("is cut for the caller, never ended as if it were whole")
+    {
+        Path path(brokenStream);
+        CHECK_FALSE(isOk(path.send("/tell/1", {}, "x")));
+        CHECK(path.second.received.empty());
+    }
+}
+
+TEST_CASE("An upstream hears within half a second that a caller has left")
+{
+    UpstreamReply hang;
+    hang.hang = true;
+    SUBCASE("before the first byte of the answer") {}
+    SUBCASE("in the middle of a stream")
+    {
+        hang.bytes = "HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: r1\r\n"
+                     "Marjoramtray-Response-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                     UpstreamStandIn::chunkOf(eventOf(1));
+    }
+    Path path([&](const HttpRequest &) { return hang; });
+    CHECK_FALSE(isOk(path.send("/tell/1", {}, "x", milliseconds(200))));
+    path.runFor(milliseconds(450));
+    CHECK(path.first.abandoned == 1);
+    CHECK(path.second.received.empty());
+}
+
+TEST_CASE("A stop drains: requests in flight end, and readiness falls first")
+{
+    UpstreamReply slow;
+    slow.delay = milliseconds(600);
+    Path path([&](const HttpRequest &request) {
+        slow.bytes = UpstreamStandIn::answerTo(request, 200, "slow");
+        return slow;
+    });
+    CHECK(path.statusOf("/look/1") == 200);
+    std::optional<int> status;
+    std::optional<int> readiness;
+    bool stopped = false;
+    asio::co_spawn(
+        path.context,
+        [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            request.target = "/look/1";
+            request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+            const auto answer =
+                co_await path.caller.request(path.address, request, std::chrono::seconds(5));
+            status = isOk(answer) ? value(answer).status : 0;
+        },
+        asio::detached);
+    asio::co_spawn(
+        path.context,
+        [&]() -> asio::awaitable<void> {
+            co_await path.gateway->stop();
+            stopped = true;
+            path.context.stop();
+        },
+        asio::detached);
+    asio::co_spawn(
+        path.context,
+        [&]() -> asio::awaitable<void> {
+            HttpRequest question;
+            const auto answer = co_await path.caller.request(path.readiness, question,
+                                                             std::chrono::seconds(1));
+            readiness = isOk(answer) ? value(answer).status : 0;
+        },
+        asio::detached);
+    path.context.restart();
+    path.context.run_for(std::chrono::seconds(10));
+    CHECK(status == 200);
+    CHECK(readiness == 503);
+    CHECK(stopped);
+}
+
+TEST_CASE("A gateway that knows no configuration yet says that nothing ran")
+{
+    Path path(wholeAnswer);
+    path.store.refusing = true;
+    // The requests of this case are sent before the first answer of the store.
+    std::optional<int> status;
+    asio::co_spawn(
+        path.context,
+        [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            request.target = "/look/1";
+            request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+            const auto answer =
+                co_await path.caller.request(path.address, request, std::chrono::seconds(5));
+            status = isOk(answer) ? value(answer).status : 0;
+            path.context.stop();
+        },
+        asio::detached);
+    path.context.run_for(std::chrono::seconds(10));
+    CHECK(status == 503);
+    CHECK(path.first.received.empty());
+}
--- /dev/null
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -0,0 +1,172 @@
+// Headers of callers and upstreams, the odd ones included.
+#include "HeaderCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace tray;
+using namespace tray::platform;
+
+namespace {
+
+HttpRequest modelRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?q=1";
+    request.body = "body";
+    request.headers = {{"Host", "x.example:80"},
+                       {"Marjoramtray-Request-Id", "r1"},
+                       {"Marjoramtray-Model", "m1/a3"},
+                       {"Marjoramtray-Token-Usage", "1460,80"},
+                       {"Marjoramtray-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                       {"Marjoramtray-Deadline-Ms", "15000"},
+                       {"X-Own", "kept"}};
+    return request;
+}
+
+Forwarding forwardingTo(const std::string &id)
+{
+    Forwarding forwarding;
+    forwarding.timeLeft = milliseconds(900);
+    forwarding.upstreamId = id;
+    forwarding.urgency = 3;
+    return forwarding;
+}
+
+size_t countOf(const HttpHeaders &headers, std::string_view name)
+{
+    size_t count = 0;
+    for (const auto &[header, text] : headers)
+        count += equalsIgnoringCase(header, name) ? 1 : 0;
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("The facts of a request are read from its headers")
+{
+    const HeaderCodec codec;
+    const auto facts = codec.decode(modelRequest());
+    REQUIRE(isOk(facts));
+    CHECK(value(facts).id == "r1");
+    CHECK(value(facts).host == "x.example");
+    CHECK(value(facts).model == "m1");
+    CHECK(value(facts).adapter == "a3");
+    CHECK(value(facts).promptTokens == 1460);
+    CHECK(value(facts).maxOutputTokens == 80);
+    CHECK(value(facts).patience == Duration(std::chrono::seconds(15)));
+    REQUIRE(value(facts).parts.size() == 3);
+    CHECK(value(facts).parts[1].id == 0x91bd3f06);
+    CHECK(value(facts).parts[1].tokens == 410);
+
+    SUBCASE("a doubled header is refused")
+    {
+        for (const auto *name : {"Marjoramtray-Request-Id", "marjoramtray-deadline-ms", "Host"}) {
+            auto request = modelRequest();
+            request.headers.emplace_back(name, "1");
+            CHECK_FALSE(isOk(codec.decode(request)));
+        }
+    }
+    SUBCASE("malformed numbers are refused")
+    {
+        for (const auto &[name, text] : HttpHeaders{{"Marjoramtray-Deadline-Ms", "soon"},
+                                                    {"Marjoramtray-Deadline-Ms", "-5"},
+                                                    {"Marjoramtray-Token-Usage", "1460"},
+                                                    {"Marjoramtray-Token-Usage", "1,2,3"},
+                                                    {"Marjoramtray-Prompt-Prefix", "xyz"},
+                                                    {"Marjoramtray-Prompt-Prefix", "5:"}}) {
+            auto request = modelRequest();
+            for (auto &header : request.headers) {
+                if (header.first == name)
+                    header.second = text;
+            }
+            CHECK_FALSE(isOk(codec.decode(request)));
+        }
+    }
+    SUBCASE("a hint that cannot be read is left out")
+    {
+        auto request = modelRequest();
+        request.headers.emplace_back("Marjoramtray-Length-Hint", "many");
+        CHECK(value(codec.decode(request)).expectedOutputTokens == 80);
+    }
+}
+
+TEST_CASE("An upstream gets the caller's request and the system's own headers")
+{
+    const HeaderCodec codec;
+    auto request = modelRequest();
+    request.headers.insert(request.headers.end(), {{"Marjoramtray-Hold", "stolen"},
+                                                   {"Marjoramtray-Pin-Ms", "4000"},
+                                                   {"Marjoramtray-Kv-Backup", "10.0.0.1:1"},
+                                                   {"Kv-From", "10.0.0.1:1/h"},
+                                                   {"Kv-Fetch", "10.0.0.1:1"},
+                                                   {"Marjoramtray-Request-Priority", "0"},
+                                                   {"Marjoramtray-Expect-Instance", "i-other"},
+                                                   {"Connection", "keep-alive, X-Hop"},
+                                                   {"X-Hop", "1"},
+                                                   {"Transfer-Encoding", "chunked"},
+                                                   {"Content-Length", "4"},
+                                                   {"Last-Event-Id", "4"}});
+    const auto sent = codec.forward(request, forwardingTo("i-1"));
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/a/b?q=1");
+    CHECK(sent.body == "body");
+    CHECK(findHeader(sent.headers, "Marjoramtray-Deadline-Ms") == "900");
+    CHECK(countOf(sent.headers, "Marjoramtray-Deadline-Ms") == 1);
+    CHECK(findHeader(sent.headers, "Marjoramtray-Expect-Instance") == "i-1");
+    CHECK(countOf(sent.headers, "Marjoramtray-Expect-Instance") == 1);
+    CHECK(findHeader(sent.headers, "Marjoramtray-Request-Priority") == "3");
+    CHECK(findHeader(sent.headers, "Marjoramtray-Request-Id") == "r1");
+    CHECK(findHeader(sent.headers, "Host") == "x.example:80");
+    CHECK(findHeader(sent.headers, "X-Own") == "kept");
+    CHECK(findHeader(sent.headers, "Last-Event-Id") == "4");
+    for (const auto *name : {"Marjoramtray-Hold", "Marjoramtray-Pin-Ms", "Marjoramtray-Kv-Backup",
+                             "Kv-From", "Kv-Fetch", "X-Hop", "Transfer-Encoding",
+                             "Content-Length", "Connection"})
+        CHECK(countOf(sent.headers, name) == 0);
+
+    SUBCASE("a stream that goes on elsewhere names its last event once")
+    {
+        auto forwarding = forwardingTo("i-2");
+        forwarding.resumeAfter = "9";
+        const auto resumed = codec.forward(request, forwarding);
+        CHECK(findHeader(resumed.headers, "Last-Event-Id") == "9");
+        CHECK(countOf(resumed.headers, "Last-Event-Id") == 1);
+    }
+}
+
+TEST_CASE("Answers are told apart by what upstreams say of them")
+{
+    const HeaderCodec codec;
+    const auto served = codec.inspect(200, {{"Marjoramtray-Request-Id", "r1"},
+                                            {"Marjoramtray-Response-Seal", "s"},
+                                            {"Marjoramtray-Server-Load", "3,1,8"}});
+    CHECK(served.sealed);
+    CHECK_FALSE(served.notRun);
+    CHECK(served.requestId == "r1");
+    REQUIRE(served.load.has_value());
+    CHECK(served.load->waiting == 1);
+    CHECK(codec.inspect(503, {{"Marjoramtray-Not-Executed", "1"}}).notRun);
+    CHECK_FALSE(codec.inspect(503, {}).notRun);
+    CHECK(codec.inspect(421, {}).notRun);
+    CHECK(codec.inspect(421, {}).misdirected);
+    CHECK(codec.inspect(200, {{"Content-Encoding", "gzip"}}).encoded);
+    CHECK_FALSE(codec.inspect(200, {{"Marjoramtray-Server-Load", "3,x"}}).load.has_value());
+
+    SUBCASE("headers of one connection stay behind")
+    {
+        const auto passed = codec.answerHeaders({{"Connection", "close"},
+                                                 {"Keep-Alive", "timeout=5"},
+                                                 {"Content-Length", "5"},
+                                                 {"Marjoramtray-Response-Seal", "s"}});
+        REQUIRE(passed.size() == 1);
+        CHECK(passed.front().second == "s");
+    }
+    SUBCASE("our own refusals bear no seal and may have fractions of seconds")
+    {
+        const auto refusal = codec.refuse("r1", 503, "overloaded_error", "full", milliseconds(250));
+        CHECK(findHeader(refusal.headers, "Marjoramtray-Response-Seal").empty());
+        CHECK(findHeader(refusal.headers, "Retry-After") == "0.25");
+        CHECK(findHeader(refusal.headers, "Marjoramtray-Request-Id") == "r1");
+    }
+}
--- /dev/null
+++ b/tests/platform/StoreClientTest.cpp
@@ -0,0 +1,129 @@
+// Calls to the store against its stand-in.
+#include "StoreClient.h"
+#include "StoreStandIn.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <doctest/doctest.h>
+
+using namespace tray;
+using namespace tray::platform;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Runs one call to its end while the stand-in serves.
+template <typename T>
+Result<T> runCall(asio::io_context &context, FleetStore::Awaitable<T> call)
+{
+    std::optional<Result<T>> result;
+    asio::co_spawn(
+        context,
+        [&, call = std::move(call)]() mutable -> asio::awaitable<void> {
+            result = co_await std::move(call);
+            context.stop();
+        },
+        [](const std::exception_ptr &failure) {
+            if (failure)
+                std::rethrow_exception(failure);
+        });
+    context.restart();
+    context.run_for(std::chrono::seconds(10));
+    REQUIRE(result.has_value());
+    return std::move(*result);
+}
+
+std::string entryText(const std::string &state = "ready")
+{
+    return R"({"service":"s1","address":"10.0.0.9:8080","zone":"z1","version":"v1","slots":64,)"
+           R"("state":")" +
+           state + R"(","cold_left_ms":0,"models":[],"sequence":4})";
+}
+
+} // namespace
+
+TEST_CASE("The store client reads, follows and writes objects")
+{
+    asio::io_context context;
+    test::StoreStandIn store(context);
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+
+    SUBCASE("before the operators have written a configuration there is none")
+    {
+        const auto reading = runCall(context, client.readConfig());
+        REQUIRE_FALSE(isOk(reading));
+        CHECK(error(reading).kind == ErrorKind::NotFound);
+    }
+    SUBCASE("a list of several pages is read whole, and unreadable entries are left out")
+    {
+        store.pageSize = 2;
+        for (const auto *id : {"i-1", "i-2", "i-3", "i-4", "i-5"})
+            store.put("servers", id, entryText());
+        store.put("servers", "i-6", R"({"service":7})");
+        store.put("servers", "i-7", R"("bytes")");
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE(isOk(reading));
+        CHECK(value(reading).entries.size() == 5);
+    }
+    SUBCASE("changes after a list are seen once, removals included")
+    {
+        store.put("servers", "i-1", entryText());
+        store.put("servers", "i-2", entryText());
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE(isOk(reading));
+        store.put("servers", "i-1", entryText("draining"));
+        store.remove("servers", "i-2");
+        const auto changes = runCall(
+            context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
+        REQUIRE(isOk(changes));
+        REQUIRE(value(changes).changes.size() == 2);
+        CHECK(value(changes).changes[0].entry.phase == UpstreamPhase::Draining);
+        CHECK(value(changes).changes[1].removed);
+        CHECK(value(changes).changes[1].entry.id == "i-2");
+        const auto quiet = runCall(
+            context, client.awaitUpstreams(value(changes).revision, milliseconds(20)));
+        REQUIRE(isOk(quiet));
+        CHECK(value(quiet).changes.empty());
+    }
+    SUBCASE("an entry that became unreadable ends the use of its upstream")
+    {
+        store.put("servers", "i-1", entryText());
+        const auto reading = runCall(context, client.readUpstreams());
+        store.put("servers", "i-1", R"({"service":"s1"})");
+        const auto changes = runCall(
+            context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
+        REQUIRE(isOk(changes));
+        REQUIRE(value(changes).changes.size() == 1);
+        CHECK(value(changes).changes[0].removed);
+    }
+    SUBCASE("lost history is told apart from an outage")
+    {
+        store.put("servers", "i-1", entryText());
+        store.forgetHistory();
+        const auto stale = runCall(context, client.awaitUpstreams(5, milliseconds(100)));
+        REQUIRE_FALSE(isOk(stale));
+        CHECK(error(stale).kind == ErrorKind::Stale);
+        store.refusing = true;
+        const auto outage = runCall(context, client.readUpstreams());
+        REQUIRE_FALSE(isOk(outage));
+        CHECK(error(outage).kind == ErrorKind::PlatformUnavailable);
+    }
+    SUBCASE("of two writers over the same revision one wins")
+    {
+        const auto first = runCall(context, client.writeRecord("leases", {"planner", "one", 0}));
+        REQUIRE(isOk(first));
+        const auto second = runCall(context, client.writeRecord("leases", {"planner", "two", 0}));
+        REQUIRE_FALSE(isOk(second));
+        CHECK(error(second).kind == ErrorKind::VersionConflict);
+        const auto third = runCall(
+            context, client.writeRecord("leases", {"planner", "three", value(first)}));
+        REQUIRE(isOk(third));
+        CHECK(value(third) > value(first));
+        const auto stale = runCall(
+            context, client.writeRecord("leases", {"planner", "four", value(first)}));
+        CHECK(error(stale).kind == ErrorKind::VersionConflict);
+        const auto present = runCall(context, client.readRecord("leases", "planner"));
+        REQUIRE(isOk(present));
+        CHECK(value(present).text == "three");
+    }
+}
--- /dev/null
+++ b/tests/platform/StoreStandIn.cpp
@@ -0,0 +1,159 @@
+// The store's calls as far as the system uses them.
+#include "StoreStandIn.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace tray::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+HttpResponse answer(int status, const json::value &body)
+{
+    return makeResponse(status, "application/json", json::serialize(body));
+}
+
+uint64_t revisionOf(const json::value &object)
+{
+    return object.at("metadata").at("revision").to_number<uint64_t>();
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(asio::io_context &context)
+    : context(context), server(context, [this](HttpRequest request, HttpResponder &responder) {
+          return this->serve(std::move(request), responder);
+      })
+{}
+
+Address StoreStandIn::listen()
+{
+    return value(this->server.listen({"127.0.0.1", 0}));
+}
+
+void StoreStandIn::put(const std::string &kind, const std::string &name,
+                       const std::string &specJson)
+{
+    this->store(kind, name, json::parse(specJson));
+}
+
+void StoreStandIn::store(const std::string &kind, const std::string &name, json::value spec)
+{
+    json::object metadata;
+    metadata["name"] = name;
+    metadata["revision"] = ++this->revision;
+    json::object object;
+    object["metadata"] = metadata;
+    object["spec"] = std::move(spec);
+    object["status"] = nullptr;
+    this->kinds[kind][name] = object;
+    this->changes.push_back({this->revision, kind, false, object});
+}
+
+void StoreStandIn::remove(const std::string &kind, const std::string &name)
+{
+    const json::value object = this->kinds[kind].at(name);
+    this->kinds[kind].erase(name);
+    this->changes.push_back({++this->revision, kind, true, object});
+}
+
+HttpResponse StoreStandIn::list(const std::string &kind, const std::string &target) const
+{
+    json::array items;
+    const auto found = this->kinds.find(kind);
+    bool more = false;
+    if (found != this->kinds.end()) {
+        auto it = found->second.upper_bound(queryParameter(target, "after"));
+        for (; it != found->second.end(); ++it) {
+            if (items.size() == this->pageSize) {
+                more = true;
+                break;
+            }
+            items.push_back(it->second);
+        }
+    }
+    return answer(200, {{"items", items}, {"more", more}, {"current_rev", this->revision}});
+}
+
+HttpResponse StoreStandIn::write(const std::string &kind, const std::string &name,
+                                 const HttpRequest &request)
+{
+    const json::value body = json::parse(request.body);
+    const std::string target =
+        name.empty() ? std::string(body.at("metadata").at("name").as_string()) : name;
+    auto &objects = this->kinds[kind];
+    const auto found = objects.find(target);
+    if (request.method == "POST" && found != objects.end())
+        return answer(409, found->second);
+    if (request.method == "PUT") {
+        if (found == objects.end())
+            return answer(404, {{"error", "no such object"}});
+        const auto *wanted = body.at("metadata").as_object().if_contains("revision");
+        if (wanted != nullptr && wanted->to_number<uint64_t>() != revisionOf(found->second))
+            return answer(409, found->second);
+    }
+    this->store(kind, target, body.at("spec"));
+    return answer(200, objects.at(target));
+}
+
+asio::awaitable<void> StoreStandIn::watch(const std::string &kind, HttpRequest request,
+                                          HttpResponder &responder)
+{
+    const uint64_t since = std::stoull(queryParameter(request.target, "watch"));
+    const auto end = std::chrono::steady_clock::now() +
+                     milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
+    while (true) {
+        if (since < this->historyBegins) {
+            HttpResponse gone = answer(410, {{"error", "that history is gone"}});
+            co_await responder.respond(std::move(gone));
+            co_return;
+        }
+        json::array events;
+        for (const auto &change : this->changes) {
+            if (change.revision > since && change.kind == kind)
+                events.push_back({{"removed", change.removed}, {"object", change.object}});
+        }
+        if (!events.empty() || std::chrono::steady_clock::now() >= end) {
+            HttpResponse changed =
+                answer(200, {{"events", events}, {"current_rev", this->revision}});
+            co_await responder.respond(std::move(changed));
+            co_return;
+        }
+        asio::steady_timer timer(this->context, milliseconds(5));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> StoreStandIn::serve(HttpRequest request, HttpResponder &responder)
+{
+    ++this->calls;
+    const std::string path(pathOf(request.target));
+    const std::string rest = path.substr(std::string("/v1/objects/").size());
+    const auto slash = rest.find('/');
+    const std::string kind = rest.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    HttpResponse response;
+    if (this->refusing) {
+        response = makeResponse(503, "text/plain", "");
+    } else if (request.method != "GET") {
+        response = this->write(kind, name, request);
+    } else if (!queryParameter(request.target, "watch").empty()) {
+        co_await this->watch(kind, std::move(request), responder);
+        co_return;
+    } else if (name.empty()) {
+        response = this->list(kind, request.target);
+    } else {
+        const auto &objects = this->kinds[kind];
+        const auto found = objects.find(name);
+        response = found == objects.end() ? answer(404, {{"error", "no such object"}})
+                                          : answer(200, found->second);
+    }
+    co_await responder.respond(std::move(response));
+}
+
+} // namespace tray::test
--- /dev/null
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -0,0 +1,115 @@
+// Raw answers over TCP.
+#include "UpstreamStandIn.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace tray::test {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+std::string idOf(const HttpRequest &request)
+{
+    return std::string(findHeader(request.headers, "Marjoramtray-Request-Id"));
+}
+
+} // namespace
+
+UpstreamStandIn::UpstreamStandIn(asio::io_context &context, Behaviour behaviour)
+    : context(context), behaviour(std::move(behaviour)), acceptor(context)
+{}
+
+Address UpstreamStandIn::listen()
+{
+    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    this->acceptor.open(any.protocol());
+    this->acceptor.bind(any);
+    this->acceptor.listen();
+    asio::co_spawn(this->context, this->accept(), asio::detached);
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+asio::awaitable<void> UpstreamStandIn::accept()
+{
+    while (true) {
+        auto [code, socket] = co_await this->acceptor.async_accept(Await);
+        if (code)
+            co_return;
+        asio::co_spawn(this->context, this->serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> UpstreamStandIn::serve(tcp::socket socket)
+{
+    beast::flat_buffer buffer;
+    while (true) {
+        http::request<http::string_body> message;
+        const auto [code, size] = co_await http::async_read(socket, buffer, message, Await);
+        if (code)
+            co_return;
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers.emplace_back(std::string(field.name_string()),
+                                         std::string(field.value()));
+        request.body = message.body();
+        this->received.push_back(request);
+        const UpstreamReply reply = this->behaviour(request);
+        if (reply.delay > Duration::zero()) {
+            asio::steady_timer timer(this->context, reply.delay);
+            co_await timer.async_wait(Await);
+        }
+        if (!reply.bytes.empty())
+            co_await asio::async_write(socket, asio::buffer(reply.bytes), Await);
+        if (reply.hang) {
+            char byte;
+            co_await socket.async_read_some(asio::buffer(&byte, 1), Await);
+            ++this->abandoned;
+            co_return;
+        }
+        if (reply.reset) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            co_return;
+        }
+        if (reply.close)
+            co_return;
+    }
+}
+
+std::string UpstreamStandIn::answerTo(const HttpRequest &request, int status,
+                                      const std::string &body)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Request-Id: {}\r\n"
+                       "Marjoramtray-Response-Seal: s1\r\nContent-Length: {}\r\n\r\n{}",
+                       status, idOf(request), body.size(), body);
+}
+
+std::string UpstreamStandIn::streamHeadFor(const HttpRequest &request)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: {}\r\n"
+                       "Marjoramtray-Response-Seal: s1\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       idOf(request));
+}
+
+std::string UpstreamStandIn::chunkOf(const std::string &data)
+{
+    return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+} // namespace tray::test
--- /dev/null
+++ b/tests/replicas/PlannerElectionTest.cpp
@@ -0,0 +1,53 @@
+// Taking over the planner's role.
+#include "replicas/PlannerElection.h"
+
+#include <doctest/doctest.h>
+
+using namespace tray;
+
+TEST_CASE("A gateway takes the planner's role only after silence")
+{
+    const Instant start{std::chrono::hours(1)};
+    PlannerElection election(0, start);
+    CHECK_FALSE(election.wantsRole(start + PlannerElection::Silence - milliseconds(1)));
+    CHECK(election.wantsRole(start + PlannerElection::Silence));
+
+    SUBCASE("the word of a planner keeps it from trying")
+    {
+        const Instant heardAt = start + milliseconds(1900);
+        election.heard(7, heardAt);
+        CHECK(election.knowsPlanner(heardAt));
+        CHECK_FALSE(election.wantsRole(start + PlannerElection::Silence));
+        CHECK(election.wantsRole(heardAt + PlannerElection::Silence));
+    }
+    SUBCASE("one try at a time while the store is slow")
+    {
+        const Instant now = start + PlannerElection::Silence;
+        election.tryBegan(now);
+        CHECK_FALSE(election.wantsRole(now + milliseconds(1)));
+        CHECK(election.wantsRole(now + PlannerElection::RetryPause));
+    }
+    SUBCASE("the planner resigns when it hears a higher term")
+    {
+        election.won(10, start + std::chrono::seconds(3));
+        CHECK(election.isPlanner());
+        election.heard(9, start + std::chrono::seconds(4));
+        CHECK(election.isPlanner());
+        election.heard(12, start + std::chrono::seconds(4));
+        CHECK_FALSE(election.isPlanner());
+        CHECK(election.ownTerm() == 0);
+    }
+    SUBCASE("a term that was won late does not count below one that was heard")
+    {
+        election.heard(12, start + std::chrono::seconds(3));
+        election.won(10, start + std::chrono::seconds(3));
+        CHECK_FALSE(election.isPlanner());
+    }
+    SUBCASE("a lost race waits for the winner's word")
+    {
+        const Instant now = start + PlannerElection::Silence;
+        election.lost(now);
+        CHECK_FALSE(election.wantsRole(now + PlannerElection::Silence - milliseconds(1)));
+        CHECK(election.wantsRole(now + PlannerElection::Silence));
+    }
+}
--- /dev/null
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -0,0 +1,173 @@
+// Placement of models under the loads and failures of a day.
+#include "replicas/ReplicaPlanner.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace tray;
+
+namespace {
+
+const Instant Start{std::chrono::hours(1)};
+
+EngineSpec specOf(int models)
+{
+    EngineSpec spec;
+    spec.weightsMb = 220000;
+    spec.adapterSlots = 8;
+    spec.loadsPerSecond = 1.1;
+    for (int i = 0; i < models; ++i)
+        spec.models.push_back({"m" + std::to_string(i), 70000, 60, std::chrono::seconds(9)});
+    return spec;
+}
+
+PlannedEngine engineWith(const std::string &id, std::vector<std::string> models)
+{
+    PlannedEngine engine;
+    engine.id = id;
+    engine.dataCentre = "dc-" + id;
+    engine.bornMs = 1;
+    engine.canChange = true;
+    engine.models = std::move(models);
+    return engine;
+}
+
+/// Engines that carry out wishes at once, and the planner that makes them.
+class Fleet
+{
+public:
+    Fleet(EngineSpec spec, std::vector<PlannedEngine> engines)
+        : spec(std::move(spec)), engines(std::move(engines))
+    {}
+
+    std::vector<PlannedMove> step(const std::map<std::string, PlannedDemand> &demand)
+    {
+        const auto moves = this->planner.plan(this->spec, this->engines, demand, this->now);
+        this->now += milliseconds(500);
+        return moves;
+    }
+
+    void carryOut(const std::vector<PlannedMove> &moves)
+    {
+        for (const auto &move : moves) {
+            auto &engine = *std::find_if(this->engines.begin(), this->engines.end(),
+                                         [&](const auto &row) { return row.id == move.engineId; });
+            std::erase(engine.models, move.unload);
+            engine.models.push_back(move.load);
+        }
+    }
+
+    int replicas(const std::string &model) const
+    {
+        int count = 0;
+        for (const auto &engine : this->engines)
+            count += std::count(engine.models.begin(), engine.models.end(), model) > 0 ? 1 : 0;
+        return count;
+    }
+
+    EngineSpec spec;
+    std::vector<PlannedEngine> engines;
+    ReplicaPlanner planner{LoadBounds{}};
+    Instant now = Start;
+};
+
+} // namespace
+
+TEST_CASE("Every model gets and keeps a replica")
+{
+    SUBCASE("models that an engine's crash took away are loaded again")
+    {
+        Fleet fleet(specOf(4), {engineWith("a", {"m0", "m1"}), engineWith("b", {"m0"})});
+        for (int i = 0; i < 20; ++i)
+            fleet.carryOut(fleet.step({{"m0", {20, 0.4}}}));
+        for (const auto &model : fleet.spec.models)
+            CHECK(fleet.replicas(model.name) >= 1);
+    }
+    SUBCASE("no demand evicts the last replica of a silent model")
+    {
+        Fleet fleet(specOf(6), {engineWith("a", {"m0", "m1", "m2"}),
+                                engineWith("b", {"m3", "m4", "m5"})});
+        for (int i = 0; i < 40; ++i)
+            fleet.carryOut(fleet.step({{"m0", {100, 10}}}));
+        for (const auto &model : fleet.spec.models)
+            CHECK(fleet.replicas(model.name) == 1);
+    }
+}
+
+TEST_CASE("Room goes to the models with the most work per replica")
+{
+    Fleet fleet(specOf(3), {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m1", "m2"}),
+                            engineWith("c", {"m1", "m2"}), engineWith("d", {"m1", "m2"})});
+    for (int i = 0; i < 40; ++i)
+        fleet.carryOut(fleet.step({{"m0", {30, 1.5}}}));
+    CHECK(fleet.replicas("m0") == 4);
+
+    SUBCASE("and once all is well placed nothing moves")
+    {
+        CHECK(fleet.step({{"m0", {30, 1.5}}}).empty());
+        CHECK(fleet.step({{"m0", {31, 1.55}}}).empty());
+    }
+}
+
+TEST_CASE("A replica that answers is not dropped for one that is still being loaded")
+{
+    // m0 is hot and has one replica that answers; its others are on their way.
+    Fleet fleet(specOf(4), {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m1", "m2"}),
+                            engineWith("c", {"m1", "m2"})});
+    fleet.engines[1].loading = "m0";
+    fleet.engines[2].loading = "m0";
+    for (int i = 0; i < 10; ++i) {
+        for (const auto &move : fleet.step({{"m0", {20, 1}}, {"m3", {5, 0.4}}}))
+            CHECK(move.unload != "m0");
+    }
+}
+
+TEST_CASE("Loads from the weight store stay within the bound of each window")
+{
+    // 12 engines come back empty at once; the bound of a window is 1.1 * 5 * 1.1 + 3 = 9.
+    std::vector<PlannedEngine> engines;
+    for (int i = 0; i < 12; ++i)
+        engines.push_back(engineWith("e" + std::to_string(i), {}));
+    Fleet fleet(specOf(36), engines);
+    std::vector<Instant> granted;
+    for (int i = 0; i < 60; ++i) {
+        const Instant at = fleet.now;
+        const auto moves = fleet.step({});
+        granted.insert(granted.end(), moves.size(), at);
+        fleet.carryOut(moves);
+    }
+    for (const auto &first : granted) {
+        const auto inWindow = std::count_if(granted.begin(), granted.end(), [&](Instant at) {
+            return at >= first && at < first + std::chrono::seconds(5);
+        });
+        CHECK(inWindow <= 9);
+    }
+    CHECK(granted.size() == 36);
+
+    SUBCASE("a new planner waits out the window of its predecessor")
+    {
+        Fleet after(specOf(3), {engineWith("a", {})});
+        after.planner.restart(after.now);
+        CHECK(after.step({}).empty());
+        after.now += std::chrono::seconds(5);
+        CHECK_FALSE(after.step({}).empty());
+    }
+    SUBCASE("copies on the engine's host need no store")
+    {
+        Fleet after(specOf(3), {engineWith("a", {})});
+        after.engines[0].onDisk = {"m1"};
+        after.planner.restart(after.now);
+        const auto moves = after.step({});
+        REQUIRE(moves.size() == 1);
+        CHECK(moves.front().load == "m1");
+    }
+}
+
+TEST_CASE("Engines whose stewards are not heard are left alone")
+{
+    Fleet fleet(specOf(2), {engineWith("a", {"m0"}), engineWith("b", {})});
+    fleet.engines[1].canChange = false;
+    fleet.engines[0].canChange = false;
+    CHECK(fleet.step({{"m0", {50, 3}}}).empty());
+    CHECK_FALSE(fleet.planner.wishFor("a").has_value());
+}
