--- /dev/null
+++ b/fuzz/PlatformDocumentsFuzz.cpp
@@ -0,0 +1,26 @@
+// Decoders of the platform's documents: configuration, entries, reports and settings.
+#include "FleetJson.h"
+#include "JsonFields.h"
+#include "PlatformSettings.h"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    using namespace tray;
+    const std::string text(reinterpret_cast<const char *>(data), size);
+    const auto settings = platform::readPlatformSettings(text);
+    const auto document = platform::parseJson(text);
+    if (!isOk(document))
+        return 0;
+    const auto config = platform::decodeConfig(value(document));
+    if (isOk(config)) {
+        for (const auto &route : value(config).routes)
+            chooseService(route, size);
+    }
+    platform::decodeUpstream("i-1", value(document));
+    const auto report = platform::decodeReport(value(document));
+    platform::decodeObject(value(document));
+    return 0;
+}
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -61,18 +61,16 @@
     const bool sameModels = std::equal(
         one.models().begin(), one.models().end(), other.models().begin(), other.models().end(),
         [](const auto &left, const auto &right) { return left.name() == right.name(); });
-    return sameModels && one.loading() == other.loading() &&
-           one.unloading() == other.unloading() && one.busy() == other.busy() &&
-           one.silent() == other.silent() && one.can_order() == other.can_order() &&
-           one.leaving() == other.leaving();
+    return sameModels && one.loading() == other.loading() && one.unloading() == other.unloading() &&
+           one.busy() == other.busy() && one.silent() == other.silent() &&
+           one.can_order() == other.can_order() && one.leaving() == other.leaving();
 }
 
 } // namespace
 
 void Dispatcher::setUpstreams(const std::map<std::string, UpstreamEntry> &entries)
 {
-    std::erase_if(this->upstreams,
-                  [&](const auto &item) { return !entries.contains(item.first); });
+    std::erase_if(this->upstreams, [&](const auto &item) { return !entries.contains(item.first); });
     for (const auto &[id, entry] : entries) {
         auto &upstream = this->upstreams[id];
         if (upstream.entry.bornMs != entry.bornMs) {
@@ -133,8 +131,7 @@
                        const std::string &adapter, Instant now) const
 {
     const auto found = this->upstreams.find(upstreamId);
-    return found != this->upstreams.end() &&
-           isHeld(this->held(found->second, now), model, adapter);
+    return found != this->upstreams.end() && isHeld(this->held(found->second, now), model, adapter);
 }
 
 bool Dispatcher::isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const
@@ -200,8 +197,8 @@
 {
     double load = upstream.inFlight;
     if (now < upstream.toldAt + ToldLifetime)
-        load = std::max<double>(load, upstream.toldRunning + upstream.toldWaiting +
-                                          upstream.begunSince);
+        load = std::max<double>(load,
+                                upstream.toldRunning + upstream.toldWaiting + upstream.begunSince);
     // Free slots cost little; beyond them each request waits for its share of the slots.
     const double slots = upstream.entry.slots;
     const double queued = std::max(0.0, load + 1 - slots);
@@ -300,8 +297,8 @@
         if (!this->hasSnapshot(upstream, now) || upstream.snapshot->loading() != model)
             continue;
         const Duration left = std::max<Duration>(
-            Duration::zero(), milliseconds(upstream.snapshot->loading_left_ms()) -
-                                  (now - upstream.snapshotAt));
+            Duration::zero(),
+            milliseconds(upstream.snapshot->loading_left_ms()) - (now - upstream.snapshotAt));
         if (!least || left < *least)
             least = left;
     }
@@ -318,9 +315,8 @@
     auto &upstream = found->second;
     Duration due = ServiceDue;
     if (!query.model.empty()) {
-        const double expectedMs =
-            this->paceMeter.msPerToken(query.model) *
-            static_cast<double>(unreadTokens(upstream) + query.promptTokens);
+        const double expectedMs = this->paceMeter.msPerToken(query.model) *
+                                  static_cast<double>(unreadTokens(upstream) + query.promptTokens);
         due = std::max<Duration>(EngineDue,
                                  milliseconds(static_cast<int64_t>(DueFactor * expectedMs)));
     }
--- a/src/dispatch/RetryAllowance.cpp
+++ b/src/dispatch/RetryAllowance.cpp
@@ -14,11 +14,9 @@
 bool RetryAllowance::take(size_t instances, Instant now)
 {
     this->expire(now);
-    const double share =
-        this->bounds.reserve / static_cast<double>(std::max<size_t>(1, instances));
-    const double allowed = Utilization * (this->bounds.ratio *
-                                              static_cast<double>(this->firsts.size()) +
-                                          share);
+    const double share = this->bounds.reserve / static_cast<double>(std::max<size_t>(1, instances));
+    const double allowed =
+        Utilization * (this->bounds.ratio * static_cast<double>(this->firsts.size()) + share);
     if (static_cast<double>(this->repeats.size()) + 1 > allowed)
         return false;
     this->repeats.push_back(now);
--- a/src/dispatch/WaitingRoom.h
+++ b/src/dispatch/WaitingRoom.h
@@ -1,7 +1,7 @@
 // Requests that wait at this instance until an engine reads the prompts before them.
 //
-// The load that it answers: more prompts than the engines of a model read. A request that would wait
-// until its caller gives up is refused while it can still be told when to come back.
+// The load that it answers: more prompts than the engines of a model read. A request that would
+// wait until its caller gives up is refused while it can still be told when to come back.
 #pragma once
 
 #include "base/Time.h"
--- a/src/fleet/DatagramPort.cpp
+++ b/src/fleet/DatagramPort.cpp
@@ -56,8 +56,7 @@
             proto::Datagram datagram;
             // Errors here are those of earlier sends to closed ports; unreadable bytes are noise.
             if (!code && datagram.ParseFromArray(this->buffer.data(), static_cast<int>(size)))
-                this->handler(datagram,
-                              {this->sender.address().to_string(), this->sender.port()});
+                this->handler(datagram, {this->sender.address().to_string(), this->sender.port()});
             this->receive();
         });
 }
--- a/src/gateway/DemandMeter.h
+++ b/src/gateway/DemandMeter.h
@@ -20,8 +20,8 @@
     static constexpr double Forgotten = 0.002;
 
     /// A request arrived that will keep an engine busy for the given time.
-    void note(const std::string &model, uint32_t promptTokens, uint32_t outputTokens,
-              double workMs, Instant now);
+    void note(const std::string &model, uint32_t promptTokens, uint32_t outputTokens, double workMs,
+              Instant now);
     /// A request found no engine for its model.
     void noteRefused(const std::string &model, Instant now);
     /// Rates of all models that were asked for lately.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -48,8 +48,7 @@
 
 } // namespace
 
-Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder,
-                   Instant arrived)
+Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
     : gateway(gateway), request(std::move(request)), responder(responder), arrived(arrived),
       config(gateway.config)
 {}
@@ -90,8 +89,7 @@
 {
     const double tokens =
         this->facts.promptTokens + OutputTokenWork * this->facts.expectedOutputTokens;
-    const double workMs =
-        tokens * this->gateway.dispatcher.paces().msPerToken(this->facts.model);
+    const double workMs = tokens * this->gateway.dispatcher.paces().msPerToken(this->facts.model);
     this->gateway.demand.note(this->facts.model, this->facts.promptTokens,
                               this->facts.expectedOutputTokens, workMs, this->arrived);
 }
@@ -151,8 +149,8 @@
 
 Duration Exchange::callerPatience(Instant now) const
 {
-    const Duration byGoal = std::max<Duration>(
-        {ShortestPatience, PatienceGoals * this->route->goal, PatiencePauses * this->route->gapGoal});
+    const Duration byGoal = std::max<Duration>({ShortestPatience, PatienceGoals * this->route->goal,
+                                                PatiencePauses * this->route->gapGoal});
     return std::min(this->arrived + byGoal, this->deadline) - now;
 }
 
@@ -163,8 +161,8 @@
     if (!this->placeInRoom) {
         const double readMs = this->gateway.dispatcher.paces().msPerToken(this->facts.model) *
                               this->facts.promptTokens;
-        const Duration predicted = room.predict(this->facts.model, this->urgency(),
-                                                wait.cost + readMs, wait.candidates);
+        const Duration predicted =
+            room.predict(this->facts.model, this->urgency(), wait.cost + readMs, wait.candidates);
         const Duration patience = this->callerPatience(now);
         if (predicted > patience) {
             co_await this->refuse(ErrorKind::Overloaded,
@@ -336,8 +334,7 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::takeAnswer(std::string upstreamId,
                                                               HttpStream &stream)
 {
-    const AnswerFacts answer =
-        this->gateway.codec.inspect(stream.status(), stream.headers());
+    const AnswerFacts answer = this->gateway.codec.inspect(stream.status(), stream.headers());
     if (answer.load)
         this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
                                           clockNow());
@@ -354,8 +351,7 @@
     }
     result.mayHaveRun = true;
     const bool success = stream.status() / 100 == 2;
-    const bool genuine =
-        answer.sealed && !answer.encoded && answer.requestId == this->facts.id;
+    const bool genuine = answer.sealed && !answer.encoded && answer.requestId == this->facts.id;
     if (answer.encoded || (success && !genuine)) {
         result.outcome = AttemptOutcome::Broken;
         result.reason = "the answer is not the upstream's own";
@@ -384,8 +380,8 @@
         auto piece = co_await stream.read(this->deadline - waitedSince);
         this->longestPause = std::max(this->longestPause, clockNow() - waitedSince);
         if (!isOk(piece)) {
-            result.outcome = this->deadlinePassed(clockNow()) ? AttemptOutcome::Silent
-                                                              : AttemptOutcome::Broken;
+            result.outcome =
+                this->deadlinePassed(clockNow()) ? AttemptOutcome::Silent : AttemptOutcome::Broken;
             result.reason = error(piece).message;
             co_return result;
         }
@@ -413,8 +409,8 @@
     while (true) {
         auto piece = co_await stream.read(this->deadline - clockNow());
         if (!isOk(piece)) {
-            result.outcome = this->deadlinePassed(clockNow()) ? AttemptOutcome::Silent
-                                                              : AttemptOutcome::Broken;
+            result.outcome =
+                this->deadlinePassed(clockNow()) ? AttemptOutcome::Silent : AttemptOutcome::Broken;
             result.reason = error(piece).message;
             co_return result;
         }
@@ -428,8 +424,8 @@
         }
     }
     if (!success) {
-        result.outcome = response.status >= 500 ? AttemptOutcome::ServerError
-                                                : AttemptOutcome::Answered;
+        result.outcome =
+            response.status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Answered;
         result.reason = fmt::format("the upstream answered {}", response.status);
         result.failure = std::move(response);
         // A fault of the request itself fails everywhere.
@@ -478,8 +474,8 @@
         retryAfter = milliseconds(answer.retryAfterMs);
     this->log(answer.httpStatus, std::string(enumName(kind)), reason);
     std::string type(answer.type);
-    HttpResponse response = this->gateway.codec.refuse(this->facts.id, answer.httpStatus, type,
-                                                       reason, retryAfter);
+    HttpResponse response =
+        this->gateway.codec.refuse(this->facts.id, answer.httpStatus, type, reason, retryAfter);
     co_await this->responder.respond(std::move(response));
 }
 
@@ -494,15 +490,15 @@
         metrics.histogram("tray_gateway_first_answer_ms").add(*this->firstAnswerAt - this->arrived);
     logDecision(
         served ? LogWeight::Routine : LogWeight::Notable, now,
-        fmt::format("event=request id={} route={} model={} adapter={} outcome={} status={} "
-                    "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
-                    "first_ms={} longest_pause_ms={} ms={} reason=\"{}\"",
-                    this->facts.id, routeName, this->facts.model, this->facts.adapter, outcome,
-                    status, this->lastUpstream, this->sends, this->runs,
-                    this->config ? this->config->version : 0, this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
-                    this->lastCost,
-                    this->firstAnswerAt ? toMs(*this->firstAnswerAt - this->arrived) : -1,
-                    toMs(this->longestPause), toMs(now - this->arrived), reason));
+        fmt::format(
+            "event=request id={} route={} model={} adapter={} outcome={} status={} "
+            "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
+            "first_ms={} longest_pause_ms={} ms={} reason=\"{}\"",
+            this->facts.id, routeName, this->facts.model, this->facts.adapter, outcome, status,
+            this->lastUpstream, this->sends, this->runs, this->config ? this->config->version : 0,
+            this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
+            this->lastCost, this->firstAnswerAt ? toMs(*this->firstAnswerAt - this->arrived) : -1,
+            toMs(this->longestPause), toMs(now - this->arrived), reason));
 }
 
 } // namespace tray
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -57,19 +57,19 @@
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, FleetStore &store,
                  const RequestCodec &codec, Metrics &metrics)
-    : context(context), settings(std::move(settings)), store(store), codec(codec),
-      metrics(metrics), client(context),
+    : context(context), settings(std::move(settings)), store(store), codec(codec), metrics(metrics),
+      client(context),
       callerServer(context,
                    [this](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
                        Exchange exchange(*this, std::move(request), responder, clockNow());
                        co_await exchange.run();
                    }),
-      readinessServer(
-          context,
-          [this](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
-              HttpResponse answer = makeResponse(this->isReady() ? 200 : 503, "text/plain", "");
-              co_await responder.respond(std::move(answer));
-          }),
+      readinessServer(context,
+                      [this](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
+                          HttpResponse answer =
+                              makeResponse(this->isReady() ? 200 : 503, "text/plain", "");
+                          co_await responder.respond(std::move(answer));
+                      }),
       datagrams(context, this->settings.instance,
                 [this](const proto::Datagram &datagram, const Address &sender) {
                     this->receive(datagram, sender);
@@ -93,8 +93,26 @@
 
 Gateway::~Gateway() = default;
 
+void Gateway::registerGauges()
+{
+    this->metrics.gauge("tray_gateway_in_flight",
+                        [this] { return static_cast<double>(this->callerServer.inFlight()); });
+    this->metrics.gauge("tray_gateway_waiting_prompts",
+                        [this] { return static_cast<double>(this->room.size()); });
+    this->metrics.gauge("tray_gateway_upstreams",
+                        [this] { return static_cast<double>(this->directory.entries().size()); });
+    this->metrics.gauge("tray_gateway_config_version", [this] {
+        return this->config ? static_cast<double>(this->config->version) : 0;
+    });
+    this->metrics.gauge("tray_gateway_store_reachable",
+                        [this] { return this->storeReachable ? 1.0 : 0.0; });
+    this->metrics.gauge("tray_gateway_connections_dialled",
+                        [this] { return static_cast<double>(this->client.dialled()); });
+}
+
 Result<Unit> Gateway::start()
 {
+    this->registerGauges();
     if (const auto bound = this->datagrams.listen(this->settings.datagrams); !isOk(bound))
         return error(bound);
     if (const auto bound = this->readinessServer.listen(this->settings.readiness); !isOk(bound))
@@ -208,8 +226,7 @@
                 this->noteStore(true, "");
                 revision = value(reading).revision;
                 this->upstreamsKnown = true;
-                this->takeNotices(
-                    this->directory.replaceAll(value(reading).entries, clockNow()));
+                this->takeNotices(this->directory.replaceAll(value(reading).entries, clockNow()));
                 retry = FirstRetry;
                 continue;
             }
@@ -248,9 +265,9 @@
         return;
     for (const auto &notice : notices) {
         if (notice.event != UpstreamEvent::Updated)
-            logDecision(LogWeight::Notable, clockNow(),
-                        fmt::format("event=upstream_{} upstream={}", enumName(notice.event),
-                                    notice.id));
+            logDecision(
+                LogWeight::Notable, clockNow(),
+                fmt::format("event=upstream_{} upstream={}", enumName(notice.event), notice.id));
     }
     this->dispatcher.setUpstreams(this->directory.entries());
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -32,7 +32,6 @@
     Address datagrams;
     /// Port on which stewards take datagrams, on the address of their engine.
     uint16_t stewardPort = 0;
-    Address admin;
     RetryBounds retries;
     LoadBounds loads;
     /// Time between SIGTERM and the end of the process.
@@ -51,6 +50,8 @@
     Result<Unit> start();
     /// Withdraws readiness, lets callers move away and waits for the requests in flight.
     boost::asio::awaitable<void> stop();
+    /// Knows a configuration and the upstreams, and is not stopping.
+    bool isReady() const;
 
 private:
     friend class Exchange;
@@ -64,7 +65,7 @@
     void takeNotices(const UpstreamDirectory::Notices &notices);
     void noteStore(bool reachable, const std::string &reason);
     void receive(const proto::Datagram &datagram, const Address &sender);
-    bool isReady() const;
+    void registerGauges();
     Address stewardOf(const UpstreamEntry &entry) const;
     size_t gatewayCount() const;
     RetryAllowance &allowanceOf(const std::string &service);
--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -171,14 +171,14 @@
     const bool wasPlanner = this->election.isPlanner();
     this->election.heard(report.planner_term(), now);
     if (wasPlanner && !this->election.isPlanner())
-        logDecision(LogWeight::Notable, now,
-                    fmt::format("event=planner_resigned to={} term={}", sender,
-                                report.planner_term()));
+        logDecision(
+            LogWeight::Notable, now,
+            fmt::format("event=planner_resigned to={} term={}", sender, report.planner_term()));
     if (this->plannerName != sender && this->election.knowsPlanner(now)) {
         this->plannerName = sender;
-        logDecision(LogWeight::Notable, now,
-                    fmt::format("event=planner_known planner={} term={}", sender,
-                                report.planner_term()));
+        logDecision(
+            LogWeight::Notable, now,
+            fmt::format("event=planner_known planner={} term={}", sender, report.planner_term()));
     }
 }
 
@@ -228,8 +228,7 @@
             engine.unloading = snapshot->unloading();
             engine.inMemory = {snapshot->models_in_memory().begin(),
                                snapshot->models_in_memory().end()};
-            engine.onDisk = {snapshot->models_on_disk().begin(),
-                             snapshot->models_on_disk().end()};
+            engine.onDisk = {snapshot->models_on_disk().begin(), snapshot->models_on_disk().end()};
             if (snapshot->born_ms() != 0)
                 engine.bornMs = snapshot->born_ms();
         }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -103,9 +103,8 @@
             list.push_back(std::move(connection));
     }
 
-    asio::awaitable<Result<std::shared_ptr<Connection>>> connect(const Address &address,
-                                                                 Instant deadline,
-                                                                 HttpCallOptions options)
+    asio::awaitable<Result<std::shared_ptr<Connection>>>
+    connect(const Address &address, Instant deadline, HttpCallOptions options)
     {
         if (auto kept = this->takeIdle(toString(address), options.maxIdle)) {
             this->attach(options, kept);
@@ -187,8 +186,8 @@
             this->connection->stream.close();
     }
 
-    asio::awaitable<beast::error_code>
-    readHeader(Instant deadline, std::function<bool(const HttpHeaders &)> isOurs)
+    asio::awaitable<beast::error_code> readHeader(Instant deadline,
+                                                  std::function<bool(const HttpHeaders &)> isOurs)
     {
         for (int foreign = 0; foreign <= MaxForeignAnswers; ++foreign) {
             this->connection->stream.expires_at(deadline);
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -203,7 +203,10 @@
     }
 
 private:
-    bool keepsAlive() const { return this->requestKeepsAlive && !this->server->draining && !this->server->leaving; }
+    bool keepsAlive() const
+    {
+        return this->requestKeepsAlive && !this->server->draining && !this->server->leaving;
+    }
 
     asio::awaitable<bool> serveOne()
     {
@@ -260,17 +263,18 @@
     void watchPeer()
     {
         const std::weak_ptr<std::function<void()>> watched = this->peerGone;
-        this->stream.socket().async_wait(
-            tcp::socket::wait_read, [this, watched](beast::error_code code) {
-                // The callback lives as long as the request, and so does the connection.
-                const auto callback = watched.lock();
-                if (!callback || code)
-                    return;
-                if (!this->takeEarlyBytes())
-                    (*callback)();
-                else if (this->buffer.size() < MaxEarlyBytes)
-                    this->watchPeer();
-            });
+        this->stream.socket().async_wait(tcp::socket::wait_read,
+                                         [this, watched](beast::error_code code) {
+                                             // The callback lives as long as the request, and so
+                                             // does the connection.
+                                             const auto callback = watched.lock();
+                                             if (!callback || code)
+                                                 return;
+                                             if (!this->takeEarlyBytes())
+                                                 (*callback)();
+                                             else if (this->buffer.size() < MaxEarlyBytes)
+                                                 this->watchPeer();
+                                         });
     }
 
     /// Keeps bytes of a next request, which would hide the end of the connection. False if the
@@ -281,8 +285,7 @@
         if (!socket.is_open())
             return false;
         const auto room = this->buffer.prepare(EarlyPiece);
-        const auto size =
-            ::recv(socket.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+        const auto size = ::recv(socket.native_handle(), room.data(), room.size(), MSG_DONTWAIT);
         if (size > 0)
             this->buffer.commit(static_cast<size_t>(size));
         return size > 0 || (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
--- a/src/net/Service.cpp
+++ b/src/net/Service.cpp
@@ -17,12 +17,31 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+void awaitHangup(asio::signal_set &hangup, const ReloadHandler &reload)
+{
+    hangup.async_wait([&](auto code, int) {
+        if (code)
+            return;
+        spdlog::info("event=hangup");
+        if (reload)
+            reload();
+        awaitHangup(hangup, reload);
+    });
+}
+
+} // namespace
+
 bool runService(asio::io_context &context, unsigned threads,
-                std::function<asio::awaitable<void>()> stop, Duration stopLimit)
+                std::function<asio::awaitable<void>()> stop, Duration stopLimit,
+                ReloadHandler reload)
 {
     // A peer that closes while it is written to must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     asio::signal_set signals(context, SIGTERM, SIGINT);
+    asio::signal_set hangup(context, SIGHUP);
+    awaitHangup(hangup, reload);
     asio::steady_timer limit(context);
     std::atomic<bool> complete{false};
     signals.async_wait([&](auto code, int number) {
--- a/src/net/Service.h
+++ b/src/net/Service.h
@@ -9,11 +9,15 @@
 
 namespace tray {
 
+/// Called on SIGHUP: the settings may have changed.
+using ReloadHandler = std::function<void()>;
+
 /// Runs the context on the given number of threads until a signal arrives and stop() has finished,
 /// or until stop() has taken longer than the limit. A second signal ends at once. Returns true if
-/// the stop was complete.
+/// the stop was complete. SIGHUP never ends the process.
 bool runService(boost::asio::io_context &context, unsigned threads,
-                std::function<boost::asio::awaitable<void>()> stop, Duration stopLimit);
+                std::function<boost::asio::awaitable<void>()> stop, Duration stopLimit,
+                ReloadHandler reload = {});
 
 /// Ends the process after runService() without running destructors: all work is done by then, and
 /// the control channel's library was once seen to keep a stopped process alive while it was torn
--- a/src/replicas/PlannerElection.h
+++ b/src/replicas/PlannerElection.h
@@ -7,10 +7,11 @@
 
 namespace tray {
 
-/// One gateway's view of the planner's role. The role is taken by a conditional write of one record;
-/// its revision is the planner's term. Nothing is renewed in the store: the planner tells its peers
-/// that it lives, and a candidate writes only after it has heard no planner for a while. Stewards
-/// obey the highest term that they have seen, so two planners at once cost moves, never safety.
+/// One gateway's view of the planner's role. The role is taken by a conditional write of one
+/// record; its revision is the planner's term. Nothing is renewed in the store: the planner tells
+/// its peers that it lives, and a candidate writes only after it has heard no planner for a while.
+/// Stewards obey the highest term that they have seen, so two planners at once cost moves, never
+/// safety.
 class PlannerElection
 {
 public:
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -21,6 +21,10 @@
 constexpr double RisenShare = 0.6;
 // Penalty for another replica beside a busy one, in the unit of gains, for each engine of work.
 constexpr double CrowdingCost = 0.5;
+// Part of the bound on loads that is granted; the rest covers loads that begin unseen, and more of
+// them after a change of planners.
+constexpr double PlannerShare = 0.8;
+constexpr double NewPlannerShare = 0.5;
 // Most moves that one round grants.
 constexpr int MovesPerRound = 24;
 
@@ -76,8 +80,8 @@
 // Cost of a second replica in one data centre, in the unit of gains.
 constexpr double SpreadCost = 0.2;
 
-/// Cost of the way to a model's weights, in the unit of gains: a copy on the engine's host saves the
-/// requests of the seconds that a load from the store takes longer.
+/// Cost of the way to a model's weights, in the unit of gains: a copy on the engine's host saves
+/// the requests of the seconds that a load from the store takes longer.
 double reachCost(const PlannedEngine &engine, const std::string &model)
 {
     constexpr double DiskCost = 0.1;
@@ -109,9 +113,8 @@
     for (const auto &engine : engines) {
         auto &seen = this->foreignLoads[engine.id];
         const auto grant = this->grants.find(engine.id);
-        const bool foreign = !engine.loading.empty() &&
-                             (grant == this->grants.end() ||
-                              grant->second.move.load != engine.loading);
+        const bool foreign = !engine.loading.empty() && (grant == this->grants.end() ||
+                                                         grant->second.move.load != engine.loading);
         if (foreign && seen != engine.loading && !engine.onDisk.contains(engine.loading) &&
             !engine.inMemory.contains(engine.loading))
             this->storeLoads.push_back(now);
@@ -160,7 +163,8 @@
         counted += grant.fromStore && !grant.begun ? 1 : 0;
     // What an earlier planner granted may still begin, or have begun on an engine that was lost.
     const bool isNew = this->restartedAt && now < *this->restartedAt + this->bounds.window;
-    return static_cast<double>(counted) + 1 <= std::floor(isNew ? allowed / 2 : allowed - 1);
+    return static_cast<double>(counted) + 1 <=
+           std::floor(allowed * (isNew ? NewPlannerShare : PlannerShare));
 }
 
 struct ReplicaPlanner::Outlook
@@ -241,8 +245,8 @@
 
 std::optional<PlannedMove> ReplicaPlanner::moveFor(const EngineSpec &spec,
                                                    const PlannedEngine &engine,
-                                                   const std::string &model,
-                                                   const Outlook &outlook, double &value) const
+                                                   const std::string &model, const Outlook &outlook,
+                                                   double &value) const
 {
     const auto &models = outlook.models.at(engine.id);
     const auto demand = outlook.demandOf(model);
@@ -295,11 +299,10 @@
     double bestValue = 0;
     for (const auto &model : spec.models) {
         for (const auto &engine : engines) {
-            const bool needsStore = !engine.inMemory.contains(model.name) &&
-                                    !engine.onDisk.contains(model.name);
-            if (!engine.canChange || this->grants.contains(engine.id) ||
-                !engine.loading.empty() || !engine.unloading.empty() ||
-                contains(outlook.models.at(engine.id), model.name) ||
+            const bool needsStore =
+                !engine.inMemory.contains(model.name) && !engine.onDisk.contains(model.name);
+            if (!engine.canChange || this->grants.contains(engine.id) || !engine.loading.empty() ||
+                !engine.unloading.empty() || contains(outlook.models.at(engine.id), model.name) ||
                 (needsStore && !storeAllowed))
                 continue;
             double value = 0;
@@ -326,9 +329,8 @@
         const auto move = this->bestMove(spec, engines, demand, storeAllowed);
         if (!move)
             break;
-        const auto engine = std::find_if(engines.begin(), engines.end(), [&](const auto &row) {
-            return row.id == move->engineId;
-        });
+        const auto engine = std::find_if(engines.begin(), engines.end(),
+                                         [&](const auto &row) { return row.id == move->engineId; });
         Grant grant{*move, engine->bornMs, now, false, false};
         grant.fromStore =
             !engine->inMemory.contains(move->load) && !engine->onDisk.contains(move->load);
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -79,7 +79,8 @@
     /// Grants the moves that pay now; returns the new ones.
     std::vector<PlannedMove> plan(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
                                   const std::map<std::string, PlannedDemand> &demand, Instant now);
-    /// Models that an engine should hold, those to be loaded last; nothing if it is to be left alone.
+    /// Models that an engine should hold, those to be loaded last; nothing if it is to be left
+    /// alone.
     std::optional<std::vector<std::string>> wishFor(const std::string &engineId) const;
 
 private:
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -100,8 +100,7 @@
     const size_t arriving = countAdapters(report.arriving);
     const size_t places = countAdapters(report.models) + arriving;
     for (const auto &[key, wishedAt] : this->adapterWishes) {
-        if (now >= wishedAt + AdapterWishLifetime ||
-            !isHeld(report.models, key.model, "") ||
+        if (now >= wishedAt + AdapterWishLifetime || !isHeld(report.models, key.model, "") ||
             isHeld(report.models, key.model, key.adapter) ||
             isHeld(report.arriving, key.model, key.adapter))
             continue;
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "observe/DecisionLog.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,6 +30,19 @@
 constexpr Duration FirstRetry = milliseconds(200);
 constexpr Duration LongestRetry = std::chrono::seconds(1);
 
+/// Where an engine takes a model's weights from.
+std::string_view sourceOf(const EngineOrder &order, const EngineReport &report)
+{
+    const auto lists = [&](const std::vector<std::string> &names) {
+        return std::find(names.begin(), names.end(), order.model) != names.end();
+    };
+    if (order.verb != OrderVerb::Load || !order.adapter.empty())
+        return "-";
+    if (lists(report.modelsInMemory))
+        return "memory";
+    return lists(report.modelsOnDisk) ? "disk" : "store";
+}
+
 Instant clockNow()
 {
     return std::chrono::steady_clock::now();
@@ -47,6 +61,13 @@
 
 Result<Unit> Steward::start()
 {
+    this->metrics.gauge("tray_steward_engine_running",
+                        [this] { return this->report ? this->report->running : 0.0; });
+    this->metrics.gauge("tray_steward_engine_waiting",
+                        [this] { return this->report ? this->report->waiting : 0.0; });
+    this->metrics.gauge("tray_steward_can_order", [this] { return this->canOrder() ? 1.0 : 0.0; });
+    this->metrics.gauge("tray_steward_subscribers",
+                        [this] { return static_cast<double>(this->subscribers.size()); });
     if (const auto bound = this->datagrams.listen(this->settings.datagrams); !isOk(bound))
         return error(bound);
     asio::co_spawn(this->context, this->obtainAuthority(), asio::detached);
@@ -119,8 +140,7 @@
     auto created = co_await this->store.writeRecord(StewardRecords, record);
     if (isOk(created) || error(created).kind != ErrorKind::VersionConflict)
         co_return created;
-    const auto present =
-        co_await this->store.readRecord(StewardRecords, this->settings.instance);
+    const auto present = co_await this->store.readRecord(StewardRecords, this->settings.instance);
     if (!isOk(present))
         co_return error(present);
     record.revision = value(present).revision;
@@ -189,14 +209,13 @@
                                        this->upstreamId};
         const auto reply = co_await this->engine.order(*order, authority);
         logDecision(LogWeight::Notable, clockNow(),
-                    fmt::format("event=order verb={} model={} adapter={} sequence={} token={} "
-                                "upstream={} reply={}",
+                    fmt::format("event=order verb={} model={} adapter={} source={} sequence={} "
+                                "token={} upstream={} reply={}",
                                 enumName(order->verb), order->model, order->adapter,
-                                order->expectedSequence, this->fencingToken, this->upstreamId,
-                                enumName(reply)));
+                                sourceOf(*order, *this->report), order->expectedSequence,
+                                this->fencingToken, this->upstreamId, enumName(reply)));
         this->metrics
-            .counter("tray_steward_orders_total",
-                     "reply=\"" + std::string(enumName(reply)) + "\"")
+            .counter("tray_steward_orders_total", "reply=\"" + std::string(enumName(reply)) + "\"")
             .add();
         if (reply == OrderReply::Fenced) {
             this->fencingToken = 0;
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -177,8 +177,7 @@
 TEST_CASE("An engine that hangs is left before its first request has ended")
 {
     Dispatcher dispatcher(proximityOf);
-    dispatcher.setUpstreams(
-        {{"hung", engineNamed("hung")}, {"well", engineNamed("well", "away")}});
+    dispatcher.setUpstreams({{"hung", engineNamed("hung")}, {"well", engineNamed("well", "away")}});
     dispatcher.paces().note("m1", 2000, 20);
     CHECK(chosen(dispatcher, queryOf(), Start) == "hung");
     const auto ticket = dispatcher.begin("hung", queryOf(), Start);
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -93,8 +93,7 @@
         CHECK(directory.expire(back + std::chrono::minutes(1)).empty());
         directory.storeAnswered(back + std::chrono::minutes(2));
         CHECK(directory.expire(back + std::chrono::minutes(2) + std::chrono::seconds(1)).empty());
-        CHECK(directory
-                  .expire(back + std::chrono::minutes(2) + UpstreamDirectory::RelistTime)
+        CHECK(directory.expire(back + std::chrono::minutes(2) + UpstreamDirectory::RelistTime)
                   .size() == 1);
     }
     SUBCASE("one that had announced its leave is gone whatever the store's condition")
--- a/tests/gateway/EventSplitterTest.cpp
+++ b/tests/gateway/EventSplitterTest.cpp
@@ -28,7 +28,8 @@
     SUBCASE("several events in one piece pass together")
     {
         splitter.dropRest();
-        CHECK(splitter.feed("id:7\n\nid: 8\r\ndata: x\r\n\r\n") == "id:7\n\nid: 8\r\ndata: x\r\n\r\n");
+        CHECK(splitter.feed("id:7\n\nid: 8\r\ndata: x\r\n\r\n") ==
+              "id:7\n\nid: 8\r\ndata: x\r\n\r\n");
         CHECK(splitter.lastId() == "8");
     }
 }
--- a/tests/platform/FleetJsonTest.cpp
+++ b/tests/platform/FleetJsonTest.cpp
@@ -110,7 +110,8 @@
     CHECK_FALSE(decodeUpstream("i-1", replaced("10.128.0.9:8080", "nowhere")).has_value());
     CHECK_FALSE(decodeUpstream("i-1", replaced("\"slots\":64", "\"slots\":\"64\"")).has_value());
     CHECK_FALSE(decodeUpstream("i-1", replaced("1790000000000", "1.5")).has_value());
-    CHECK_FALSE(decodeUpstream("i-1", replaced("[{\"name\":\"m1\"", "[{\"nam\":\"m1\"")).has_value());
+    CHECK_FALSE(
+        decodeUpstream("i-1", replaced("[{\"name\":\"m1\"", "[{\"nam\":\"m1\"")).has_value());
     CHECK_FALSE(decodeUpstream("i-1", parse("\"bytes\"")).has_value());
     SUBCASE("an older engine that does not tell its start is used")
     {
@@ -158,16 +159,18 @@
     CHECK(value(settings).retryReserve == 58);
     CHECK(value(settings).firstInnerPort == 7380);
 
-    for (const auto *field : {"node_name", "ip", "zone", "region", "zones", "inner_port_range",
-                              "address"}) {
+    for (const auto *field :
+         {"node_name", "ip", "zone", "region", "zones", "inner_port_range", "address"}) {
         const auto refused = readPlatformSettings(without(Settings, field));
         REQUIRE_FALSE(isOk(refused));
         CHECK(error(refused).kind == ErrorKind::InvalidSettings);
         CHECK(error(refused).message.find(field) != std::string::npos);
     }
-    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
-             {"10.1.0.38:8149", "somewhere"}, {"[7380,7395]", "[7395,7380]"},
-             {"\"grace_s\":8", "\"grace_s\":\"8\""}, {"\"r2\"", "2"}}) {
+    for (const auto &[from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"10.1.0.38:8149", "somewhere"},
+                                                          {"[7380,7395]", "[7395,7380]"},
+                                                          {"\"grace_s\":8", "\"grace_s\":\"8\""},
+                                                          {"\"r2\"", "2"}}) {
         auto text = Settings;
         text.replace(text.find(from), from.size(), to);
         CHECK_FALSE(isOk(readPlatformSettings(text)));
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -5,9 +5,9 @@
 #include "UpstreamStandIn.h"
 #include "gateway/Gateway.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
@@ -39,11 +39,11 @@
     explicit Path(UpstreamStandIn::Behaviour first, UpstreamStandIn::Behaviour second = {})
         : store(this->context), http(this->context), caller(this->context),
           client(this->http, this->store.listen()), first(this->context, std::move(first)),
-          second(this->context, second ? std::move(second)
-                                       : [](const HttpRequest &request) -> UpstreamReply {
-                                             return {UpstreamStandIn::answerTo(request, 200,
-                                                                               "second")};
-                                         })
+          second(
+              this->context,
+              second ? std::move(second) : [](const HttpRequest &request) -> UpstreamReply {
+                  return {UpstreamStandIn::answerTo(request, 200, "second")};
+              })
     {
         this->store.put("config", "main", Config);
         // The first one is nearer and so gets the first attempt.
@@ -126,8 +126,7 @@
     static Address freeAddress()
     {
         asio::io_context context;
-        asio::ip::tcp::acceptor acceptor(
-            context, {asio::ip::make_address("127.0.0.1"), 0});
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
         return {"127.0.0.1", acceptor.local_endpoint().port()};
     }
 
@@ -136,8 +135,8 @@
         for (int i = 0; i < 400; ++i) {
             HttpRequest question;
             question.target = "/v1/readiness";
-            const auto answer = co_await this->caller.request(this->readiness, question,
-                                                              std::chrono::seconds(1));
+            const auto answer =
+                co_await this->caller.request(this->readiness, question, std::chrono::seconds(1));
             if (isOk(answer) && value(answer).status == 200)
                 co_return;
             asio::steady_timer timer(this->context, milliseconds(10));
@@ -181,7 +180,8 @@
     const auto &received = path.first.received.front();
     CHECK(received.target == "/look/1?x=2");
     CHECK(findHeader(received.headers, "Marjoramtray-Expect-Instance") == "i-1");
-    const int left = std::stoi(std::string(findHeader(received.headers, "Marjoramtray-Deadline-Ms")));
+    const int left =
+        std::stoi(std::string(findHeader(received.headers, "Marjoramtray-Deadline-Ms")));
     CHECK(left <= 900);
     CHECK(left > 500);
 
@@ -400,8 +400,8 @@
         path.context,
         [&]() -> asio::awaitable<void> {
             HttpRequest question;
-            const auto answer = co_await path.caller.request(path.readiness, question,
-                                                             std::chrono::seconds(1));
+            const auto answer =
+                co_await path.caller.request(path.readiness, question, std::chrono::seconds(1));
             readiness = isOk(answer) ? value(answer).status : 0;
         },
         asio::detached);
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -120,9 +120,9 @@
     CHECK(findHeader(sent.headers, "Host") == "x.example:80");
     CHECK(findHeader(sent.headers, "X-Own") == "kept");
     CHECK(findHeader(sent.headers, "Last-Event-Id") == "4");
-    for (const auto *name : {"Marjoramtray-Hold", "Marjoramtray-Pin-Ms", "Marjoramtray-Kv-Backup",
-                             "Kv-From", "Kv-Fetch", "X-Hop", "Transfer-Encoding",
-                             "Content-Length", "Connection"})
+    for (const auto *name :
+         {"Marjoramtray-Hold", "Marjoramtray-Pin-Ms", "Marjoramtray-Kv-Backup", "Kv-From",
+          "Kv-Fetch", "X-Hop", "Transfer-Encoding", "Content-Length", "Connection"})
         CHECK(countOf(sent.headers, name) == 0);
 
     SUBCASE("a stream that goes on elsewhere names its last event once")
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -73,15 +73,15 @@
         REQUIRE(isOk(reading));
         store.put("servers", "i-1", entryText("draining"));
         store.remove("servers", "i-2");
-        const auto changes = runCall(
-            context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
+        const auto changes =
+            runCall(context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
         REQUIRE(isOk(changes));
         REQUIRE(value(changes).changes.size() == 2);
         CHECK(value(changes).changes[0].entry.phase == UpstreamPhase::Draining);
         CHECK(value(changes).changes[1].removed);
         CHECK(value(changes).changes[1].entry.id == "i-2");
-        const auto quiet = runCall(
-            context, client.awaitUpstreams(value(changes).revision, milliseconds(20)));
+        const auto quiet =
+            runCall(context, client.awaitUpstreams(value(changes).revision, milliseconds(20)));
         REQUIRE(isOk(quiet));
         CHECK(value(quiet).changes.empty());
     }
@@ -90,8 +90,8 @@
         store.put("servers", "i-1", entryText());
         const auto reading = runCall(context, client.readUpstreams());
         store.put("servers", "i-1", R"({"service":"s1"})");
-        const auto changes = runCall(
-            context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
+        const auto changes =
+            runCall(context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
         REQUIRE(isOk(changes));
         REQUIRE(value(changes).changes.size() == 1);
         CHECK(value(changes).changes[0].removed);
@@ -115,12 +115,12 @@
         const auto second = runCall(context, client.writeRecord("leases", {"planner", "two", 0}));
         REQUIRE_FALSE(isOk(second));
         CHECK(error(second).kind == ErrorKind::VersionConflict);
-        const auto third = runCall(
-            context, client.writeRecord("leases", {"planner", "three", value(first)}));
+        const auto third =
+            runCall(context, client.writeRecord("leases", {"planner", "three", value(first)}));
         REQUIRE(isOk(third));
         CHECK(value(third) > value(first));
-        const auto stale = runCall(
-            context, client.writeRecord("leases", {"planner", "four", value(first)}));
+        const auto stale =
+            runCall(context, client.writeRecord("leases", {"planner", "four", value(first)}));
         CHECK(error(stale).kind == ErrorKind::VersionConflict);
         const auto present = runCall(context, client.readRecord("leases", "planner"));
         REQUIRE(isOk(present));
--- a/tests/platform/StoreStandIn.h
+++ b/tests/platform/StoreStandIn.h
@@ -25,7 +25,11 @@
     /// Answers 503 to everything.
     bool refusing = false;
     /// Drops the history, so that watches of older revisions get 410.
-    void forgetHistory() { this->changes.clear(); this->historyBegins = this->revision; }
+    void forgetHistory()
+    {
+        this->changes.clear();
+        this->historyBegins = this->revision;
+    }
     int calls = 0;
 
 private:
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -85,8 +85,8 @@
     }
     SUBCASE("no demand evicts the last replica of a silent model")
     {
-        Fleet fleet(specOf(6), {engineWith("a", {"m0", "m1", "m2"}),
-                                engineWith("b", {"m3", "m4", "m5"})});
+        Fleet fleet(specOf(6),
+                    {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m3", "m4", "m5"})});
         for (int i = 0; i < 40; ++i)
             fleet.carryOut(fleet.step({{"m0", {100, 10}}}));
         for (const auto &model : fleet.spec.models)
--- a/tests/steward/OrderPlannerTest.cpp
+++ b/tests/steward/OrderPlannerTest.cpp
@@ -33,9 +33,9 @@
     {
         double mb = 0;
         for (const auto &model : this->report.models)
-            mb += spec.findModel(model.name)->weightsMb +
-                  spec.findModel(model.name)->adapterMb *
-                      static_cast<double>(model.adapters.size());
+            mb +=
+                spec.findModel(model.name)->weightsMb +
+                spec.findModel(model.name)->adapterMb * static_cast<double>(model.adapters.size());
         if (this->underWay && this->underWay->verb == OrderVerb::Load)
             mb += spec.findModel(this->underWay->model)->weightsMb;
         return mb;
@@ -110,8 +110,7 @@
     }
     SUBCASE("wishes lapse when the planner falls silent")
     {
-        CHECK_FALSE(
-            planner.next(report, specOf(), Start + OrderPlanner::WishLifetime).has_value());
+        CHECK_FALSE(planner.next(report, specOf(), Start + OrderPlanner::WishLifetime).has_value());
     }
     SUBCASE("nothing follows while the engine is busy")
     {
@@ -168,8 +167,8 @@
     }
     SUBCASE("a wish whose request has given up is not followed")
     {
-        CHECK_FALSE(planner.next(report, specOf(), Start + OrderPlanner::AdapterWishLifetime)
-                        .has_value());
+        CHECK_FALSE(
+            planner.next(report, specOf(), Start + OrderPlanner::AdapterWishLifetime).has_value());
     }
 }
 
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -2,7 +2,7 @@
 # Checks the format of all sources of ours, or mends it with --fix.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files -co --exclude-standard 'src/*' 'fakes/*' 'tests/*' 'bench/*' 'fuzz/*' |
+mapfile -t files < <(git ls-files -co --exclude-standard 'src/*' 'platform/*' 'fakes/*' 'tests/*' 'bench/*' 'fuzz/*' |
     grep -E '\.(h|cpp)$' | grep -v '^src/generated/')
 [ "${#files[@]}" -gt 0 ] || exit 0
 if [ "${1:-}" = --fix ]; then
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,7 +7,7 @@
 if [ "$#" -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'fakes/*.cpp' 'tests/*.cpp' 'bench/*.cpp' |
+    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'fakes/*.cpp' 'tests/*.cpp' 'bench/*.cpp' |
         grep -v '^src/generated/')
 fi
 # g++ has coroutines on in C++20; clang 14 needs to be told.
