Call the customers client accounts throughout

The users' word for a customer is client account; code, messages, settings, tickets, deployments and pages said member. Mechanical: identifiers, fields, INI sections ([client_account.NAME]) and ticket keys are renamed, generated code is made anew, and the numbers of fields stay.

--- a/bench/ClaimsBench.cpp
+++ b/bench/ClaimsBench.cpp
@@ -77,7 +77,7 @@
     void arrive()
     {
         proto::ClaimBegin begin;
-        begin.set_key(claimKey("member", std::to_string(++this->figures.claims)));
+        begin.set_key(claimKey("client_account", std::to_string(++this->figures.claims)));
         begin.set_claim_id(claimKey("claim", std::to_string(this->figures.claims)));
         const uint32_t shard = claimShardOf(begin.key());
         this->begins[++this->waiter] = {begin, this->now};
--- a/fakes/FakeHttp.h
+++ b/fakes/FakeHttp.h
@@ -33,7 +33,7 @@
     return parsed.as_object();
 }
 
-/// Number of an object's member, or the default.
+/// Number of an object's client account, or the default.
 inline double numberOf(const boost::json::object &object, std::string_view key, double otherwise)
 {
     const auto *found = object.if_contains(key);
@@ -42,14 +42,14 @@
     return found->to_number<double>();
 }
 
-/// Text of an object's member; empty if there is none.
+/// Text of an object's client account; empty if there is none.
 inline std::string textOf(const boost::json::object &object, std::string_view key)
 {
     const auto *found = object.if_contains(key);
     return found != nullptr && found->is_string() ? std::string(found->as_string()) : std::string();
 }
 
-/// Truth of an object's member, or the default.
+/// Truth of an object's client account, or the default.
 inline bool flagOf(const boost::json::object &object, std::string_view key, bool otherwise)
 {
     const auto *found = object.if_contains(key);
--- a/fuzz/CallerRequestFuzz.cpp
+++ b/fuzz/CallerRequestFuzz.cpp
@@ -13,8 +13,8 @@
     objects[0].set_name("gold");
     objects[0].mutable_tier()->set_deadline_ms(1000);
     objects[1].set_name("shop");
-    objects[1].mutable_member()->set_tier("gold");
-    objects[1].mutable_member()->add_credential_digests(tray::sha256Hex("secret"));
+    objects[1].mutable_client_account()->set_tier("gold");
+    objects[1].mutable_client_account()->add_credential_digests(tray::sha256Hex("secret"));
     objects[2].set_name("m");
     objects[2].mutable_model()->set_max_context_tokens(64);
     objects[3].set_name("s");
--- a/src/catalogue/Catalogue.cpp
+++ b/src/catalogue/Catalogue.cpp
@@ -27,9 +27,9 @@
         case proto::CatalogueObject::kTier:
             this->tierTable[object.name()] = object.tier();
             break;
-        case proto::CatalogueObject::kMember:
-            this->memberTable[object.name()] = object.member();
-            for (const auto &digest : object.member().credential_digests())
+        case proto::CatalogueObject::kClientAccount:
+            this->clientAccountTable[object.name()] = object.client_account();
+            for (const auto &digest : object.client_account().credential_digests())
                 this->credentialTable[digest] = object.name();
             break;
         case proto::CatalogueObject::kModel:
@@ -57,9 +57,9 @@
     return findIn(this->tierTable, name);
 }
 
-const proto::Member *Catalogue::findMember(std::string_view name) const
+const proto::ClientAccount *Catalogue::findClientAccount(std::string_view name) const
 {
-    return findIn(this->memberTable, name);
+    return findIn(this->clientAccountTable, name);
 }
 
 const proto::Model *Catalogue::findModel(std::string_view name) const
@@ -77,7 +77,7 @@
     return findIn(this->serviceTable, name);
 }
 
-std::string_view Catalogue::memberOfCredential(std::string_view digest) const
+std::string_view Catalogue::clientAccountOfCredential(std::string_view digest) const
 {
     const auto found = this->credentialTable.find(digest);
     return found == this->credentialTable.end() ? std::string_view() : found->second;
--- a/src/catalogue/Catalogue.h
+++ b/src/catalogue/Catalogue.h
@@ -28,17 +28,18 @@
     /// Each returns null if there is no such object.
     const proto::Pool *findPool(std::string_view name) const;
     const proto::Tier *findTier(std::string_view name) const;
-    const proto::Member *findMember(std::string_view name) const;
+    const proto::ClientAccount *findClientAccount(std::string_view name) const;
     const proto::Model *findModel(std::string_view name) const;
     const proto::Adapter *findAdapter(std::string_view name) const;
     const proto::Service *findService(std::string_view name) const;
 
-    /// Name of the member with the hexadecimal SHA-256 of a credential; empty if there is none.
-    std::string_view memberOfCredential(std::string_view digest) const;
+    /// Name of the client account with the hexadecimal SHA-256 of a credential; empty if there is
+    /// none.
+    std::string_view clientAccountOfCredential(std::string_view digest) const;
 
     const Table<proto::Pool> &pools() const { return this->poolTable; }
     const Table<proto::Tier> &tiers() const { return this->tierTable; }
-    const Table<proto::Member> &members() const { return this->memberTable; }
+    const Table<proto::ClientAccount> &clientAccounts() const { return this->clientAccountTable; }
     const Table<proto::Model> &models() const { return this->modelTable; }
     const Table<proto::Adapter> &adapters() const { return this->adapterTable; }
     const Table<proto::Service> &services() const { return this->serviceTable; }
@@ -47,11 +48,11 @@
     uint64_t version = 0;
     Table<proto::Pool> poolTable;
     Table<proto::Tier> tierTable;
-    Table<proto::Member> memberTable;
+    Table<proto::ClientAccount> clientAccountTable;
     Table<proto::Model> modelTable;
     Table<proto::Adapter> adapterTable;
     Table<proto::Service> serviceTable;
-    // Credential digest to member name.
+    // Credential digest to client account name.
     Table<std::string> credentialTable;
 };
 
--- a/src/catalogue/CatalogueCheck.cpp
+++ b/src/catalogue/CatalogueCheck.cpp
@@ -49,9 +49,9 @@
 
 Result<Unit> checkReferences(const Catalogue &catalogue)
 {
-    for (const auto &[name, member] : catalogue.members()) {
-        if (catalogue.findTier(member.tier()) == nullptr)
-            return dangling("member/" + name, "tier/" + member.tier());
+    for (const auto &[name, clientAccount] : catalogue.clientAccounts()) {
+        if (catalogue.findTier(clientAccount.tier()) == nullptr)
+            return dangling("client_account/" + name, "tier/" + clientAccount.tier());
     }
     for (const auto &[name, model] : catalogue.models()) {
         const auto *pool = catalogue.findPool(model.pool());
--- a/src/catalogue/Sections.cpp
+++ b/src/catalogue/Sections.cpp
@@ -14,8 +14,8 @@
         return "pool";
     case proto::CatalogueObject::kTier:
         return "tier";
-    case proto::CatalogueObject::kMember:
-        return "member";
+    case proto::CatalogueObject::kClientAccount:
+        return "client_account";
     case proto::CatalogueObject::kModel:
         return "model";
     case proto::CatalogueObject::kAdapter:
--- a/src/catalogue/TicketBoard.cpp
+++ b/src/catalogue/TicketBoard.cpp
@@ -155,12 +155,12 @@
         touched.insert(sectionIndex(key));
     }
     for (const uint32_t index : touched) {
-        std::vector<proto::CatalogueObject> members;
+        std::vector<proto::CatalogueObject> clientAccounts;
         for (const auto &[key, object] : after) {
             if (sectionIndex(key) == index)
-                members.push_back(object);
+                clientAccounts.push_back(object);
         }
-        auto bytes = encodeSection(index, members);
+        auto bytes = encodeSection(index, clientAccounts);
         const uint64_t sectionId = sectionDigest(bytes);
         plan.head.set_section_digests(static_cast<int>(index), sectionId);
         plan.sections.emplace(sectionId, std::move(bytes));
--- a/src/claims/ClaimOwners.cpp
+++ b/src/claims/ClaimOwners.cpp
@@ -19,10 +19,10 @@
 
 } // namespace
 
-std::string claimKey(std::string_view member, std::string_view idempotencyKey)
+std::string claimKey(std::string_view clientAccount, std::string_view idempotencyKey)
 {
     std::string text;
-    appendWithLength(text, member);
+    appendWithLength(text, clientAccount);
     appendWithLength(text, idempotencyKey);
     return hash128(text);
 }
--- a/src/claims/ClaimOwners.h
+++ b/src/claims/ClaimOwners.h
@@ -17,9 +17,9 @@
 /// but is still listed; two owners at once cost rereads, never safety.
 constexpr size_t ClaimOwnersPerShard = 2;
 
-/// Digest of a member's idempotency key, 16 bytes. Both parts are length-prefixed, so no two pairs
-/// share their input.
-std::string claimKey(std::string_view member, std::string_view idempotencyKey);
+/// Digest of a client account's idempotency key, 16 bytes. Both parts are length-prefixed, so no
+/// two pairs share their input.
+std::string claimKey(std::string_view clientAccount, std::string_view idempotencyKey);
 
 /// Shard of a claim key.
 uint32_t claimShardOf(std::string_view key);
--- a/src/ctl/Lists.cpp
+++ b/src/ctl/Lists.cpp
@@ -56,13 +56,13 @@
              return Row{object.name(), number(tier.rank()), number(tier.deadline_ms()),
                         number(tier.first_token_ms())};
          }},
-        {ListKind::Members,
-         Object::kMember,
+        {ListKind::ClientAccounts,
+         Object::kClientAccount,
          {"NAME", "TIER", "HOME_REGION", "CREDENTIALS"},
          [=](const Object &object) {
-             const auto &member = object.member();
-             return Row{object.name(), member.tier(), member.home_region(),
-                        number(member.credential_digests_size())};
+             const auto &clientAccount = object.client_account();
+             return Row{object.name(), clientAccount.tier(), clientAccount.home_region(),
+                        number(clientAccount.credential_digests_size())};
          }},
         {ListKind::Services,
          Object::kService,
--- a/src/ctl/Lists.h
+++ b/src/ctl/Lists.h
@@ -21,7 +21,16 @@
 };
 
 /// What can be listed.
-enum class ListKind { Models, Adapters, Upstreams, Tiers, Members, Services, Instances, Placement };
+enum class ListKind {
+    Models,
+    Adapters,
+    Upstreams,
+    Tiers,
+    ClientAccounts,
+    Services,
+    Instances,
+    Placement
+};
 
 template <>
 struct EnumNames<ListKind>
@@ -31,7 +40,7 @@
         {ListKind::Adapters, "adapters"},
         {ListKind::Upstreams, "upstreams"},
         {ListKind::Tiers, "tiers"},
-        {ListKind::Members, "members"},
+        {ListKind::ClientAccounts, "client_accounts"},
         {ListKind::Services, "services"},
         {ListKind::Instances, "instances"},
         {ListKind::Placement, "placement"},
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -69,30 +69,31 @@
     return Error{ErrorKind::NotFound, "there is no such path"};
 }
 
-Result<Unit> readMember(CallerRequest &request)
+Result<Unit> readClientAccount(CallerRequest &request)
 {
-    auto member = authenticate(request.http, *request.catalogue);
-    if (!isOk(member))
-        return error(member);
-    request.member = std::move(value(member));
-    const auto *entry = request.catalogue->findMember(request.member);
+    auto clientAccount = authenticate(request.http, *request.catalogue);
+    if (!isOk(clientAccount))
+        return error(clientAccount);
+    request.clientAccount = std::move(value(clientAccount));
+    const auto *entry = request.catalogue->findClientAccount(request.clientAccount);
     if (entry == nullptr)
-        return Error{ErrorKind::Unauthorized, "the credential belongs to no member"};
+        return Error{ErrorKind::Unauthorized, "the credential belongs to no client account"};
     request.tierName = entry->tier();
     request.homeRegion = entry->home_region();
     request.tier = request.catalogue->findTier(request.tierName);
     if (request.tier == nullptr)
-        return Error{ErrorKind::Forbidden, "the member has no tier in force"};
+        return Error{ErrorKind::Forbidden, "the client account has no tier in force"};
     return Unit{};
 }
 
 void setDigests(CallerRequest &request)
 {
     const auto &target = request.service.empty() ? request.call.model : request.service;
-    const uint64_t memberDigest = hash64(request.member);
-    request.contentDigest = hash64(request.http.body, hash64(target, memberDigest));
-    request.claimDigest = hash64(
-        request.http.body, hash64(request.http.target, hash64(request.http.method, memberDigest)));
+    const uint64_t clientAccountDigest = hash64(request.clientAccount);
+    request.contentDigest = hash64(request.http.body, hash64(target, clientAccountDigest));
+    request.claimDigest =
+        hash64(request.http.body,
+               hash64(request.http.target, hash64(request.http.method, clientAccountDigest)));
 }
 
 } // namespace
@@ -104,10 +105,11 @@
     if (header.size() <= Scheme.size() ||
         !equalsIgnoringCase(header.substr(0, Scheme.size()), Scheme))
         return Error{ErrorKind::Unauthorized, "a bearer credential is required"};
-    const auto member = catalogue.memberOfCredential(sha256Hex(header.substr(Scheme.size())));
-    if (member.empty())
+    const auto clientAccount =
+        catalogue.clientAccountOfCredential(sha256Hex(header.substr(Scheme.size())));
+    if (clientAccount.empty())
         return Error{ErrorKind::Unauthorized, "the credential is not known"};
-    return std::string(member);
+    return std::string(clientAccount);
 }
 
 Result<CallerRequest> readCallerRequest(HttpRequest http,
@@ -117,7 +119,7 @@
     CallerRequest request;
     request.catalogue = std::move(catalogue);
     request.http = std::move(http);
-    if (const auto read = readMember(request); !isOk(read))
+    if (const auto read = readClientAccount(request); !isOk(read))
         return error(read);
     if (const auto read = readTarget(request, parameter); !isOk(read))
         return error(read);
--- a/src/entry/CallerRequest.h
+++ b/src/entry/CallerRequest.h
@@ -18,7 +18,7 @@
 {
     std::shared_ptr<const Catalogue> catalogue;
     HttpRequest http;
-    std::string member;
+    std::string clientAccount;
     std::string tierName;
     const proto::Tier *tier = nullptr;
     std::string_view homeRegion;
@@ -38,7 +38,7 @@
     Instant deadline{};
 };
 
-/// Member that a request's bearer credential belongs to. Fails with Unauthorized.
+/// Client account that a request's bearer credential belongs to. Fails with Unauthorized.
 Result<std::string> authenticate(const HttpRequest &request, const Catalogue &catalogue);
 
 /// Authenticates and parses a request to a model or a service. Fails with Unauthorized, Forbidden,
--- a/src/entry/ControlNodePorts.h
+++ b/src/entry/ControlNodePorts.h
@@ -40,24 +40,25 @@
 public:
     explicit ControlNodeClaims(ControlNode &node) : client(node) {}
 
-    boost::asio::awaitable<proto::ClaimReply> begin(std::string member, std::string idempotencyKey,
-                                                    uint64_t bodyDigest, std::string claimId,
-                                                    Instant deadline) override
+    boost::asio::awaitable<proto::ClaimReply> begin(std::string clientAccount,
+                                                    std::string idempotencyKey, uint64_t bodyDigest,
+                                                    std::string claimId, Instant deadline) override
     {
-        return this->client.begin(std::move(member), std::move(idempotencyKey), bodyDigest,
+        return this->client.begin(std::move(clientAccount), std::move(idempotencyKey), bodyDigest,
                                   std::move(claimId), deadline);
     }
-    boost::asio::awaitable<void> finish(std::string member, std::string idempotencyKey,
+    boost::asio::awaitable<void> finish(std::string clientAccount, std::string idempotencyKey,
                                         std::string claimId, int status, std::string contentType,
                                         std::string answer) override
     {
-        return this->client.finish(std::move(member), std::move(idempotencyKey), std::move(claimId),
-                                   status, std::move(contentType), std::move(answer));
+        return this->client.finish(std::move(clientAccount), std::move(idempotencyKey),
+                                   std::move(claimId), status, std::move(contentType),
+                                   std::move(answer));
     }
-    boost::asio::awaitable<void> release(std::string member, std::string idempotencyKey,
+    boost::asio::awaitable<void> release(std::string clientAccount, std::string idempotencyKey,
                                          std::string claimId) override
     {
-        return this->client.release(std::move(member), std::move(idempotencyKey),
+        return this->client.release(std::move(clientAccount), std::move(idempotencyKey),
                                     std::move(claimId));
     }
 
--- a/src/entry/EntryPorts.h
+++ b/src/entry/EntryPorts.h
@@ -35,13 +35,14 @@
     virtual ~ClaimPort() = default;
 
     virtual boost::asio::awaitable<proto::ClaimReply>
-    begin(std::string member, std::string idempotencyKey, uint64_t bodyDigest, std::string claimId,
-          Instant deadline) = 0;
-    virtual boost::asio::awaitable<void> finish(std::string member, std::string idempotencyKey,
-                                                std::string claimId, int status,
-                                                std::string contentType, std::string answer) = 0;
-    virtual boost::asio::awaitable<void> release(std::string member, std::string idempotencyKey,
-                                                 std::string claimId) = 0;
+    begin(std::string clientAccount, std::string idempotencyKey, uint64_t bodyDigest,
+          std::string claimId, Instant deadline) = 0;
+    virtual boost::asio::awaitable<void> finish(std::string clientAccount,
+                                                std::string idempotencyKey, std::string claimId,
+                                                int status, std::string contentType,
+                                                std::string answer) = 0;
+    virtual boost::asio::awaitable<void>
+    release(std::string clientAccount, std::string idempotencyKey, std::string claimId) = 0;
 };
 
 } // namespace tray
--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -67,8 +67,8 @@
 HttpResponse EntryServer::listModels(const HttpRequest &request) const
 {
     const auto catalogue = this->state.catalogue();
-    if (const auto member = authenticate(request, *catalogue); !isOk(member))
-        return errorReply(error(member));
+    if (const auto clientAccount = authenticate(request, *catalogue); !isOk(clientAccount))
+        return errorReply(error(clientAccount));
     json::array data;
     const auto add = [&](std::string id) {
         json::object model;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -91,8 +91,8 @@
     const Instant limit = std::min(clockNow() + ClaimWait, this->request.deadline);
     while (true) {
         auto reply = co_await this->services.claims.begin(
-            this->request.member, this->request.idempotencyKey, this->request.claimDigest, claimId,
-            this->request.deadline);
+            this->request.clientAccount, this->request.idempotencyKey, this->request.claimDigest,
+            claimId, this->request.deadline);
         if (reply.verdict() != proto::CLAIM_VERDICT_IN_PROGRESS ||
             clockNow() + ClaimPoll >= limit || this->responder.isPeerGone())
             co_return reply;
@@ -105,11 +105,11 @@
     auto &claims = this->services.claims;
     if (end == End::Answered && this->callerAnswer.hasCopy()) {
         auto copy = this->callerAnswer.takeCopy();
-        co_await claims.finish(this->request.member, this->request.idempotencyKey, claimId,
+        co_await claims.finish(this->request.clientAccount, this->request.idempotencyKey, claimId,
                                this->callerAnswer.status(), this->callerAnswer.contentType(),
                                std::move(copy));
     } else if (end == End::Failed && this->machine.ran() == Ran::No) {
-        co_await claims.release(this->request.member, this->request.idempotencyKey, claimId);
+        co_await claims.release(this->request.clientAccount, this->request.idempotencyKey, claimId);
     }
 }
 
@@ -276,7 +276,7 @@
     frame.set_attempt_number(attemptNumber);
     frame.set_head_version(this->request.catalogue->headVersion());
     auto &attempt = *frame.mutable_attempt();
-    attempt.set_member(this->request.member);
+    attempt.set_client_account(this->request.clientAccount);
     attempt.set_tier_rank(this->request.tier->rank());
     const auto remaining = toMs(this->request.deadline - now);
     attempt.set_remaining_ms(static_cast<uint32_t>(std::max<int64_t>(remaining, 1)));
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -38,7 +38,7 @@
     Duration stopGrace = std::chrono::seconds(8);
 };
 
-/// Runs on one thread: all members are used from the context's thread only.
+/// Runs on one thread: all client accounts are used from the context's thread only.
 class Gateway
 {
 public:
--- a/src/load/ReportBuilder.cpp
+++ b/src/load/ReportBuilder.cpp
@@ -149,7 +149,8 @@
     const auto warmUp = std::chrono::duration<double>(scenario.load.warm_up_s());
     for (const auto &sample : samples) {
         const auto &flow = scenario.flows.at(sample.flow).flow();
-        const auto &tier = scenario.members.at(flow.member()).member().tier();
+        const auto &tier =
+            scenario.clientAccounts.at(flow.client_account()).client_account().tier();
         const bool attained = isAttained(sample, flow);
         auto &interval = intervals[sample.intended / width];
         interval.all.add(sample, attained);
--- a/src/load/RequestSender.cpp
+++ b/src/load/RequestSender.cpp
@@ -115,9 +115,10 @@
 HttpRequest RequestSender::makeRequest(const PlannedRequest &plan) const
 {
     const auto &flow = this->scenario.flows.at(plan.flow).flow();
-    const auto &member = this->scenario.members.at(flow.member()).member();
+    const auto &clientAccount =
+        this->scenario.clientAccounts.at(flow.client_account()).client_account();
     HttpRequest request;
-    request.headers.emplace_back("Authorization", "Bearer " + member.credential());
+    request.headers.emplace_back("Authorization", "Bearer " + clientAccount.credential());
     if (flow.idempotency_key())
         request.headers.emplace_back("Idempotency-Key",
                                      fmt::format("{}-{}-{}", plan.flow, this->scenario.load.seed(),
--- a/src/load/Scenario.cpp
+++ b/src/load/Scenario.cpp
@@ -30,8 +30,9 @@
                        const proto::LoadFlowSection &flow)
 {
     const std::string section = "flow." + name;
-    if (scenario.members.count(flow.member()) == 0)
-        return invalid(section, "there is no section [member." + flow.member() + "]");
+    if (scenario.clientAccounts.count(flow.client_account()) == 0)
+        return invalid(section,
+                       "there is no section [client_account." + flow.client_account() + "]");
     if (flow.kind() == "service" ? flow.service().empty() : splitCommas(flow.models()).empty())
         return invalid(section, "names neither a model nor a service");
     const bool reachable =
@@ -48,7 +49,7 @@
 
 const std::vector<std::string> &scenarioFamilies()
 {
-    static const std::vector<std::string> Families = {"entry", "member", "flow", "fault",
+    static const std::vector<std::string> Families = {"entry", "client_account", "flow", "fault",
                                                       "counter"};
     return Families;
 }
@@ -59,7 +60,7 @@
     Scenario scenario;
     scenario.load = load;
     for (const auto &result : {readInto(scenario.entries, "entry", text, fileName),
-                               readInto(scenario.members, "member", text, fileName),
+                               readInto(scenario.clientAccounts, "client_account", text, fileName),
                                readInto(scenario.flows, "flow", text, fileName),
                                readInto(scenario.faults, "fault", text, fileName),
                                readInto(scenario.counters, "counter", text, fileName)}) {
--- a/src/load/Scenario.h
+++ b/src/load/Scenario.h
@@ -20,7 +20,7 @@
 {
     proto::LoadSection load;
     std::map<std::string, proto::LoadEntrySettings> entries;
-    std::map<std::string, proto::LoadMemberSettings> members;
+    std::map<std::string, proto::LoadClientAccountSettings> clientAccounts;
     std::map<std::string, proto::LoadFlowSettings> flows;
     std::map<std::string, proto::LoadFaultSettings> faults;
     std::map<std::string, proto::LoadCounterSettings> counters;
--- a/src/node/ClaimClient.cpp
+++ b/src/node/ClaimClient.cpp
@@ -126,13 +126,13 @@
 
 ClaimClient::~ClaimClient() = default;
 
-asio::awaitable<proto::ClaimReply> ClaimClient::begin(std::string member,
+asio::awaitable<proto::ClaimReply> ClaimClient::begin(std::string clientAccount,
                                                       std::string idempotencyKey,
                                                       uint64_t bodyDigest, std::string claimId,
                                                       Instant deadline)
 {
     ControlNode &node = this->impl->node;
-    const std::string key = claimKey(member, idempotencyKey);
+    const std::string key = claimKey(clientAccount, idempotencyKey);
     const proto::ControlRequest request = makeBegin(key, bodyDigest, claimId);
     // An owner may still grant the claim after this call has given up.
     bool mayBeGranted = false;
@@ -162,11 +162,11 @@
     co_return unavailable();
 }
 
-asio::awaitable<void> ClaimClient::finish(std::string member, std::string idempotencyKey,
+asio::awaitable<void> ClaimClient::finish(std::string clientAccount, std::string idempotencyKey,
                                           std::string claimId, int status, std::string contentType,
                                           std::string answer)
 {
-    const std::string key = claimKey(member, idempotencyKey);
+    const std::string key = claimKey(clientAccount, idempotencyKey);
     proto::ControlRequest request;
     proto::ClaimRecord *record = request.mutable_claim_finish()->mutable_record();
     record->set_key(key);
@@ -177,10 +177,10 @@
     co_await settle(this->impl->node, key, std::move(request));
 }
 
-asio::awaitable<void> ClaimClient::release(std::string member, std::string idempotencyKey,
+asio::awaitable<void> ClaimClient::release(std::string clientAccount, std::string idempotencyKey,
                                            std::string claimId)
 {
-    const std::string key = claimKey(member, idempotencyKey);
+    const std::string key = claimKey(clientAccount, idempotencyKey);
     proto::ControlRequest request = makeRelease(key, claimId);
     co_await settle(this->impl->node, key, std::move(request));
 }
--- a/src/node/ControlNodeImpl.h
+++ b/src/node/ControlNodeImpl.h
@@ -96,7 +96,7 @@
     std::atomic<uint64_t> serverSent{0};
     std::atomic<uint64_t> serverReceived{0};
 
-    // Guards the members below.
+    // Guards the client accounts below.
     mutable std::mutex mutex;
     NodeState state;
     std::map<proto::ControlRequest::BodyCase, Handler> handlers;
--- a/tests/process/ProcessRig.h
+++ b/tests/process/ProcessRig.h
@@ -78,7 +78,7 @@
                       Duration timeout = std::chrono::seconds(10));
     /// POST /fault at a stand-in's admin address.
     bool fault(const Address &admin, const std::string &body);
-    /// A completion of a model by the rig's member.
+    /// A completion of a model by the rig's client account.
     HttpResponse complete(int entryNumber, const std::string &model, const std::string &prompt,
                           bool stream = false, HttpHeaders headers = {});
     /// Calls until the condition holds; false after the timeout.
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -35,7 +35,7 @@
 digest=$(printf 'bench-key' | sha256sum | cut -d' ' -f1)
 cat >"$settings/ticket.json" <<END
 {"number":1,"author":"bench","objects":[{"name":"desks","pool":{}},{"name":"gold","tier":{"deadline_ms":5000}},
-{"name":"bench","member":{"tier":"gold","credential_digests":["$digest"]}},{"name":"desk","service":{"pool":"desks"}}]}
+{"name":"bench","client_account":{"tier":"gold","credential_digests":["$digest"]}},{"name":"desk","service":{"pool":"desks"}}]}
 END
 flow() {
     printf '[flow.%s]\nmember = bench\ndata_centre = %s\nkind = service\nservice = desk\nrate = 2000\n' "$1" "$2"
@@ -43,7 +43,7 @@
 }
 # The two ways alternate within one run, so that a change of the machine's load meets both.
 {
-    printf '[load]\nname = added-latency\nduration_s = 20\nseed = 1\n[member.bench]\ncredential = bench-key\n'
+    printf '[load]\nname = added-latency\nduration_s = 20\nseed = 1\n[client_account.bench]\ncredential = bench-key\n'
     printf '[entry.direct]\naddress = %s.50:8000\ndata_centre = direct\n' $network
     printf '[entry.tray]\naddress = %s.11:8080\ndata_centre = tray\n' $network
     flow direct-warm-up direct 0 2
--- a/tools/experiment.sh
+++ b/tools/experiment.sh
@@ -41,7 +41,7 @@
     control=$(setting "$(ls $directory/tray-entry-*.ini | head -n 1)" control listen)
     entry=$(setting "$(ls $directory/tray-entry-*.ini | head -n 1)" entry listen)
     platform=$(setting $directory/fake-platform.ini fake_platform listen)
-    credential=$(setting "$(ls $directory/load-steady.ini)" member.reports credential)
+    credential=$(setting "$(ls $directory/load-steady.ini)" client_account.reports credential)
     model_prefix=$(grep -o '"name":"[a-z]*-01","model"' $directory/ticket-1.json | cut -d'"' -f4 | cut -d- -f1)
     count=$(grep -c '"model":{' $directory/ticket-1.json)
     # shellcheck disable=SC2086
--- a/tools/make-deployment.sh
+++ b/tools/make-deployment.sh
@@ -16,7 +16,7 @@
     model_prefix=advice models=17 adapter_prefix=pairing adapters=55
     loads_per_second=1 full_speed_loads=9 transit_limit=70
     # name:tier:home region
-    members=(bench-arequipa:gold: bench-trujillo:gold:norte bench-lima:gold: sales-desk:silver: batches:silver:
+    client_accounts=(bench-arequipa:gold: bench-trujillo:gold:norte bench-lima:gold: sales-desk:silver: batches:silver:
         reports:bronze:)
     ;;
 association)
@@ -26,7 +26,7 @@
     engine_pool=pembantu service_pool=kaunter services=(boats availability)
     model_prefix=pembantu models=40 adapter_prefix=jeti adapters=95
     loads_per_second=2 full_speed_loads=25 transit_limit=180
-    members=(counter:gold: counter-sabah:gold:borneo phone-apps:silver: briefings:silver: reports:bronze:)
+    client_accounts=(counter:gold: counter-sabah:gold:borneo phone-apps:silver: briefings:silver: reports:bronze:)
     ;;
 *)
     echo "unknown deployment: $name" >&2
@@ -160,10 +160,10 @@
 add '{"name":"gold","tier":{"rank":0,"deadline_ms":5000,"first_token_ms":1000}}'
 add '{"name":"silver","tier":{"rank":1,"deadline_ms":10000,"first_token_ms":2000}}'
 add '{"name":"bronze","tier":{"rank":2,"deadline_ms":30000}}'
-for entry in "${members[@]}"; do
-    IFS=: read -r member tier home <<<"$entry"
-    digest=$(printf '%s' "$member-key" | sha256sum | cut -d' ' -f1)
-    add "{\"name\":\"$member\",\"member\":{\"tier\":\"$tier\",\"credential_digests\":[\"$digest\"],\"home_region\":\"$home\"}}"
+for entry in "${client_accounts[@]}"; do
+    IFS=: read -r client_account tier home <<<"$entry"
+    digest=$(printf '%s' "$client_account-key" | sha256sum | cut -d' ' -f1)
+    add "{\"name\":\"$client_account\",\"client_account\":{\"tier\":\"$tier\",\"credential_digests\":[\"$digest\"],\"home_region\":\"$home\"}}"
 done
 for ((i = 1; i <= models; i++)); do
     # Weights of 2 to 5 GB, so that about twice the models' minimum fits into the engines.
@@ -187,11 +187,11 @@
     printf '\n]}\n'
 } >"$directory/ticket-1.json"
 
-# A later change: one more member, and the first model needs two replicas.
+# A later change: one more client_account, and the first model needs two replicas.
 digest=$(printf 'visitor-key' | sha256sum | cut -d' ' -f1)
 cat >"$directory/ticket-2.json" <<END
 {"number":2,"author":"deployment","objects":[
-{"name":"visitor","member":{"tier":"bronze","credential_digests":["$digest"]}},
+{"name":"visitor","client_account":{"tier":"bronze","credential_digests":["$digest"]}},
 {"name":"$model_prefix-01","model":{"pool":"$engine_pool","version":"1","weight_bytes":5000000000,"kv_bytes_per_token":131072,"max_context_tokens":4096,"min_replicas":2}}
 ]}
 END
@@ -224,8 +224,8 @@
 
 # write_scenario NAME DURATION RATE_FACTOR BURST_FACTOR ROTATE_S: load scenario of the deployment; stdin is added.
 write_scenario() {
-    local scenario=$1 duration=$2 factor=$3 burst=$4 rotate=$5 d n entry member tier home
-    local local_member=${members[1]%%:*} main_member=${members[0]%%:*} silver_member=${members[3]%%:*}
+    local scenario=$1 duration=$2 factor=$3 burst=$4 rotate=$5 d n entry client_account tier home
+    local local_member=${client_accounts[1]%%:*} main_member=${client_accounts[0]%%:*} silver_member=${client_accounts[3]%%:*}
     rate() { awk "BEGIN { print $1 * $total_engines / 9 * $factor }"; }
     {
         printf '[load]\nname = %s-%s\nseed = 1\nduration_s = %s\nwarm_up_s = 5\naccelerators = %d\n' \
@@ -236,13 +236,13 @@
                     "${data_centres[$d]}" "$n" "$network" $((d + 1)) "$n" "${data_centres[$d]}"
             done
         done
-        for entry in "${members[@]}"; do
-            IFS=: read -r member tier home <<<"$entry"
-            printf '[member.%s]\ncredential = %s-key\ntier = %s\n' "$member" "$member" "$tier"
+        for entry in "${client_accounts[@]}"; do
+            IFS=: read -r client_account tier home <<<"$entry"
+            printf '[client_account.%s]\ncredential = %s-key\ntier = %s\n' "$client_account" "$client_account" "$tier"
         done
         cat <<END
 [flow.questions]
-member = $main_member
+client_account = $main_member
 models = $(names "$model_prefix" "$models")
 skew = 0.8
 rotate_s = $rotate
@@ -255,14 +255,14 @@
 expectation_ms = 5000
 first_token_ms = 1000
 [flow.local-questions]
-member = $local_member
+client_account = $local_member
 data_centre = ${data_centres[2]}
 models = $(names "$model_prefix" 4)
 rate = $(rate 4)
 output_tokens = 30
 expectation_ms = 5000
 [flow.adapter-questions]
-member = $silver_member
+client_account = $silver_member
 models = $(adapter_names)
 skew = 0.5
 rotate_s = $rotate
@@ -273,20 +273,20 @@
 output_tokens = 30
 expectation_ms = 10000
 [flow.reports]
-member = reports
+client_account = reports
 kind = completion
 models = $(names "$model_prefix" "$models")
 rate = $(rate 4)
 output_tokens = 100
 expectation_ms = 30000
 [flow.lookups]
-member = $silver_member
+client_account = $silver_member
 kind = service
 service = ${services[0]}
 rate = $(rate 20)
 expectation_ms = 10000
 [flow.bookings]
-member = $silver_member
+client_account = $silver_member
 kind = service
 service = ${services[1]}
 method = POST
