Give the weight store's test the time that the wider margin needs

The planner grants seven loads in a window of nine since the margin was widened, so 36 loads take 33 s instead of 27 s: the test steps through 40 s. The bound itself, nine loads in any 5 s, is checked as before; what is left to a planner after its first window is now checked exactly.

--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -130,7 +130,7 @@
         engines.push_back(engineWith("e" + std::to_string(i), {}));
     Fleet fleet(specOf(36), engines);
     std::vector<Instant> granted;
-    for (int i = 0; i < 60; ++i) {
+    for (int i = 0; i < 80; ++i) {
         const Instant at = fleet.now;
         const auto moves = fleet.step({});
         granted.insert(granted.end(), moves.size(), at);
@@ -155,7 +155,8 @@
         // One load is seen under way, and half of the nine are four.
         CHECK(after.step({}).size() == 3);
         after.now += std::chrono::seconds(6);
-        CHECK(after.step({}).size() >= 5);
+        // Eight tenths of nine are seven, of which three are granted and have not begun.
+        CHECK(after.step({}).size() == 4);
     }
     SUBCASE("copies on the engine's host need no store")
     {
