--- a/tests/load/ReportTest.cpp
+++ b/tests/load/ReportTest.cpp
@@ -149,15 +149,15 @@
     std::string text = ScenarioText;
     SUBCASE("a flow of an unknown client account")
     {
-        text += "[flow.other]\nmember = nobody\nmodels = advice\n";
+        text += "[flow.other]\nclient_account = nobody\nmodels = advice\n";
     }
     SUBCASE("a flow without a model")
     {
-        text += "[flow.other]\nmember = shop\n";
+        text += "[flow.other]\nclient_account = shop\n";
     }
     SUBCASE("a value out of range")
     {
-        text += "[flow.other]\nmember = shop\nmodels = advice\nrate = -1\n";
+        text += "[flow.other]\nclient_account = shop\nmodels = advice\nrate = -1\n";
     }
     CHECK(!isOk(readScenario(scenario.load, text, "test")));
 }
--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -39,10 +39,11 @@
     layout.services = 2;
     layout.serviceSettings = "execute_ms = 30\n";
     REQUIRE(rig.startSystem(layout));
-    auto load = rig.startLoad(rig.scenarioHead(6) +
-                              "[flow.bookings]\nmember = rig\nkind = service\nservice = desk\n"
-                              "method = POST\npath = new\nidempotency_key = true\nrate = 40\n"
-                              "repeats = 2\nexpectation_ms = 10000\n");
+    auto load =
+        rig.startLoad(rig.scenarioHead(6) +
+                      "[flow.bookings]\nclient_account = rig\nkind = service\nservice = desk\n"
+                      "method = POST\npath = new\nidempotency_key = true\nrate = 40\n"
+                      "repeats = 2\nexpectation_ms = 10000\n");
     std::this_thread::sleep_for(milliseconds(1500));
     rig.signal("service-agent0", SIGKILL);
     std::this_thread::sleep_for(milliseconds(1500));
@@ -92,10 +93,11 @@
     RigLayout layout;
     layout.relayed = true;
     REQUIRE(rig.startSystem(layout));
-    auto load = rig.startLoad(rig.scenarioHead(5) +
-                              "[flow.steady]\nmember = rig\nkind = completion\nmodels = m1,m2\n"
-                              "rate = 30\nstream = true\noutput_tokens = 20\n"
-                              "expectation_ms = 5000\n");
+    auto load =
+        rig.startLoad(rig.scenarioHead(5) +
+                      "[flow.steady]\nclient_account = rig\nkind = completion\nmodels = m1,m2\n"
+                      "rate = 30\nstream = true\noutput_tokens = 20\n"
+                      "expectation_ms = 5000\n");
     std::this_thread::sleep_for(seconds(2));
     REQUIRE(rig.fault(rig.relayAdmin(), R"({"silence":true})"));
     const auto report = load.get();
--- a/tests/process/ProcessRig.h
+++ b/tests/process/ProcessRig.h
@@ -84,7 +84,7 @@
     /// Calls until the condition holds; false after the timeout.
     static bool eventually(Duration timeout, const std::function<bool()> &condition);
 
-    /// Scenario text with the entries and the member of the rig, to which flows are added.
+    /// Scenario text with the entries and the client account of the rig, to which flows are added.
     std::string scenarioHead(double durationSeconds) const;
     /// Runs a load in this process, on a thread of its own.
     std::future<proto::LoadReport> startLoad(const std::string &scenario);
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -26,7 +26,7 @@
 /// Steady flow of short completions over both models.
 std::string steadyFlow(int rate)
 {
-    return fmt::format("[flow.steady]\nmember = rig\nkind = completion\nmodels = m1,m2\n"
+    return fmt::format("[flow.steady]\nclient_account = rig\nkind = completion\nmodels = m1,m2\n"
                        "rate = {}\noutput_tokens = 5\nexpectation_ms = 5000\n",
                        rate);
 }
@@ -144,10 +144,11 @@
     layout.agentSettings = "concurrency = 256\n";
     REQUIRE(rig.startSystem(layout));
     const std::string head = rig.scenarioHead(2);
-    auto load = rig.startLoad(head.substr(0, head.find("[entry.e1]")) +
-                              "[flow.streams]\nmember = rig\nkind = completion\nmodels = m1,m2\n"
-                              "rate = 400\nlimit = 200\nstream = true\noutput_tokens = 120\n"
-                              "expectation_ms = 10000\n");
+    auto load =
+        rig.startLoad(head.substr(0, head.find("[entry.e1]")) +
+                      "[flow.streams]\nclient_account = rig\nkind = completion\nmodels = m1,m2\n"
+                      "rate = 400\nlimit = 200\nstream = true\noutput_tokens = 120\n"
+                      "expectation_ms = 10000\n");
     // The last stream starts after about half a second; the first ends after more than two.
     std::this_thread::sleep_for(milliseconds(1500));
     rig.signal("entry0", SIGTERM);
