Make the logger before the threads of node tests, and share clock and pause

Cause of the red ThreadSanitizer run of the node tests: the default logger is made by its first user. Two nodes of a cluster log from two threads, and the library that makes the logger is not instrumented, so ThreadSanitizer sees a write by one thread and a read by the other without the guard between them. Ruled out: a race in our own code; all frames above the library only call spdlog::info. The cluster now makes the logger before it starts a thread.

OrderPlanner::SparePlaces was zero and is gone.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -4,6 +4,7 @@
 #include "edge/HttpEnginePort.h"
 #include "edge/HttpServicePort.h"
 #include "edge/ObjectApi.h"
+#include "net/Pause.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -34,12 +35,6 @@
     return identity;
 }
 
-asio::awaitable<void> pauseFor(asio::io_context &context, Duration time)
-{
-    asio::steady_timer timer(context, time);
-    co_await timer.async_wait(Await);
-}
-
 } // namespace
 
 Agent::Agent(asio::io_context &context, const proto::AgentSettings &settings)
@@ -190,7 +185,7 @@
     auto raised = co_await this->epoch.raise();
     while (!isOk(raised) && !this->stopped) {
         spdlog::info("event=epoch_not_raised error=\"{}\"", error(raised).message);
-        co_await pauseFor(this->context, EpochRetry);
+        co_await pauseFor(EpochRetry);
         raised = co_await this->epoch.raise();
     }
     if (this->stopped)
@@ -205,7 +200,7 @@
 asio::awaitable<void> Agent::watchEpoch()
 {
     while (!this->stopped) {
-        co_await pauseFor(this->context, EpochCheck);
+        co_await pauseFor(EpochCheck);
         const auto checked = co_await this->epoch.check();
         if (!isOk(checked) && error(checked).kind == ErrorKind::Stale)
             this->reportStale();
@@ -220,7 +215,7 @@
             spdlog::info("event=service_reachable value={}", reachable);
         this->serviceLost = !reachable;
         this->publishStatus();
-        co_await pauseFor(this->context, ServiceCheck);
+        co_await pauseFor(ServiceCheck);
     }
 }
 
@@ -287,7 +282,7 @@
     // Data connections stay open until the last answer was written and a resume can no longer
     // come for it.
     while (this->runner->open() > 0)
-        co_await pauseFor(this->context, milliseconds(20));
+        co_await pauseFor(milliseconds(20));
     this->stopped = true;
     if (this->controller)
         this->controller->stop();
--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -20,11 +20,6 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 AttemptRunner::AttemptRunner(asio::io_context &context, AdmissionLimits limits, UpstreamPorts ports,
--- a/src/agent/DataServer.cpp
+++ b/src/agent/DataServer.cpp
@@ -16,11 +16,6 @@
 constexpr auto ChannelIdle = std::chrono::minutes(10);
 constexpr size_t MostDataBytes = 64u << 10;
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 uint32_t retryAfterOf(const Error &reason)
 {
     const int given = reason.retryAfterMs;
--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -1,6 +1,8 @@
 // Reports and orders of one engine.
 #include "agent/EngineController.h"
 
+#include "net/Pause.h"
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -19,12 +21,6 @@
 // Weight of a new sample in a mean, as a divisor.
 constexpr int MeanWeight = 4;
 
-asio::awaitable<void> pauseFor(asio::io_context &context, Duration time)
-{
-    asio::steady_timer timer(context, time);
-    co_await timer.async_wait(Await);
-}
-
 } // namespace
 
 EngineController::EngineController(asio::io_context &context, EnginePort &port,
@@ -181,7 +177,7 @@
             this->hooks.onStale();
             co_return;
         }
-        co_await pauseFor(this->context, FencePause);
+        co_await pauseFor(FencePause);
         accepted = co_await this->sendRole("fence", token);
     }
     // The same order under an older token tells whether the engine obeys tokens.
@@ -189,9 +185,9 @@
     this->fencingObeyed = !isOk(older) && error(older).kind == ErrorKind::Stale;
     // Only a report that was made after the token was accepted shows all that was ordered before.
     while (!this->stopped && this->memory.lastSequence() < value(accepted))
-        co_await pauseFor(this->context, milliseconds(20));
+        co_await pauseFor(milliseconds(20));
     if (!this->fencingObeyed)
-        co_await pauseFor(this->context, this->times.quarantine);
+        co_await pauseFor(this->times.quarantine);
     this->mayLoad = true;
     spdlog::info("event=engine_taken_over upstream={} epoch={} obeys_fencing={}", this->upstream,
                  token, this->fencingObeyed);
--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -17,6 +17,12 @@
     return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+/// Reads the monotonic clock. For the edges of the system only, never for decision code.
+inline Instant clockNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
 /// Wall-clock time in ms since 1970.
 using WallMs = uint64_t;
 
--- a/src/entry/AttemptDriver.cpp
+++ b/src/entry/AttemptDriver.cpp
@@ -10,11 +10,6 @@
 
 namespace asio = boost::asio;
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Frame with the identity of another one and no body.
 proto::Frame frameLike(const proto::Frame &frame)
 {
--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -3,6 +3,7 @@
 #include "entry/ControlNodePorts.h"
 #include "entry/EntryServer.h"
 #include "net/AdminServer.h"
+#include "net/Pause.h"
 #include "net/Service.h"
 #include "node/ClaimService.h"
 #include "node/PlannerService.h"
@@ -11,9 +12,6 @@
 #include "settings_entry.pb.h"
 
 #include <atomic>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <iostream>
 
 namespace {
@@ -101,22 +99,16 @@
         this->stopping = true;
         co_await this->node.announceLeaving();
         // The balancer sends callers here until it has seen that readiness is withdrawn.
-        co_await this->pause(milliseconds(this->settings.entry().drain_grace_ms()));
+        co_await pauseFor(milliseconds(this->settings.entry().drain_grace_ms()));
         this->server.drain();
         while (this->server.inFlight() > 0)
-            co_await this->pause(milliseconds(10));
+            co_await pauseFor(milliseconds(10));
         this->admin.drain();
         this->planner.stop();
         this->claimService.stop();
         this->node.stop();
     }
 
-    asio::awaitable<void> pause(Duration duration)
-    {
-        asio::steady_timer timer(this->context, duration);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-
     const proto::EntrySettings settings;
     asio::io_context context;
     Metrics metrics;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -3,11 +3,7 @@
 
 #include "base/Hash.h"
 #include "entry/ErrorReply.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "net/Pause.h"
 
 namespace tray {
 
@@ -15,23 +11,12 @@
 
 namespace asio = boost::asio;
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::mt19937_64 &threadRandom()
 {
     thread_local std::mt19937_64 random(newNonce());
     return random;
 }
 
-asio::awaitable<void> sleepFor(Duration duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 AnswerMode modeOf(const CallerRequest &request, const EntryServices &services)
 {
     return {request.call.stream, !request.idempotencyKey.empty(), services.bufferLimit};
@@ -96,7 +81,7 @@
         if (reply.verdict() != proto::CLAIM_VERDICT_IN_PROGRESS ||
             clockNow() + ClaimPoll >= limit || this->responder.isPeerGone())
             co_return reply;
-        co_await sleepFor(ClaimPoll);
+        co_await pauseFor(ClaimPoll);
     }
 }
 
@@ -263,10 +248,10 @@
 asio::awaitable<void> Exchange::awaitCrashCount()
 {
     const auto limit = std::min(clockNow() + std::chrono::seconds(1), this->request.deadline);
-    co_await sleepFor(std::min(CrashSpread, limit - clockNow()));
+    co_await pauseFor(std::min(CrashSpread, limit - clockNow()));
     while (clockNow() < limit &&
            this->services.state.crashesOf(this->request.contentDigest, clockNow()) == 0)
-        co_await sleepFor(milliseconds(10));
+        co_await pauseFor(milliseconds(10));
 }
 
 proto::Frame Exchange::makeFrame(uint32_t attemptNumber, bool isSuspect, Instant now) const
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -41,11 +41,6 @@
 constexpr Duration PatientGoal = std::chrono::seconds(5);
 constexpr int UrgencyOfFirstRank = 2;
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,12 +2,11 @@
 #include "gateway/Gateway.h"
 
 #include "gateway/Exchange.h"
+#include "net/Pause.h"
 #include "observe/DecisionLog.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 namespace tray {
@@ -34,11 +33,6 @@
 // Gateways that share the repeats before the peers are known.
 constexpr size_t UnknownGateways = 6;
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 HttpServerLimits toServerLimits(const CallerLimits &limits)
 {
     return {limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout};
@@ -126,12 +120,6 @@
     return Unit{};
 }
 
-asio::awaitable<void> Gateway::pause(Duration duration)
-{
-    asio::steady_timer timer(this->context, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> Gateway::stop()
 {
     const Instant end = clockNow() + this->settings.stopGrace - StopMargin;
@@ -140,10 +128,10 @@
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_begin in_flight={}", this->callerServer.inFlight()));
     // Callers still arrive until the balancer has noticed; they are served and told to move on.
-    co_await this->pause(BalancerTime);
+    co_await pauseFor(BalancerTime);
     this->callerServer.drain();
     while (this->callerServer.inFlight() > 0 && clockNow() < end)
-        co_await this->pause(milliseconds(20));
+        co_await pauseFor(milliseconds(20));
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
     this->desk.stop();
@@ -199,7 +187,7 @@
             revision = value(reading).revision;
             retry = FirstRetry;
             if (value(reading).config)
-                co_await this->pause(ConfigPause);
+                co_await pauseFor(ConfigPause);
             continue;
         }
         const Error problem = error(reading);
@@ -209,7 +197,7 @@
         }
         if (problem.kind != ErrorKind::NotFound)
             this->noteStore(false, problem.message);
-        co_await this->pause(retry);
+        co_await pauseFor(retry);
         retry = std::min(retry * 2, LongestRetry);
     }
 }
@@ -244,7 +232,7 @@
                 this->takeNotices(notices);
                 retry = FirstRetry;
                 if (!value(reading).changes.empty())
-                    co_await this->pause(UpstreamPause);
+                    co_await pauseFor(UpstreamPause);
                 continue;
             }
             problem = error(reading);
@@ -254,7 +242,7 @@
             continue;
         }
         this->noteStore(false, problem.message);
-        co_await this->pause(retry);
+        co_await pauseFor(retry);
         retry = std::min(retry * 2, LongestRetry);
     }
 }
@@ -285,7 +273,7 @@
             datagram.mutable_subscribe()->set_born_ms(entry.bornMs);
             this->datagrams.send(this->stewardOf(entry), std::move(datagram));
         }
-        co_await this->pause(SubscribePeriod);
+        co_await pauseFor(SubscribePeriod);
     }
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -59,7 +59,6 @@
     boost::asio::awaitable<void> followConfig();
     boost::asio::awaitable<void> followUpstreams();
     boost::asio::awaitable<void> subscribeLoop();
-    boost::asio::awaitable<void> pause(Duration duration);
 
     void takeConfig(const ConfigReading &reading);
     void takeNotices(const UpstreamDirectory::Notices &notices);
--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -2,13 +2,11 @@
 #include "gateway/PlannerDesk.h"
 
 #include "base/Hash.h"
+#include "net/Pause.h"
 #include "observe/DecisionLog.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 namespace tray {
@@ -33,11 +31,6 @@
 constexpr Duration FirstRetry = milliseconds(300);
 constexpr Duration LongestRetry = milliseconds(1500);
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 PlannerDesk::PlannerDesk(asio::io_context &context, std::string instance, Address address,
@@ -52,12 +45,6 @@
     asio::co_spawn(this->context, this->tickLoop(), asio::detached);
 }
 
-asio::awaitable<void> PlannerDesk::pause(Duration duration)
-{
-    asio::steady_timer timer(this->context, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> PlannerDesk::registerLoop()
 {
     Duration retry = FirstRetry;
@@ -80,7 +67,7 @@
                 co_return;
             }
         }
-        co_await this->pause(retry);
+        co_await pauseFor(retry);
         retry = std::min(retry * 2, LongestRetry);
     }
 }
@@ -103,7 +90,7 @@
         co_await this->changed.wait(tellAt - clockNow());
         // Changes come in groups.
         if (clockNow() < tellAt)
-            co_await this->pause(ChangePause);
+            co_await pauseFor(ChangePause);
     }
 }
 
--- a/src/gateway/PlannerDesk.h
+++ b/src/gateway/PlannerDesk.h
@@ -55,7 +55,6 @@
     boost::asio::awaitable<void> registerLoop();
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> takeRole();
-    boost::asio::awaitable<void> pause(Duration duration);
 
     void tellPeers(Instant now);
     void plan(Instant now);
--- a/src/node/ClaimClient.cpp
+++ b/src/node/ClaimClient.cpp
@@ -2,14 +2,13 @@
 #include "node/ClaimClient.h"
 
 #include "claims/ClaimOwners.h"
+#include "net/Pause.h"
 #include "node/ControlNode.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace tray {
 
@@ -27,12 +26,6 @@
 constexpr Duration SettleLimit = std::chrono::seconds(10);
 constexpr Duration SettlePause = milliseconds(500);
 
-asio::awaitable<void> pause(Duration time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 proto::ClaimReply unavailable()
 {
     proto::ClaimReply reply;
@@ -91,7 +84,7 @@
             co_return;
         if (!isOk(reply))
             ++attempt;
-        co_await pause(SettlePause);
+        co_await pauseFor(SettlePause);
     }
 }
 
@@ -152,7 +145,7 @@
         // No other owner can take over while the platform is out.
         if (node.isPlatformOut())
             break;
-        co_await pause(std::min<Duration>(RetryPause, left));
+        co_await pauseFor(std::min<Duration>(RetryPause, left));
     }
     if (mayBeGranted) {
         proto::ControlRequest release = makeRelease(key, claimId);
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -106,14 +106,14 @@
             continue;
         EngineOrder order;
         order.expectedSequence = report.sequence;
-        if (places + SparePlaces < spec.adapterSlots && arriving < MaxArriving &&
+        if (places < spec.adapterSlots && arriving < MaxArriving &&
             this->fits(report, spec, adapterMbOf(spec, key.model))) {
             order.verb = OrderVerb::Load;
             order.model = key.model;
             order.adapter = key.adapter;
             return order;
         }
-        if (places + SparePlaces < spec.adapterSlots)
+        if (places < spec.adapterSlots)
             continue;
         if (const auto victim = this->leastWanted(report, now)) {
             order.verb = OrderVerb::Unload;
--- a/src/steward/OrderPlanner.h
+++ b/src/steward/OrderPlanner.h
@@ -23,9 +23,6 @@
     static constexpr Duration AdapterInUse = milliseconds(1500);
     /// Adapters that an engine fetches at the same time.
     static constexpr size_t MaxArriving = 4;
-    /// Places for adapters that are left free of adapters on their way, so that the engine is never
-    /// asked for more than it has.
-    static constexpr size_t SparePlaces = 0;
 
     /// Takes over the models that the planner of a term wishes. False if the term is an old one.
     bool wishModels(uint64_t term, std::vector<std::string> models, Instant now);
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -2,14 +2,12 @@
 #include "steward/Steward.h"
 
 #include "base/Hash.h"
+#include "net/Pause.h"
 #include "observe/DecisionLog.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 
 namespace tray {
@@ -43,11 +41,6 @@
     return lists(report.modelsOnDisk) ? "disk" : "store";
 }
 
-Instant clockNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 Steward::Steward(asio::io_context &context, StewardSettings settings, FleetStore &store,
@@ -75,19 +68,13 @@
     return Unit{};
 }
 
-asio::awaitable<void> Steward::pause(Duration duration)
-{
-    asio::steady_timer timer(this->context, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> Steward::stop()
 {
     this->stopping = true;
     logDecision(LogWeight::Notable, clockNow(), "event=stop_begin");
     // An order that is under way ends within its timeout; its outcome is noted, no other follows.
     while (this->working)
-        co_await this->pause(milliseconds(10));
+        co_await pauseFor(milliseconds(10));
     this->datagrams.close();
     logDecision(LogWeight::Notable, clockNow(), "event=stop_end");
 }
@@ -117,7 +104,7 @@
         }
         if (this->fencingToken != 0 && this->config)
             break;
-        co_await this->pause(retry);
+        co_await pauseFor(retry);
         retry = std::min(retry * 2, LongestRetry);
     }
     this->wake();
@@ -163,7 +150,7 @@
             this->announce(clockNow());
             this->wake();
         }
-        co_await this->pause(ReportPeriod);
+        co_await pauseFor(ReportPeriod);
     }
 }
 
@@ -222,7 +209,7 @@
             asio::co_spawn(this->context, this->obtainAuthority(), asio::detached);
         }
         if (reply != OrderReply::Accepted && reply != OrderReply::AlreadyHolds)
-            co_await this->pause(OrderPause);
+            co_await pauseFor(OrderPause);
         auto reading = co_await this->engine.report();
         if (!isOk(reading)) {
             this->noteSilence(error(reading).message);
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -44,7 +44,6 @@
     boost::asio::awaitable<void> readSpec();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> work();
-    boost::asio::awaitable<void> pause(Duration duration);
 
     void receive(const proto::Datagram &datagram, const Address &sender);
     void wake();
--- a/tests/node/NodeCluster.h
+++ b/tests/node/NodeCluster.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <spdlog/spdlog.h>
 #include <thread>
 #include <vector>
 
@@ -30,6 +31,10 @@
 
     void run()
     {
+        // The logger is made by its first user, which must not be one of several threads: its
+        // library is not built with ThreadSanitizer, so the order in which it does this is not
+        // seen.
+        spdlog::default_logger();
         this->thread = std::thread([this] { this->context.run(); });
     }
 
