--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
@@ -15,15 +16,23 @@
 
 namespace {
 
-// Longest wait of one watch; a store that has fallen silent is noticed after it.
-constexpr Duration WatchTime = std::chrono::seconds(4);
+// Longest wait of one watch. A connection that has fallen silent is noticed sooner, by the probes
+// of the kernel.
+constexpr Duration WatchTime = std::chrono::seconds(10);
 // Pause after changes, so that a series of them costs few calls. Small against the seconds in which
 // a change must be in force.
 constexpr Duration ConfigPause = milliseconds(250);
 constexpr Duration UpstreamPause = milliseconds(400);
+// The same after changes of what engines hold, of which the stewards tell sooner: they never cease,
+// and each look at them by each gateway is a call.
+constexpr Duration HoldingsPause = milliseconds(1600);
 // Pause after a failed call; doubles up to the longest.
 constexpr Duration FirstRetry = milliseconds(150);
 constexpr Duration LongestRetry = milliseconds(900);
+// Longest time between two snapshots of an engine, of this region and of others. Engines of other
+// regions get little work from here, and the bytes between regions are few.
+constexpr Duration SnapshotPeriod = milliseconds(250);
+constexpr Duration FarSnapshotPeriod = milliseconds(900);
 // Time between two subscriptions to the same steward; they lapse after several.
 constexpr Duration SubscribePeriod = std::chrono::seconds(1);
 // Time for the balancer to see that readiness was withdrawn: two questions, a second apart.
@@ -231,8 +240,12 @@
                 }
                 this->takeNotices(notices);
                 retry = FirstRetry;
+                const bool onlyHoldings =
+                    std::all_of(notices.begin(), notices.end(), [](const auto &notice) {
+                        return notice.event == UpstreamEvent::Updated;
+                    });
                 if (!value(reading).changes.empty())
-                    co_await pauseFor(UpstreamPause);
+                    co_await pauseFor(onlyHoldings ? HoldingsPause : UpstreamPause);
                 continue;
             }
             problem = error(reading);
@@ -271,6 +284,9 @@
             proto::Datagram datagram;
             datagram.mutable_subscribe()->set_upstream_id(id);
             datagram.mutable_subscribe()->set_born_ms(entry.bornMs);
+            const bool far = regionOf(this->settings, entry.dataCentre) != this->settings.region;
+            datagram.mutable_subscribe()->set_period_ms(
+                static_cast<uint32_t>(toMs(far ? FarSnapshotPeriod : SnapshotPeriod)));
             this->datagrams.send(this->stewardOf(entry), std::move(datagram));
         }
         co_await pauseFor(SubscribePeriod);
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -20,7 +20,7 @@
 constexpr auto StewardRecords = "stewards";
 // Time between reports of the engine, which cost nothing on its own instance.
 constexpr Duration ReportPeriod = milliseconds(120);
-// Longest time between two snapshots to a subscriber.
+// Longest time between two snapshots to a subscriber that names none.
 constexpr Duration AnnouncePeriod = milliseconds(250);
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
 // Pause after an order that was refused or not answered.
@@ -229,10 +229,11 @@
         const auto &subscribe = datagram.subscribe();
         this->upstreamId = subscribe.upstream_id();
         this->listedBornMs = subscribe.born_ms();
-        const bool isNew = !this->subscribers.contains(datagram.sender());
-        this->subscribers[datagram.sender()] = {sender, now + SubscriptionLifetime};
-        if (isNew)
-            this->announcedAt = {};
+        auto &subscriber = this->subscribers[datagram.sender()];
+        subscriber.address = sender;
+        subscriber.until = now + SubscriptionLifetime;
+        subscriber.period =
+            subscribe.period_ms() == 0 ? AnnouncePeriod : milliseconds(subscribe.period_ms());
     } else if (datagram.has_adapter_wish()) {
         const auto &wish = datagram.adapter_wish();
         if (wish.upstream_id() != this->upstreamId)
@@ -285,16 +286,17 @@
     snapshot.set_busy(this->report->busy);
     snapshot.set_silent(this->silent);
     const std::string state = snapshot.SerializeAsString();
-    if (state == this->announcedState && now < this->announcedAt + AnnouncePeriod)
-        return;
+    const bool changed = state != this->announcedState;
     this->announcedState = state;
-    this->announcedAt = now;
     snapshot.set_loading_left_ms(this->loadingLeftMs(now));
     snapshot.set_running(this->report->running);
     snapshot.set_waiting(this->report->waiting);
     snapshot.set_kv_used_tokens(this->report->kvUsedTokens);
     snapshot.set_kv_total_tokens(this->report->kvTotalTokens);
-    for (const auto &[name, subscriber] : this->subscribers) {
+    for (auto &[name, subscriber] : this->subscribers) {
+        if (!changed && now < subscriber.toldAt + subscriber.period)
+            continue;
+        subscriber.toldAt = now;
         proto::Datagram datagram;
         *datagram.mutable_snapshot() = snapshot;
         this->datagrams.send(subscriber.address, std::move(datagram));
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -36,7 +36,10 @@
     struct Subscriber
     {
         Address address;
-        Instant until;
+        Instant until{};
+        // Longest time between two snapshots, and the time of the last one.
+        Duration period{};
+        Instant toldAt{};
     };
 
     boost::asio::awaitable<void> obtainAuthority();
@@ -69,7 +72,6 @@
     std::optional<EngineReport> report;
     // The engine did not answer the last question.
     bool silent = false;
-    Instant announcedAt{};
     std::string announcedState;
     std::map<std::string, Subscriber> subscribers;
     // One order is under way at a time; wishes that come meanwhile are seen by its loop.
