Restore an engine's models from its host after a loss of all processes

Gateways also told a steward its engine's identity only with the next round of subscriptions, up to a second after the instance list showed it. Stewards now record the models that their engine holds, hottest first, in the record that gives them their fencing token; a steward that finds its engine empty loads them from copies on the host until a planner speaks. New engines are subscribed at once.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -271,24 +271,36 @@
                 fmt::format("event=upstream_{} upstream={}", enumName(notice.event), notice.id));
     }
     this->dispatcher.setUpstreams(this->directory.entries());
+    // A steward may order its engine only once it knows the engine's identity, so a new one is told
+    // at once.
+    for (const auto &notice : notices) {
+        const auto entry = this->directory.entries().find(notice.id);
+        if ((notice.event == UpstreamEvent::Added || notice.event == UpstreamEvent::Reborn) &&
+            entry != this->directory.entries().end())
+            this->subscribe(entry->second);
+    }
+}
+
+void Gateway::subscribe(const UpstreamEntry &entry)
+{
+    const auto *service = this->config ? this->config->findService(entry.service) : nullptr;
+    if (service == nullptr || !service->engine)
+        return;
+    const bool far = regionOf(this->settings, entry.dataCentre) != this->settings.region;
+    proto::Datagram datagram;
+    auto *subscribe = datagram.mutable_subscribe();
+    subscribe->set_upstream_id(entry.id);
+    subscribe->set_born_ms(entry.bornMs);
+    subscribe->set_period_ms(static_cast<uint32_t>(toMs(far ? FarSnapshotPeriod : SnapshotPeriod)));
+    this->datagrams.send(this->stewardOf(entry), std::move(datagram));
 }
 
 asio::awaitable<void> Gateway::subscribeLoop()
 {
     while (!this->stopping) {
         this->takeNotices(this->directory.expire(clockNow()));
-        for (const auto &[id, entry] : this->directory.entries()) {
-            const auto *service = this->config ? this->config->findService(entry.service) : nullptr;
-            if (service == nullptr || !service->engine)
-                continue;
-            proto::Datagram datagram;
-            datagram.mutable_subscribe()->set_upstream_id(id);
-            datagram.mutable_subscribe()->set_born_ms(entry.bornMs);
-            const bool far = regionOf(this->settings, entry.dataCentre) != this->settings.region;
-            datagram.mutable_subscribe()->set_period_ms(
-                static_cast<uint32_t>(toMs(far ? FarSnapshotPeriod : SnapshotPeriod)));
-            this->datagrams.send(this->stewardOf(entry), std::move(datagram));
-        }
+        for (const auto &[id, entry] : this->directory.entries())
+            this->subscribe(entry);
         co_await pauseFor(SubscribePeriod);
     }
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -62,6 +62,8 @@
 
     void takeConfig(const ConfigReading &reading);
     void takeNotices(const UpstreamDirectory::Notices &notices);
+    /// Asks the steward beside an engine for snapshots; nothing for upstreams that have none.
+    void subscribe(const UpstreamEntry &entry);
     void noteStore(bool reachable, const std::string &reason);
     void receive(const proto::Datagram &datagram, const Address &sender);
     void registerGauges();
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -48,6 +48,12 @@
     return demand.requests * (qualityAt(demand.work / replicas) + spare);
 }
 
+double requestsFor(const std::map<std::string, PlannedDemand> &demand, const std::string &model)
+{
+    const auto found = demand.find(model);
+    return found == demand.end() ? 0 : found->second.requests;
+}
+
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -350,6 +356,10 @@
             if (!contains(wish, grant->second.move.load))
                 wish.push_back(grant->second.move.load);
         }
+        // The most wanted first: a steward may have to restore them without a planner.
+        std::stable_sort(wish.begin(), wish.end(), [&](const auto &left, const auto &right) {
+            return requestsFor(demand, left) > requestsFor(demand, right);
+        });
         this->wishes.emplace(engine.id, std::move(wish));
     }
     return moves;
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -53,6 +53,26 @@
     this->adapterWishes[{model, adapter}] = now;
 }
 
+void OrderPlanner::restoreModels(std::vector<std::string> models, Instant now)
+{
+    this->lastLife = std::move(models);
+    this->lastLifeAt = now;
+}
+
+std::vector<std::string> OrderPlanner::heldByWish(const EngineReport &report) const
+{
+    std::vector<std::string> models;
+    for (const auto &model : this->wished) {
+        if (findHeldModel(report.models, model) != nullptr)
+            models.push_back(model);
+    }
+    for (const auto &held : report.models) {
+        if (!contains(models, held.name))
+            models.push_back(held.name);
+    }
+    return models;
+}
+
 std::optional<EngineOrder> OrderPlanner::next(const EngineReport &report, const EngineSpec &spec,
                                               Instant now) const
 {
@@ -67,8 +87,10 @@
 std::optional<EngineOrder> OrderPlanner::nextForModels(const EngineReport &report,
                                                        const EngineSpec &spec, Instant now) const
 {
-    if (report.busy || this->wishedAt == Instant{} || now >= this->wishedAt + WishLifetime)
+    if (report.busy)
         return std::nullopt;
+    if (this->wishedAt == Instant{} || now >= this->wishedAt + WishLifetime)
+        return this->nextToRestore(report, spec, now);
     EngineOrder order;
     order.expectedSequence = report.sequence;
     for (const auto &model : this->wished) {
@@ -91,6 +113,26 @@
     return std::nullopt;
 }
 
+std::optional<EngineOrder> OrderPlanner::nextToRestore(const EngineReport &report,
+                                                       const EngineSpec &spec, Instant now) const
+{
+    if (now >= this->lastLifeAt + RestoreLifetime)
+        return std::nullopt;
+    for (const auto &model : this->lastLife) {
+        const bool hasCopy =
+            contains(report.modelsInMemory, model) || contains(report.modelsOnDisk, model);
+        if (!hasCopy || findHeldModel(report.models, model) != nullptr ||
+            spec.findModel(model) == nullptr || !this->fits(report, spec, weightsOf(spec, model)))
+            continue;
+        EngineOrder order;
+        order.expectedSequence = report.sequence;
+        order.verb = OrderVerb::Load;
+        order.model = model;
+        return order;
+    }
+    return std::nullopt;
+}
+
 std::optional<EngineOrder> OrderPlanner::nextForAdapters(const EngineReport &report,
                                                          const EngineSpec &spec, Instant now) const
 {
--- a/src/steward/OrderPlanner.h
+++ b/src/steward/OrderPlanner.h
@@ -21,12 +21,21 @@
     static constexpr Duration AdapterWishLifetime = milliseconds(400);
     /// An adapter that was wished within this time probably has running requests.
     static constexpr Duration AdapterInUse = milliseconds(1500);
+    /// Models of the last life are loaded within this time only; later ones would not fit the
+    /// demand any more.
+    static constexpr Duration RestoreLifetime = std::chrono::seconds(10);
     /// Adapters that an engine fetches at the same time.
     static constexpr size_t MaxArriving = 4;
 
     /// Takes over the models that the planner of a term wishes. False if the term is an old one.
     bool wishModels(uint64_t term, std::vector<std::string> models, Instant now);
     void wishAdapter(const std::string &model, const std::string &adapter, Instant now);
+    /// The engine came back empty: these are the models of its last life, most wanted first. Until
+    /// a planner speaks, those with copies on the engine's host are loaded again: after a loss of
+    /// all processes a planner has to be elected and to learn the demand first.
+    void restoreModels(std::vector<std::string> models, Instant now);
+    /// The models that an engine holds, those that the planner named first in front.
+    std::vector<std::string> heldByWish(const EngineReport &report) const;
     uint64_t term() const { return this->plannerTerm; }
 
     /// The next order that is useful and safe; nothing if there is none now.
@@ -54,6 +63,8 @@
                                              Instant now) const;
     std::optional<EngineOrder> nextForAdapters(const EngineReport &report, const EngineSpec &spec,
                                                Instant now) const;
+    std::optional<EngineOrder> nextToRestore(const EngineReport &report, const EngineSpec &spec,
+                                             Instant now) const;
     void noteModelOrder(const EngineOrder &order, Instant now);
     std::optional<AdapterKey> leastWanted(const EngineReport &report, Instant now) const;
     double usedMb(const EngineReport &report, const EngineSpec &spec) const;
@@ -62,6 +73,9 @@
     uint64_t plannerTerm = 0;
     std::vector<std::string> wished;
     Instant wishedAt{};
+    // Models of the engine's last life, and when they were told.
+    std::vector<std::string> lastLife;
+    Instant lastLifeAt{};
     // Last wish for each adapter.
     std::map<AdapterKey, Instant> adapterWishes;
     // The model order that the engine accepted last; it is under way while a report says busy.
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <sstream>
 
 namespace tray {
 
@@ -25,9 +27,41 @@
 constexpr Duration SubscriptionLifetime = std::chrono::seconds(4);
 // Pause after an order that was refused or not answered.
 constexpr Duration OrderPause = milliseconds(30);
+// An engine holds other models for this long before they are recorded: moves come in series.
+constexpr Duration RecordPause = std::chrono::seconds(2);
 constexpr Duration FirstRetry = milliseconds(200);
 constexpr Duration LongestRetry = std::chrono::seconds(1);
 
+/// Text of a steward's record: a nonce, which makes each write a change, and the models.
+std::string recordText(const std::vector<std::string> &models)
+{
+    std::string text = toHex(newNonce());
+    for (const auto &model : models)
+        text += " " + model;
+    return text;
+}
+
+std::vector<std::string> modelsOfRecord(const std::string &text)
+{
+    std::vector<std::string> words;
+    std::istringstream input(text);
+    for (std::string word; input >> word;)
+        words.push_back(word);
+    if (!words.empty())
+        words.erase(words.begin());
+    return words;
+}
+
+/// The same models with the same one in front. The order of the others is not worth a write.
+bool isSameRecord(std::vector<std::string> left, std::vector<std::string> right)
+{
+    if (!left.empty() && !right.empty() && left.front() != right.front())
+        return false;
+    std::sort(left.begin(), left.end());
+    std::sort(right.begin(), right.end());
+    return left == right;
+}
+
 /// Where an engine takes a model's weights from.
 std::string_view sourceOf(const EngineOrder &order, const EngineReport &report)
 {
@@ -96,6 +130,7 @@
                 this->fencingToken = value(token);
                 logDecision(LogWeight::Notable, clockNow(),
                             fmt::format("event=fencing_token token={}", this->fencingToken));
+                this->restoreLastLife(clockNow());
             } else {
                 logDecision(LogWeight::Notable, clockNow(),
                             fmt::format("event=store_failed call=fencing_token reason=\"{}\"",
@@ -122,17 +157,78 @@
 
 asio::awaitable<Result<uint64_t>> Steward::raiseToken()
 {
-    // The nonce makes each write a change, so that its revision is a new one.
-    Record record{this->settings.instance, toHex(newNonce()), 0};
-    auto created = co_await this->store.writeRecord(StewardRecords, record);
-    if (isOk(created) || error(created).kind != ErrorKind::VersionConflict)
-        co_return created;
-    const auto present = co_await this->store.readRecord(StewardRecords, this->settings.instance);
-    if (!isOk(present))
-        co_return error(present);
-    record.revision = value(present).revision;
-    auto replaced = co_await this->store.writeRecord(StewardRecords, record);
-    co_return replaced;
+    Record record{this->settings.instance, recordText(this->recorded), 0};
+    auto written = co_await this->store.writeRecord(StewardRecords, record);
+    if (!isOk(written) && error(written).kind == ErrorKind::VersionConflict) {
+        const auto present =
+            co_await this->store.readRecord(StewardRecords, this->settings.instance);
+        if (!isOk(present))
+            co_return error(present);
+        // The first process of this instance that holds a token takes over what the last one left.
+        if (!this->lastLife && this->recorded.empty()) {
+            this->lastLife = modelsOfRecord(value(present).text);
+            this->recorded = *this->lastLife;
+        }
+        record.text = recordText(this->recorded);
+        record.revision = value(present).revision;
+        written = co_await this->store.writeRecord(StewardRecords, record);
+    }
+    if (isOk(written))
+        this->recordRevision = value(written);
+    co_return written;
+}
+
+asio::awaitable<void> Steward::recordModels()
+{
+    const auto models = this->planner.heldByWish(*this->report);
+    if (this->recordRevision == 0) {
+        const auto present =
+            co_await this->store.readRecord(StewardRecords, this->settings.instance);
+        if (isOk(present))
+            this->recordRevision = value(present).revision;
+    }
+    if (this->recordRevision != 0) {
+        const Record record{this->settings.instance, recordText(models), this->recordRevision};
+        const auto written = co_await this->store.writeRecord(StewardRecords, record);
+        this->recordRevision = isOk(written) ? value(written) : 0;
+        if (isOk(written))
+            this->recorded = models;
+        else
+            logDecision(LogWeight::Notable, clockNow(),
+                        fmt::format("event=store_failed call=record_models reason=\"{}\"",
+                                    error(written).message));
+    }
+    this->differsSince.reset();
+    this->recording = false;
+}
+
+void Steward::recordIfChanged(Instant now)
+{
+    const bool differs = !this->report->busy && !this->report->leaving &&
+                         !isSameRecord(this->planner.heldByWish(*this->report), this->recorded);
+    if (!differs || this->fencingToken == 0 || this->stopping) {
+        this->differsSince.reset();
+        return;
+    }
+    if (!this->differsSince)
+        this->differsSince = now;
+    if (this->recording || now < *this->differsSince + RecordPause)
+        return;
+    this->recording = true;
+    asio::co_spawn(this->context, this->recordModels(), asio::detached);
+}
+
+void Steward::restoreLastLife(Instant now)
+{
+    if (!this->report || !this->lastLife || this->lastLife->empty())
+        return;
+    // Otherwise the engine outlived the last process.
+    if (this->report->models.empty() && this->report->sequence == 0) {
+        logDecision(LogWeight::Notable, now,
+                    fmt::format("event=restore models={}", fmt::join(*this->lastLife, ",")));
+        this->planner.restoreModels(*this->lastLife, now);
+    }
+    this->lastLife->clear();
 }
 
 asio::awaitable<void> Steward::reportLoop()
@@ -170,6 +266,8 @@
         logDecision(LogWeight::Notable, clockNow(),
                     fmt::format("event=engine_restarted born_ms={}", next.bornMs));
     this->report = std::move(next);
+    this->restoreLastLife(clockNow());
+    this->recordIfChanged(clockNow());
 }
 
 void Steward::wake()
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -44,6 +44,7 @@
 
     boost::asio::awaitable<void> obtainAuthority();
     boost::asio::awaitable<Result<uint64_t>> raiseToken();
+    boost::asio::awaitable<void> recordModels();
     boost::asio::awaitable<void> readSpec();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> work();
@@ -51,6 +52,8 @@
     void receive(const proto::Datagram &datagram, const Address &sender);
     void wake();
     void takeReport(EngineReport report);
+    void restoreLastLife(Instant now);
+    void recordIfChanged(Instant now);
     void noteSilence(const std::string &reason);
     void announce(Instant now);
     bool canOrder() const;
@@ -68,6 +71,14 @@
     std::string upstreamId;
     uint64_t listedBornMs = 0;
     uint64_t fencingToken = 0;
+    // Revision of this instance's record; 0 while it is unknown.
+    uint64_t recordRevision = 0;
+    // Models that the record of an earlier process names; used up by the engine's first report.
+    std::optional<std::vector<std::string>> lastLife;
+    // Models that the record names, and since when the engine holds others.
+    std::vector<std::string> recorded;
+    std::optional<Instant> differsSince;
+    bool recording = false;
     // The last report; none before the first one.
     std::optional<EngineReport> report;
     // The engine did not answer the last question.
--- a/tests/steward/OrderPlannerTest.cpp
+++ b/tests/steward/OrderPlannerTest.cpp
@@ -124,6 +124,42 @@
     }
 }
 
+TEST_CASE("An engine that came back empty gets back the models of its last life")
+{
+    const EngineSpec spec = specOf();
+    OrderPlanner planner;
+    EngineReport report;
+    report.modelsOnDisk = {"m0", "m1", "m2"};
+    report.modelsInMemory = {"m3"};
+    planner.restoreModels({"m2", "m5", "m3", "m0", "m1"}, Start);
+    const auto first = planner.next(report, spec, Start);
+    REQUIRE(first.has_value());
+    CHECK(first->verb == OrderVerb::Load);
+    CHECK(first->model == "m2");
+
+    SUBCASE("in order, from copies on its host, as far as there is room")
+    {
+        report.models = {{"m2", {}}};
+        // m5 would have to come from the weight store, which is the planner's to allow.
+        CHECK(planner.next(report, spec, Start)->model == "m3");
+        report.models.push_back({"m3", {}});
+        CHECK(planner.next(report, spec, Start)->model == "m0");
+        report.models.push_back({"m0", {}});
+        CHECK_FALSE(planner.next(report, spec, Start).has_value());
+    }
+    SUBCASE("until a planner speaks")
+    {
+        CHECK(planner.wishModels(7, {"m4"}, Start));
+        CHECK(planner.next(report, spec, Start)->model == "m4");
+        report.models = {{"m4", {}}};
+        CHECK_FALSE(planner.next(report, spec, Start).has_value());
+    }
+    SUBCASE("and not after the demand has moved on")
+    {
+        CHECK_FALSE(planner.next(report, spec, Start + OrderPlanner::RestoreLifetime).has_value());
+    }
+}
+
 TEST_CASE("Adapters make way for each other within their places")
 {
     OrderPlanner planner;
