Let requests wait only if their first answer is expected in time

Cause: under more prompts than the engines of a model read, requests were let in up to the callers' patience of three goals. The queue then always stood, so everybody was answered late and a part left unanswered; and the prediction did not know that the other gateways send to the same engines. The waiting room now measures the pace at which a standing queue leaves and the time to first answers, lets a request in if the prediction lies within its goal, and lets go of one that waits already if its caller would leave first.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -149,27 +149,36 @@
     return std::min(this->arrived + byGoal, this->deadline) - now;
 }
 
+Duration Exchange::timeInGoal(Instant now) const
+{
+    return std::min<Duration>(this->arrived + this->route->goal - now, this->callerPatience(now));
+}
+
 asio::awaitable<bool> Exchange::waitForRoom(DispatchWait wait)
 {
     const Instant now = clockNow();
     auto &room = this->gateway.room;
-    if (!this->placeInRoom) {
-        const double readMs = this->gateway.dispatcher.paces().msPerToken(this->facts.model) *
-                              this->facts.promptTokens;
-        const Duration predicted =
-            room.predict(this->facts.model, this->urgency(), wait.cost + readMs, wait.candidates);
-        const Duration patience = this->callerPatience(now);
-        if (predicted > patience) {
-            co_await this->refuse(ErrorKind::Overloaded,
-                                  fmt::format("{} prompts wait; predicted {} ms, patience {} ms",
-                                              room.size(), toMs(predicted), toMs(patience)),
-                                  predicted - patience / 2);
-            co_return false;
-        }
-        this->placeInRoom = room.enter(this->facts.model, this->urgency(), readMs);
+    const double readMs =
+        this->gateway.dispatcher.paces().msPerToken(this->facts.model) * this->facts.promptTokens;
+    const WaitingRoom::Engines engines{wait.cost + readMs, wait.candidates};
+    // Whoever waits already is let go only if the caller would leave first.
+    const bool isNew = !this->placeInRoom;
+    const Duration predicted = isNew
+                                   ? room.predict(this->facts.model, this->urgency(), engines, now)
+                                   : room.predict(*this->placeInRoom, engines, now);
+    const Duration limit = isNew ? this->timeInGoal(now) : this->callerPatience(now);
+    if (predicted > limit) {
+        this->leaveRoom();
+        co_await this->refuse(ErrorKind::Overloaded,
+                              fmt::format("{} prompts wait; predicted {} ms, limit {} ms",
+                                          room.size(), toMs(predicted), toMs(limit)),
+                              predicted - limit / 2);
+        co_return false;
     }
-    const Duration limit = std::min<Duration>(this->deadline - now, RoomRecheck);
-    co_await this->gateway.roomChanged.wait(limit, this->urgency());
+    if (isNew)
+        this->placeInRoom = room.enter(this->facts.model, this->urgency(), readMs);
+    const Duration recheck = std::min<Duration>(this->deadline - now, RoomRecheck);
+    co_await this->gateway.roomChanged.wait(recheck, this->urgency());
     co_return true;
 }
 
@@ -265,6 +274,8 @@
     if (this->sends++ == 0)
         this->gateway.allowanceOf(this->service).noteFirst(began);
     const AttemptTicket ticket = dispatcher.begin(target.upstreamId, this->makeQuery(), began);
+    if (!this->facts.model.empty())
+        this->gateway.room.sent(this->facts.model, began);
 
     Forwarding forwarding;
     forwarding.timeLeft = this->deadline - began;
@@ -297,6 +308,9 @@
         this->gateway.roomChanged.raise();
         this->firstAnswerAt = clockNow();
         this->notePace(*this->firstAnswerAt - began);
+        if (!this->facts.model.empty())
+            this->gateway.room.answered(this->facts.model, *this->firstAnswerAt - began,
+                                        *this->firstAnswerAt);
         const auto stream = std::move(value(opened));
         result = co_await this->takeAnswer(target.upstreamId, *stream);
     }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -34,6 +34,7 @@
     boost::asio::awaitable<void> serveRoute();
     boost::asio::awaitable<bool> waitForRoom(DispatchWait wait);
     Duration callerPatience(Instant now) const;
+    Duration timeInGoal(Instant now) const;
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
     boost::asio::awaitable<AttemptResult> takeAnswer(std::string upstreamId, HttpStream &stream);
     boost::asio::awaitable<AttemptResult> relayEvents(HttpStream &stream);
