Plan replicas for the time that demand lasts, once the instance list is complete

(2) A new planner took the engines that were not listed yet for lost ones, and dropped seven replicas of the busiest model for models that others held. (3) Beyond half utilization the planner counted requests as lost that engines answer, now that queues are short. Gains now count for the part of ten seconds that is left after the load, a new planner waits until the list has not grown for 800 ms, at full utilization three quarters are counted as served well, and without demand the model with most replicas gives way. Gateways send an engine one usual prompt at a time, since they share it.

One test is changed: that room goes to the busiest model is now checked with copies on the engines' hosts, since from the store a fourth replica would come too late; tests for both cases are new.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -30,9 +30,9 @@
 constexpr double FailureMs = 400;
 // Reading time of the prompts that are sent to an engine at the same time: a fraction of the pauses
 // that callers accept within a stream.
-constexpr double ReadAtOnceMs = 140;
+constexpr double ReadAtOnceMs = 85;
 // The same for engines of another region, where the word of a prompt's end is on its way for long.
-constexpr double FarReadAtOnceMs = 220;
+constexpr double FarReadAtOnceMs = 130;
 // An answer that is this much later than expected counts against the upstream already.
 constexpr Duration ServiceDue = milliseconds(700);
 constexpr Duration EngineDue = milliseconds(1800);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -275,6 +275,8 @@
     // at once.
     for (const auto &notice : notices) {
         const auto entry = this->directory.entries().find(notice.id);
+        if (notice.event == UpstreamEvent::Added)
+            this->desk.noteListGrowth(clockNow());
         if ((notice.event == UpstreamEvent::Added || notice.event == UpstreamEvent::Reborn) &&
             entry != this->directory.entries().end())
             this->subscribe(entry->second);
--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -239,6 +239,7 @@
             found->second.restart(now);
         }
         auto &planner = found->second;
+        planner.noteListGrowth(this->listGrewAt);
         const auto engines = this->engines(service.name, now);
         for (const auto &move : planner.plan(*service.engine, engines, demand, now)) {
             const auto wanted = demand.find(move.load);
--- a/src/gateway/PlannerDesk.h
+++ b/src/gateway/PlannerDesk.h
@@ -37,6 +37,8 @@
     void stop() { this->stopping = true; }
     /// An engine's state has changed: the next plan need not wait for its period.
     void planSoon() { this->changed.raise(); }
+    /// An upstream was added to the instance list.
+    void noteListGrowth(Instant now) { this->listGrewAt = now; }
     /// A peer's word.
     void noteDemand(const std::string &sender, const proto::DemandReport &report, Instant now);
     /// Gateways that were heard lately, this one included.
@@ -73,6 +75,7 @@
     // The peer that plans, by its last word.
     std::string plannerName;
     Instant helloAt{};
+    Instant listGrewAt{};
     Signal changed;
     bool electing = false;
     bool stopping = false;
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -12,9 +12,10 @@
 constexpr double ReachableRate = 0.25;
 // Part of a model's requests that a second replica saves on average, by outliving the other one.
 constexpr double SpareShare = 0.03;
-// Utilization up to which requests are served well, and the one at which half of them still are.
-constexpr double EasyUtilization = 0.12;
-constexpr double HalfUtilization = 0.55;
+// Utilization up to which all requests are served well. From there the part falls evenly to the one
+// that remains at full utilization; what comes beyond it is refused.
+constexpr double EasyUtilization = 0.15;
+constexpr double FullQuality = 0.75;
 // Demand moves on within seconds, before a load ends: a model that has this part of the busiest
 // one's requests is planned for as if it had the larger part.
 constexpr double RisingShare = 0.1;
@@ -34,9 +35,9 @@
 {
     if (utilization <= EasyUtilization)
         return 1;
-    if (utilization <= HalfUtilization)
-        return 1 - 0.5 * (utilization - EasyUtilization) / (HalfUtilization - EasyUtilization);
-    return 0.5 * HalfUtilization / utilization;
+    if (utilization <= 1)
+        return 1 - (1 - FullQuality) * (utilization - EasyUtilization) / (1 - EasyUtilization);
+    return FullQuality / utilization;
 }
 
 /// Requests per second that are served well with a number of replicas.
@@ -87,15 +88,24 @@
 // Cost of a second replica in one data centre, in the unit of gains.
 constexpr double SpreadCost = 0.2;
 
-/// Cost of the way to a model's weights, in the unit of gains: a copy on the engine's host saves
-/// the requests of the seconds that a load from the store takes longer.
-double reachCost(const PlannedEngine &engine, const std::string &model)
+bool hasCopy(const PlannedEngine &engine, const std::string &model)
 {
-    constexpr double DiskCost = 0.1;
-    constexpr double StoreCost = 1;
-    if (engine.inMemory.contains(model))
-        return 0;
-    return engine.onDisk.contains(model) ? DiskCost : StoreCost;
+    return engine.inMemory.contains(model) || engine.onDisk.contains(model);
+}
+
+/// Part of the time in which demand stays as it is that is left once a model is loaded.
+double usefulShare(const PlannedEngine &engine, const ModelSpec &model)
+{
+    // Demand moves on to other models after about this time.
+    constexpr Duration DemandLifetime = std::chrono::seconds(10);
+    constexpr double LeastShare = 0.1;
+    Duration load = model.loadTime;
+    if (engine.inMemory.contains(model.name))
+        load = model.memoryLoadTime;
+    else if (engine.onDisk.contains(model.name))
+        load = model.diskLoadTime;
+    return std::max(LeastShare, 1 - std::chrono::duration<double>(load) /
+                                        std::chrono::duration<double>(DemandLifetime));
 }
 
 } // namespace
@@ -107,6 +117,15 @@
     this->storeLoads.clear();
     this->foreignLoads.clear();
     this->restartedAt = now;
+    this->settled = false;
+}
+
+bool ReplicaPlanner::isSettled(Instant now)
+{
+    if (!this->settled && this->restartedAt)
+        this->settled =
+            now >= this->listGrewAt + SettleTime || now >= *this->restartedAt + LongestSettling;
+    return this->settled || !this->restartedAt;
 }
 
 std::optional<std::vector<std::string>> ReplicaPlanner::wishFor(const std::string &engineId) const
@@ -257,13 +276,15 @@
     const auto &models = outlook.models.at(engine.id);
     const auto demand = outlook.demandOf(model);
     const int replicas = outlook.replicasOf(model);
-    const double gain = servedWell(demand, replicas + 1) - servedWell(demand, replicas);
+    const double gain = (servedWell(demand, replicas + 1) - servedWell(demand, replicas)) *
+                        usefulShare(engine, *spec.findModel(model));
     PlannedMove move{engine.id, model, "", gain};
     std::vector<std::string> after = models;
     after.push_back(model);
     double loss = MinGainOfFreeRoom;
     if (!fits(spec, after)) {
         double least = 0;
+        int mostReplicas = 0;
         for (const auto &victim : models) {
             const auto victimDemand = outlook.demandOf(victim);
             // Replicas that are still being loaded serve nobody for as long as the unload costs.
@@ -273,9 +294,12 @@
                 continue;
             const double victimLoss =
                 servedWell(victimDemand, count) - servedWell(victimDemand, count - 1);
-            if (move.unload.empty() || victimLoss < least) {
+            // Without any demand the model with most replicas can spare one.
+            if (move.unload.empty() || victimLoss < least ||
+                (victimLoss == least && count > mostReplicas)) {
                 move.unload = victim;
                 least = victimLoss;
+                mostReplicas = count;
             }
         }
         std::erase(after, move.unload);
@@ -289,9 +313,9 @@
                           !dataCentres->second.contains(engine.dataCentre);
     const auto work = outlook.engineWork.find(engine.id);
     const double crowding = work == outlook.engineWork.end() ? 0 : work->second * CrowdingCost;
-    if (gain <= loss)
+    if (move.gain <= loss)
         return std::nullopt;
-    value = gain - loss - crowding - reachCost(engine, model) - (isSpread ? 0 : SpreadCost);
+    value = move.gain - loss - crowding - (isSpread ? 0 : SpreadCost);
     return move;
 }
 
@@ -305,8 +329,7 @@
     double bestValue = 0;
     for (const auto &model : spec.models) {
         for (const auto &engine : engines) {
-            const bool needsStore =
-                !engine.inMemory.contains(model.name) && !engine.onDisk.contains(model.name);
+            const bool needsStore = !hasCopy(engine, model.name);
             if (!engine.canChange || this->grants.contains(engine.id) || !engine.loading.empty() ||
                 !engine.unloading.empty() || contains(outlook.models.at(engine.id), model.name) ||
                 (needsStore && !storeAllowed))
@@ -330,6 +353,8 @@
     this->noteForeignLoads(engines, now);
     this->settleGrants(engines, now);
     std::vector<PlannedMove> moves;
+    if (!this->isSettled(now))
+        return moves;
     for (int round = 0; round < MovesPerRound; ++round) {
         const bool storeAllowed = this->mayLoadFromStore(spec, now);
         const auto move = this->bestMove(spec, engines, demand, storeAllowed);
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -74,8 +74,16 @@
 
     explicit ReplicaPlanner(LoadBounds bounds) : bounds(bounds) {}
 
+    /// A new planner waits until the instance list has not grown for this long: engines that are
+    /// not listed yet hold models that would look as if nobody held them.
+    static constexpr Duration SettleTime = milliseconds(800);
+    /// It waits no longer than this.
+    static constexpr Duration LongestSettling = std::chrono::seconds(4);
+
     /// Takes over the planner's role: what other planners granted before is unknown.
     void restart(Instant now);
+    /// An upstream was added to the instance list then.
+    void noteListGrowth(Instant grewAt) { this->listGrewAt = grewAt; }
     /// Grants the moves that pay now; returns the new ones.
     std::vector<PlannedMove> plan(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
                                   const std::map<std::string, PlannedDemand> &demand, Instant now);
@@ -104,6 +112,7 @@
                                        double &value) const;
     void noteForeignLoads(const std::vector<PlannedEngine> &engines, Instant now);
     void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
+    bool isSettled(Instant now);
     bool mayLoadFromStore(const EngineSpec &spec, Instant now);
     std::optional<PlannedMove> bestMove(const EngineSpec &spec,
                                         const std::vector<PlannedEngine> &engines,
@@ -119,6 +128,9 @@
     // Loads that this planner did not grant, by engine, as last seen.
     std::map<std::string, std::string> foreignLoads;
     std::optional<Instant> restartedAt;
+    Instant listGrewAt{};
+    // The list was once complete under this planner; engines that come later are new ones.
+    bool settled = false;
 };
 
 } // namespace tray
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -98,6 +98,8 @@
 {
     Fleet fleet(specOf(3), {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m1", "m2"}),
                             engineWith("c", {"m1", "m2"}), engineWith("d", {"m1", "m2"})});
+    for (auto &engine : fleet.engines)
+        engine.onDisk = {"m0"};
     for (int i = 0; i < 40; ++i)
         fleet.carryOut(fleet.step({{"m0", {30, 1.5}}}));
     CHECK(fleet.replicas("m0") == 4);
@@ -109,6 +111,85 @@
     }
 }
 
+TEST_CASE("Demand that moves on within seconds is answered from copies on the engines' hosts")
+{
+    // All room is taken; m0 becomes busy, and "b" alone has a copy of it.
+    Fleet fleet(specOf(4),
+                {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m1", "m2", "m3"}),
+                 engineWith("c", {"m1", "m2", "m3"})});
+    fleet.engines[1].onDisk = {"m0"};
+
+    SUBCASE("the engine that has one goes first")
+    {
+        const auto moves = fleet.step({{"m0", {20, 1.5}}});
+        REQUIRE(!moves.empty());
+        CHECK(moves.front().engineId == "b");
+        CHECK(moves.front().load == "m0");
+    }
+    SUBCASE("a load from the store that would end when the demand has gone is left")
+    {
+        const auto moves = fleet.step({{"m0", {8, 0.6}}, {"m3", {4, 0.3}}});
+        for (const auto &move : moves)
+            CHECK(move.engineId == "b");
+    }
+    SUBCASE("a model that nobody holds is loaded from wherever it lies")
+    {
+        std::erase(fleet.engines[0].models, "m0");
+        fleet.engines[1].onDisk.clear();
+        const auto moves = fleet.step({{"m0", {8, 0.6}}});
+        REQUIRE(!moves.empty());
+        CHECK(moves.front().load == "m0");
+    }
+}
+
+TEST_CASE("A new planner waits until the instance list is complete")
+{
+    // Engines are listed one after the other; "b" with the only other models is still missing.
+    Fleet fleet(specOf(6), {engineWith("a", {"m0", "m1", "m2"}), engineWith("c", {"m0", "m1"})});
+    fleet.planner.restart(fleet.now);
+    fleet.planner.noteListGrowth(fleet.now);
+    CHECK(fleet.step({}).empty());
+    CHECK_FALSE(fleet.planner.wishFor("a").has_value());
+
+    SUBCASE("so nobody's replicas make way for models that are there")
+    {
+        fleet.engines.push_back(engineWith("b", {"m3", "m4", "m5"}));
+        fleet.planner.noteListGrowth(fleet.now);
+        for (int i = 0; i < 10; ++i) {
+            for (const auto &move : fleet.step({}))
+                CHECK(move.unload.empty());
+        }
+    }
+    SUBCASE("but not for ever")
+    {
+        for (int i = 0; i < 10; ++i) {
+            fleet.planner.noteListGrowth(fleet.now);
+            fleet.step({});
+        }
+        CHECK(fleet.planner.wishFor("a").has_value());
+    }
+    SUBCASE("engines that join later stop nobody")
+    {
+        for (int i = 0; i < 4; ++i)
+            fleet.step({});
+        fleet.planner.noteListGrowth(fleet.now);
+        fleet.step({});
+        CHECK(fleet.planner.wishFor("a").has_value());
+    }
+}
+
+TEST_CASE("Without any demand the model with most replicas gives way")
+{
+    Fleet fleet(specOf(4), {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m0", "m2"}),
+                            engineWith("c", {"m2"})});
+    fleet.engines[1].canChange = false;
+    fleet.engines[2].canChange = false;
+    const auto moves = fleet.step({});
+    REQUIRE(moves.size() == 1);
+    CHECK(moves.front().load == "m3");
+    CHECK(moves.front().unload == "m2");
+}
+
 TEST_CASE("A replica that answers is not dropped for one that is still being loaded")
 {
     // m0 is hot and has one replica that answers; its others are on their way.
