Answer what peers have sent before a drain

Cause of the red process tests under ThreadSanitizer ("SIGTERM of an entry cuts none of 200 streams"): a drain closed the listener with connections that the kernel had accepted and the server had not, and closed idle connections whose next request had arrived but was not read. The listener now hands over what waits before it closes, a connection with unread bytes is served, and a new connection's first request has 300 ms. A stop waits until no connection is left instead of until no request is in flight.

--- a/src/entry/EntryMain.cpp
+++ b/src/entry/EntryMain.cpp
@@ -101,7 +101,7 @@
         // The balancer sends callers here until it has seen that readiness is withdrawn.
         co_await pauseFor(milliseconds(this->settings.entry().drain_grace_ms()));
         this->server.drain();
-        while (this->server.inFlight() > 0)
+        while (!this->server.isDrained())
             co_await pauseFor(milliseconds(10));
         this->admin.drain();
         this->planner.stop();
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -29,6 +29,7 @@
     /// Stops to accept; requests in flight go on.
     void drain() { this->server.drain(); }
     size_t inFlight() const { return this->server.inFlight(); }
+    bool isDrained() const { return this->server.isDrained(); }
 
 private:
     boost::asio::awaitable<void> serve(HttpRequest request, HttpResponder &responder);
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -30,6 +31,9 @@
 // that sends more is not watched any further.
 constexpr size_t MaxEarlyBytes = 65536;
 constexpr size_t EarlyPiece = 4096;
+// Time for the first request on a new connection to arrive during a drain: some round trips between
+// regions.
+constexpr Duration FirstRequestGrace = milliseconds(300);
 
 HttpResponse defaultRefusal(const Error &reason)
 {
@@ -76,9 +80,11 @@
     HttpRefusal refusal;
     std::unique_ptr<Listener> listener;
     std::atomic<bool> draining{false};
+    // The drain has handed over the last connection.
+    std::atomic<bool> closed{false};
     std::atomic<bool> leaving{false};
     std::atomic<size_t> inFlight{0};
-    std::mutex mutex;
+    mutable std::mutex mutex;
     // Connections that exist, to close idle ones on drain.
     std::unordered_set<Connection *> connections;
 };
@@ -87,7 +93,8 @@
 {
 public:
     Connection(std::shared_ptr<Impl> server, tcp::socket socket)
-        : server(std::move(server)), stream(std::move(socket))
+        : server(std::move(server)), stream(std::move(socket)),
+          graceTimer(this->stream.get_executor())
     {
         const std::lock_guard lock(this->server->mutex);
         this->server->connections.insert(this);
@@ -115,7 +122,11 @@
     {
         asio::post(this->stream.get_executor(),
                    [this, keep = this->server, weak = std::weak_ptr<int>(this->alive)] {
-                       if (weak.lock() && this->idle)
+                       if (!weak.lock() || !this->idle || this->hasBytes())
+                           return;
+                       if (this->requests == 0)
+                           this->awaitFirstRequest();
+                       else
                            this->stream.cancel();
                    });
     }
@@ -203,6 +214,26 @@
     }
 
 private:
+    /// A caller that has just connected is about to send.
+    void awaitFirstRequest()
+    {
+        this->graceTimer.expires_after(FirstRequestGrace);
+        this->graceTimer.async_wait(
+            [this, weak = std::weak_ptr<int>(this->alive)](beast::error_code code) {
+                if (!code && weak.lock() && this->idle && !this->hasBytes())
+                    this->stream.cancel();
+            });
+    }
+
+    /// The peer has sent something that was not read yet.
+    bool hasBytes()
+    {
+        auto &socket = this->stream.socket();
+        char byte;
+        return socket.is_open() &&
+               ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     bool keepsAlive() const
     {
         return this->requestKeepsAlive && !this->server->draining && !this->server->leaving;
@@ -244,6 +275,7 @@
         this->headRequest = request.method == "HEAD";
         this->requestKeepsAlive = message.keep_alive();
         this->started = false;
+        ++this->requests;
         ++this->server->inFlight;
         try {
             co_await this->server->handler(std::move(request), *this);
@@ -296,10 +328,14 @@
     {
         if (this->buffer.size() > 0)
             co_return true;
-        if (this->server->draining)
-            co_return false;
+        Duration patience = this->server->limits.idleTimeout;
+        if (this->server->draining && !this->hasBytes()) {
+            if (this->requests > 0)
+                co_return false;
+            patience = FirstRequestGrace;
+        }
         this->idle = true;
-        this->stream.expires_after(this->server->limits.idleTimeout);
+        this->stream.expires_after(patience);
         const auto [code, bytes] =
             co_await this->stream.async_read_some(this->buffer.prepare(4096), Await);
         this->idle = false;
@@ -312,7 +348,10 @@
     std::shared_ptr<Impl> server;
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    asio::steady_timer graceTimer;
     std::shared_ptr<int> alive = std::make_shared<int>();
+    // Requests that were read from the connection.
+    uint64_t requests = 0;
     // Set while a request is being answered.
     std::shared_ptr<std::function<void()>> peerGone;
     bool idle = false;
@@ -357,13 +396,25 @@
 {
     if (this->impl->draining.exchange(true))
         return;
-    if (this->impl->listener)
-        this->impl->listener->close();
+    if (this->impl->listener) {
+        this->impl->listener->close([weak = std::weak_ptr<Impl>(this->impl)] {
+            if (const auto impl = weak.lock())
+                impl->closed = true;
+        });
+    } else {
+        this->impl->closed = true;
+    }
     const std::lock_guard lock(this->impl->mutex);
     for (auto *connection : this->impl->connections)
         connection->closeIfIdle();
 }
 
+bool HttpServer::isDrained() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->closed && this->impl->connections.empty();
+}
+
 void HttpServer::beginLeaving()
 {
     this->impl->leaving = true;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -65,9 +65,11 @@
 
     /// Binds and starts to accept; port 0 takes any free port. Returns the bound address.
     Result<Address> listen(const Address &address);
-    /// Stops to accept, closes idle connections and lets requests in flight finish. Answers then
-    /// carry "Connection: close".
+    /// Stops to accept, closes idle connections and lets requests finish, also those that were sent
+    /// but not read yet. Answers then carry "Connection: close".
     void drain();
+    /// The drain is complete: no connection is left.
+    bool isDrained() const;
     /// Puts "Connection: close" on all further answers, so that peers move elsewhere by themselves.
     void beginLeaving();
     /// Replaces the limits; connections use them from their next request on.
--- a/src/net/Listener.cpp
+++ b/src/net/Listener.cpp
@@ -46,6 +46,21 @@
         }
     }
 
+    /// Hands over the connections that the kernel has accepted already.
+    void acceptWaiting()
+    {
+        boost::system::error_code code;
+        if (!this->acceptor.is_open())
+            return;
+        this->acceptor.non_blocking(true, code);
+        while (!code) {
+            tcp::socket socket(asio::make_strand(this->context));
+            this->acceptor.accept(socket, code);
+            if (!code)
+                this->handler(std::move(socket));
+        }
+    }
+
     asio::io_context &context;
     const Handler handler;
     tcp::acceptor acceptor;
@@ -81,12 +96,16 @@
     return Address{address.host, port};
 }
 
-void Listener::close()
+void Listener::close(std::function<void()> closed)
 {
-    asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
-        boost::system::error_code ignored;
-        impl->acceptor.close(ignored);
-    });
+    asio::post(this->impl->acceptor.get_executor(),
+               [impl = this->impl, closed = std::move(closed)] {
+                   impl->acceptWaiting();
+                   boost::system::error_code ignored;
+                   impl->acceptor.close(ignored);
+                   if (closed)
+                       closed();
+               });
 }
 
 } // namespace tray
--- a/src/net/Listener.h
+++ b/src/net/Listener.h
@@ -22,8 +22,10 @@
     /// Binds and starts to accept; port 0 takes any free port. Returns the bound address. Fails
     /// with InvalidSettings.
     Result<Address> listen(const Address &address);
-    /// Stops to accept; the handler is not called again. Safe from any thread, and twice.
-    void close();
+    /// Stops to accept. Connections that wait already are handed over before; peers may have sent
+    /// requests on them. Then the handler is not called again, and the callback is called. Safe
+    /// from any thread, and twice.
+    void close(std::function<void()> closed = {});
 
 private:
     struct Impl;
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 using namespace tray;
@@ -108,6 +110,71 @@
     }
 }
 
+TEST_CASE("A drain answers what peers have sent before it")
+{
+    asio::io_context context;
+    HttpServer server(
+        context, [](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+            co_await responder.respond(makeResponse(200, "text/plain", request.target));
+        });
+    const auto address = value(server.listen(AnyPort));
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    const auto dial = [&] {
+        asio::ip::tcp::socket socket(context);
+        socket.connect(endpoint);
+        return socket;
+    };
+    const auto ask = [](asio::ip::tcp::socket &socket) {
+        asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+    };
+    const auto readAll = [](asio::ip::tcp::socket &socket) {
+        std::string text;
+        boost::system::error_code code;
+        asio::read(socket, asio::dynamic_buffer(text), code);
+        return text;
+    };
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < 20; ++i)
+        sockets.push_back(dial());
+
+    SUBCASE("on connections that were not accepted yet")
+    {
+        for (auto &socket : sockets)
+            ask(socket);
+        server.drain();
+        context.run_for(milliseconds(500));
+        CHECK(server.isDrained());
+        for (auto &socket : sockets)
+            CHECK(readAll(socket).find("200 OK") != std::string::npos);
+    }
+    SUBCASE("on connections that were waiting for a request")
+    {
+        context.run_for(milliseconds(50));
+        for (auto &socket : sockets)
+            ask(socket);
+        server.drain();
+        context.restart();
+        context.run_for(milliseconds(500));
+        CHECK(server.isDrained());
+        for (auto &socket : sockets)
+            CHECK(readAll(socket).find("200 OK") != std::string::npos);
+    }
+    SUBCASE("also if the first request on a new connection comes a moment later")
+    {
+        context.run_for(milliseconds(50));
+        server.drain();
+        context.restart();
+        context.run_for(milliseconds(50));
+        ask(sockets.front());
+        context.restart();
+        context.run_for(milliseconds(600));
+        CHECK(server.isDrained());
+        CHECK(readAll(sockets.front()).find("200 OK") != std::string::npos);
+        // The others are closed in order.
+        CHECK(readAll(sockets.back()).empty());
+    }
+}
+
 TEST_CASE("Frames travel both ways on a data channel")
 {
     asio::io_context context;
