Read the configuration at once when a silent store is back

The loop that follows the instance list ends its watch sooner, asks without waiting while the store is away, and after each failure reads the configuration until the other watch has ended for sure. Ruled out: shorter watches alone, which cost more calls and still hang 3.5 s. The stand-in of the store can now be silent, and the test checks that a change is in force 3 s after the return.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -16,9 +16,12 @@
 
 namespace {
 
-// Longest wait of one watch. A connection that has fallen silent is noticed sooner, by the probes
-// of the kernel.
-constexpr Duration WatchTime = std::chrono::seconds(10);
+// Longest waits of one watch. A store that takes calls and answers none is noticed by the watch of
+// the instance list, which seldom waits at all; the configuration is then read by that loop until
+// its own watch has ended for sure.
+constexpr Duration UpstreamWatchTime = std::chrono::seconds(2);
+constexpr Duration ConfigWatchTime = std::chrono::seconds(10);
+constexpr Duration ConfigSuspectTime = ConfigWatchTime + std::chrono::seconds(2);
 // Pause after changes, so that a series of them costs few calls. Small against the seconds in which
 // a change must be in force.
 constexpr Duration ConfigPause = milliseconds(250);
@@ -139,7 +142,7 @@
     // Callers still arrive until the balancer has noticed; they are served and told to move on.
     co_await pauseFor(BalancerTime);
     this->callerServer.drain();
-    while (this->callerServer.inFlight() > 0 && clockNow() < end)
+    while (!this->callerServer.isDrained() && clockNow() < end)
         co_await pauseFor(milliseconds(20));
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
@@ -159,6 +162,8 @@
         this->directory.storeAnswered(now);
     else
         this->directory.storeFailed(now);
+    if (!reachable)
+        this->configSuspectUntil = now + ConfigSuspectTime;
     if (reachable == this->storeReachable)
         return;
     this->storeReachable = reachable;
@@ -189,7 +194,7 @@
         if (revision == 0)
             reading = co_await this->store.readConfig();
         else
-            reading = co_await this->store.awaitConfig(revision, WatchTime);
+            reading = co_await this->store.awaitConfig(revision, ConfigWatchTime);
         if (isOk(reading)) {
             this->noteStore(true, "");
             this->takeConfig(value(reading));
@@ -211,6 +216,17 @@
     }
 }
 
+asio::awaitable<void> Gateway::refreshConfig()
+{
+    if (clockNow() >= this->configSuspectUntil)
+        co_return;
+    const auto reading = co_await this->store.readConfig();
+    if (isOk(reading))
+        this->takeConfig(value(reading));
+    else if (error(reading).kind != ErrorKind::NotFound)
+        this->noteStore(false, error(reading).message);
+}
+
 asio::awaitable<void> Gateway::followUpstreams()
 {
     uint64_t revision = 0;
@@ -225,11 +241,14 @@
                 this->upstreamsKnown = true;
                 this->takeNotices(this->directory.replaceAll(value(reading).entries, clockNow()));
                 retry = FirstRetry;
+                co_await this->refreshConfig();
                 continue;
             }
             problem = error(reading);
         } else {
-            auto reading = co_await this->store.awaitUpstreams(revision, WatchTime);
+            // A store that was away is asked for what it has, which shows its return soonest.
+            const Duration wait = this->storeReachable ? UpstreamWatchTime : Duration::zero();
+            auto reading = co_await this->store.awaitUpstreams(revision, wait);
             if (isOk(reading)) {
                 this->noteStore(true, "");
                 revision = value(reading).revision;
@@ -240,6 +259,7 @@
                 }
                 this->takeNotices(notices);
                 retry = FirstRetry;
+                co_await this->refreshConfig();
                 const bool onlyHoldings =
                     std::all_of(notices.begin(), notices.end(), [](const auto &notice) {
                         return notice.event == UpstreamEvent::Updated;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -58,6 +58,8 @@
 
     boost::asio::awaitable<void> followConfig();
     boost::asio::awaitable<void> followUpstreams();
+    /// Reads the configuration while the watch for it may hang since a failure of the store.
+    boost::asio::awaitable<void> refreshConfig();
     boost::asio::awaitable<void> subscribeLoop();
 
     void takeConfig(const ConfigReading &reading);
@@ -93,6 +95,8 @@
     PlannerDesk desk;
     bool upstreamsKnown = false;
     bool storeReachable = true;
+    // The watch of the configuration may hang unnoticed until then.
+    Instant configSuspectUntil{};
     bool stopping = false;
 };
 
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -199,6 +199,18 @@
         CHECK(path.statusOf("/look/1") == 404);
         CHECK(path.statusOf("/gone/1") == 200);
     }
+    SUBCASE("also if the store took calls for a while and answered none")
+    {
+        path.store.silent = true;
+        path.runFor(milliseconds(2500));
+        path.store.silent = false;
+        auto next = Config;
+        next.replace(next.find("\"version\":1"), 11, "\"version\":2");
+        next.replace(next.find("/look/"), 6, "/gone/");
+        path.store.put("config", "main", next);
+        path.runFor(milliseconds(3000));
+        CHECK(path.statusOf("/gone/1") == 200);
+    }
     SUBCASE("an upstream that leaves gets no more requests")
     {
         path.store.remove("servers", "i-1");
--- a/tests/platform/StoreStandIn.cpp
+++ b/tests/platform/StoreStandIn.cpp
@@ -101,6 +101,13 @@
     return answer(200, objects.at(target));
 }
 
+asio::awaitable<void> StoreStandIn::neverAnswer()
+{
+    // Longer than any test.
+    asio::steady_timer timer(this->context, std::chrono::minutes(10));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 asio::awaitable<void> StoreStandIn::watch(const std::string &kind, HttpRequest request,
                                           HttpResponder &responder)
 {
@@ -108,6 +115,8 @@
     const auto end = std::chrono::steady_clock::now() +
                      milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
     while (true) {
+        if (this->silent)
+            co_await this->neverAnswer();
         if (since < this->historyBegins) {
             HttpResponse gone = answer(410, {{"error", "that history is gone"}});
             co_await responder.respond(std::move(gone));
@@ -138,6 +147,8 @@
     const std::string kind = rest.substr(0, slash);
     const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
     HttpResponse response;
+    if (this->silent)
+        co_await this->neverAnswer();
     if (this->refusing) {
         response = makeResponse(503, "text/plain", "");
     } else if (request.method != "GET") {
--- a/tests/platform/StoreStandIn.h
+++ b/tests/platform/StoreStandIn.h
@@ -24,6 +24,8 @@
     size_t pageSize = 100;
     /// Answers 503 to everything.
     bool refusing = false;
+    /// Takes calls and never answers them, nor the watches that wait.
+    bool silent = false;
     /// Drops the history, so that watches of older revisions get 410.
     void forgetHistory()
     {
@@ -44,6 +46,7 @@
     boost::asio::awaitable<void> serve(HttpRequest request, HttpResponder &responder);
     boost::asio::awaitable<void> watch(const std::string &kind, HttpRequest request,
                                        HttpResponder &responder);
+    boost::asio::awaitable<void> neverAnswer();
     HttpResponse list(const std::string &kind, const std::string &target) const;
     HttpResponse write(const std::string &kind, const std::string &name,
                        const HttpRequest &request);
