--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -16,7 +16,7 @@
 // one that is cut off.
 constexpr double SilentMs = 3000;
 // Slow-down of all tokens by one more running request.
-constexpr double RunningMs = 2;
+constexpr double RunningMs = 5;
 // Wait behind one request that waits at an engine.
 constexpr double WaitingMs = 50;
 // Wait for an adapter to be loaded: two orders and the transfer.
