Load a model that nobody has held for five seconds, whatever it displaces

Cause, found by reading the diff: since gains count for the time that is left after a load, a model without any replica was worth a tenth of its rate from the weight store, less than the loss of almost any victim; with all room taken it stayed unreachable until demand fell. The test, with all room held by models in demand, fails on that code. Such a model is now loaded once nobody has held it for five seconds; before that its engine may come back and load it from its own host.

--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -116,6 +116,7 @@
     this->wishes.clear();
     this->storeLoads.clear();
     this->foreignLoads.clear();
+    this->unheldSince.clear();
     this->restartedAt = now;
     this->settled = false;
 }
@@ -268,10 +269,20 @@
     return outlook;
 }
 
+void ReplicaPlanner::noteUnheld(const EngineSpec &spec, const Outlook &outlook, Instant now)
+{
+    for (const auto &model : spec.models) {
+        if (outlook.replicasOf(model.name) == 0)
+            this->unheldSince.try_emplace(model.name, now);
+        else
+            this->unheldSince.erase(model.name);
+    }
+}
+
 std::optional<PlannedMove> ReplicaPlanner::moveFor(const EngineSpec &spec,
                                                    const PlannedEngine &engine,
                                                    const std::string &model, const Outlook &outlook,
-                                                   double &value) const
+                                                   Instant now, double &value) const
 {
     const auto &models = outlook.models.at(engine.id);
     const auto demand = outlook.demandOf(model);
@@ -305,7 +316,6 @@
         std::erase(after, move.unload);
         if (move.unload.empty() || !fits(spec, after))
             return std::nullopt;
-        // A model without any replica is worth a load whatever its rate.
         loss = least * Hysteresis + (replicas == 0 ? MinGainOfFreeRoom : MinGain);
     }
     const auto dataCentres = outlook.dataCentres.find(model);
@@ -313,7 +323,11 @@
                           !dataCentres->second.contains(engine.dataCentre);
     const auto work = outlook.engineWork.find(engine.id);
     const double crowding = work == outlook.engineWork.end() ? 0 : work->second * CrowdingCost;
-    if (move.gain <= loss)
+    // Every model is to be reachable, whatever its rate and its victim's.
+    const auto unheld = this->unheldSince.find(model);
+    const bool isOverdue =
+        unheld != this->unheldSince.end() && now >= unheld->second + UnheldPatience;
+    if (move.gain <= loss && !isOverdue)
         return std::nullopt;
     value = move.gain - loss - crowding - (isSpread ? 0 : SpreadCost);
     return move;
@@ -321,8 +335,8 @@
 
 std::optional<PlannedMove>
 ReplicaPlanner::bestMove(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
-                         const std::map<std::string, PlannedDemand> &demand,
-                         bool storeAllowed) const
+                         const std::map<std::string, PlannedDemand> &demand, bool storeAllowed,
+                         Instant now) const
 {
     const Outlook outlook = this->outlook(engines, demand);
     std::optional<PlannedMove> best;
@@ -335,7 +349,7 @@
                 (needsStore && !storeAllowed))
                 continue;
             double value = 0;
-            const auto move = this->moveFor(spec, engine, model.name, outlook, value);
+            const auto move = this->moveFor(spec, engine, model.name, outlook, now, value);
             if (move && (!best || value > bestValue)) {
                 bestValue = value;
                 best = move;
@@ -355,9 +369,10 @@
     std::vector<PlannedMove> moves;
     if (!this->isSettled(now))
         return moves;
+    this->noteUnheld(spec, this->outlook(engines, demand), now);
     for (int round = 0; round < MovesPerRound; ++round) {
         const bool storeAllowed = this->mayLoadFromStore(spec, now);
-        const auto move = this->bestMove(spec, engines, demand, storeAllowed);
+        const auto move = this->bestMove(spec, engines, demand, storeAllowed, now);
         if (!move)
             break;
         const auto engine = std::find_if(engines.begin(), engines.end(),
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -74,6 +74,9 @@
 
     explicit ReplicaPlanner(LoadBounds bounds) : bounds(bounds) {}
 
+    /// A model that nobody has held for this long is loaded at any cost. Engines that crash are
+    /// back sooner, and load it from copies on their hosts.
+    static constexpr Duration UnheldPatience = std::chrono::seconds(5);
     /// A new planner waits until the instance list has not grown for this long: engines that are
     /// not listed yet hold models that would look as if nobody held them.
     static constexpr Duration SettleTime = milliseconds(800);
@@ -109,7 +112,7 @@
                     const std::map<std::string, PlannedDemand> &demand) const;
     std::optional<PlannedMove> moveFor(const EngineSpec &spec, const PlannedEngine &engine,
                                        const std::string &model, const Outlook &outlook,
-                                       double &value) const;
+                                       Instant now, double &value) const;
     void noteForeignLoads(const std::vector<PlannedEngine> &engines, Instant now);
     void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
     bool isSettled(Instant now);
@@ -117,7 +120,8 @@
     std::optional<PlannedMove> bestMove(const EngineSpec &spec,
                                         const std::vector<PlannedEngine> &engines,
                                         const std::map<std::string, PlannedDemand> &demand,
-                                        bool storeAllowed) const;
+                                        bool storeAllowed, Instant now) const;
+    void noteUnheld(const EngineSpec &spec, const Outlook &outlook, Instant now);
 
     const LoadBounds bounds;
     // Grants under way, by engine. One engine changes one model at a time.
@@ -127,6 +131,8 @@
     std::deque<Instant> storeLoads;
     // Loads that this planner did not grant, by engine, as last seen.
     std::map<std::string, std::string> foreignLoads;
+    // Models without a replica, since when.
+    std::map<std::string, Instant> unheldSince;
     std::optional<Instant> restartedAt;
     Instant listGrewAt{};
     // The list was once complete under this planner; engines that come later are new ones.
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -83,6 +83,19 @@
         for (const auto &model : fleet.spec.models)
             CHECK(fleet.replicas(model.name) >= 1);
     }
+    SUBCASE("also from the weight store, at the cost of models that are asked for")
+    {
+        // m4 has no replica and no copy; all room is taken by models with a second replica.
+        Fleet fleet(specOf(5),
+                    {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m0", "m1", "m2"}),
+                     engineWith("c", {"m3", "m0", "m1"})});
+        const std::map<std::string, PlannedDemand> busy{
+            {"m0", {20, 1.5}}, {"m1", {20, 1.5}}, {"m2", {15, 1.1}}, {"m3", {12, 0.8}}};
+        for (int i = 0; i < 20; ++i)
+            fleet.carryOut(fleet.step(busy));
+        for (const auto &model : fleet.spec.models)
+            CHECK(fleet.replicas(model.name) >= 1);
+    }
     SUBCASE("no demand evicts the last replica of a silent model")
     {
         Fleet fleet(specOf(6),
