--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -60,4 +60,4 @@
         fi
     done >"$stamps/due"
 printf '%s sources to check\n' "$(wc -l <"$stamps/due")"
-xargs -a "$stamps/due" -P "$(nproc)" -d '\n' -n 1 bash -c 'check "${1%%$'"'"'\t'"'"'*}" "${1##*$'"'"'\t'"'"'}"' _
+xargs -r -a "$stamps/due" -P "$(nproc)" -d '\n' -n 1 bash -c 'check "${1%%$'"'"'\t'"'"'*}" "${1##*$'"'"'\t'"'"'}"' _
