--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <iterator>
 #include <sstream>
 
 namespace tray {
@@ -43,13 +44,10 @@
 
 std::vector<std::string> modelsOfRecord(const std::string &text)
 {
-    std::vector<std::string> words;
     std::istringstream input(text);
-    for (std::string word; input >> word;)
-        words.push_back(word);
-    if (!words.empty())
-        words.erase(words.begin());
-    return words;
+    std::string nonce;
+    input >> nonce;
+    return {std::istream_iterator<std::string>(input), {}};
 }
 
 /// The same models with the same one in front. The order of the others is not worth a write.
@@ -181,25 +179,31 @@
 asio::awaitable<void> Steward::recordModels()
 {
     const auto models = this->planner.heldByWish(*this->report);
+    const auto written = co_await this->writeModels(recordText(models));
+    // After a failure the record may have been written or not.
+    this->recordRevision = isOk(written) ? value(written) : 0;
+    if (isOk(written))
+        this->recorded = models;
+    else
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=store_failed call=record_models reason=\"{}\"",
+                                error(written).message));
+    this->differsSince.reset();
+    this->recording = false;
+}
+
+asio::awaitable<Result<uint64_t>> Steward::writeModels(std::string text)
+{
     if (this->recordRevision == 0) {
         const auto present =
             co_await this->store.readRecord(StewardRecords, this->settings.instance);
-        if (isOk(present))
-            this->recordRevision = value(present).revision;
-    }
-    if (this->recordRevision != 0) {
-        const Record record{this->settings.instance, recordText(models), this->recordRevision};
-        const auto written = co_await this->store.writeRecord(StewardRecords, record);
-        this->recordRevision = isOk(written) ? value(written) : 0;
-        if (isOk(written))
-            this->recorded = models;
-        else
-            logDecision(LogWeight::Notable, clockNow(),
-                        fmt::format("event=store_failed call=record_models reason=\"{}\"",
-                                    error(written).message));
+        if (!isOk(present))
+            co_return error(present);
+        this->recordRevision = value(present).revision;
     }
-    this->differsSince.reset();
-    this->recording = false;
+    const Record record{this->settings.instance, std::move(text), this->recordRevision};
+    auto written = co_await this->store.writeRecord(StewardRecords, record);
+    co_return written;
 }
 
 void Steward::recordIfChanged(Instant now)
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -45,6 +45,8 @@
     boost::asio::awaitable<void> obtainAuthority();
     boost::asio::awaitable<Result<uint64_t>> raiseToken();
     boost::asio::awaitable<void> recordModels();
+    /// Replaces the text of this instance's record; returns its new revision.
+    boost::asio::awaitable<Result<uint64_t>> writeModels(std::string text);
     boost::asio::awaitable<void> readSpec();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> work();
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -148,7 +148,7 @@
         rig.startLoad(head.substr(0, head.find("[entry.e1]")) +
                       "[flow.streams]\nclient_account = rig\nkind = completion\nmodels = m1,m2\n"
                       "rate = 400\nlimit = 200\nstream = true\noutput_tokens = 120\n"
-                      "expectation_ms = 30000\n");
+                      "expectation_ms = 10000\n");
     // The last stream starts after about half a second; the first ends after more than two.
     std::this_thread::sleep_for(milliseconds(1500));
     rig.signal("entry0", SIGTERM);
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -43,6 +43,8 @@
     Awaitable<uint64_t> writeRecord(std::string, Record record) override
     {
         ++this->writes;
+        if (this->refusing)
+            co_return unused();
         auto &present = this->records[record.name];
         if (present.revision != record.revision)
             co_return Error{ErrorKind::VersionConflict, "the record has changed"};
@@ -56,6 +58,8 @@
     std::map<std::string, Record> records;
     uint64_t revision = 10;
     int writes = 0;
+    /// Fails all writes.
+    bool refusing = false;
 };
 
 /// Carries out each order at once.
@@ -208,6 +212,20 @@
     const std::string text = scene.store.records["side-1"].text;
     CHECK(text.substr(text.find(' ')) == " m1 m0");
 
+    SUBCASE("and again if the store did not take it")
+    {
+        scene.engine.state.models.push_back({"m2", {}});
+        scene.store.refusing = true;
+        // Subscriptions lapse.
+        scene.subscribe();
+        scene.runFor(milliseconds(2600));
+        CHECK(scene.store.writes == 3);
+        scene.store.refusing = false;
+        scene.subscribe();
+        scene.runFor(milliseconds(2600));
+        const std::string later = scene.store.records["side-1"].text;
+        CHECK(later.substr(later.find(' ')) == " m1 m0 m2");
+    }
     SUBCASE("and writes no more while nothing changes")
     {
         scene.runFor(milliseconds(1000));
