--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -118,15 +118,22 @@
     this->foreignLoads.clear();
     this->unheldSince.clear();
     this->restartedAt = now;
+    this->firstListedAt.reset();
     this->settled = false;
 }
 
-bool ReplicaPlanner::isSettled(Instant now)
+bool ReplicaPlanner::isSettled(const std::vector<PlannedEngine> &engines, Instant now)
 {
-    if (!this->settled && this->restartedAt)
-        this->settled =
-            now >= this->listGrewAt + SettleTime || now >= *this->restartedAt + LongestSettling;
-    return this->settled || !this->restartedAt;
+    if (this->settled || !this->restartedAt)
+        return true;
+    // An empty list has not begun to grow.
+    if (engines.empty())
+        return false;
+    if (!this->firstListedAt)
+        this->firstListedAt = now;
+    this->settled =
+        now >= this->listGrewAt + SettleTime || now >= *this->firstListedAt + LongestSettling;
+    return this->settled;
 }
 
 std::optional<std::vector<std::string>> ReplicaPlanner::wishFor(const std::string &engineId) const
@@ -367,7 +374,7 @@
     this->noteForeignLoads(engines, now);
     this->settleGrants(engines, now);
     std::vector<PlannedMove> moves;
-    if (!this->isSettled(now))
+    if (!this->isSettled(engines, now))
         return moves;
     this->noteUnheld(spec, this->outlook(engines, demand), now);
     for (int round = 0; round < MovesPerRound; ++round) {
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -80,7 +80,7 @@
     /// A new planner waits until the instance list has not grown for this long: engines that are
     /// not listed yet hold models that would look as if nobody held them.
     static constexpr Duration SettleTime = milliseconds(800);
-    /// It waits no longer than this.
+    /// It waits no longer than this from the first engine on.
     static constexpr Duration LongestSettling = std::chrono::seconds(4);
 
     /// Takes over the planner's role: what other planners granted before is unknown.
@@ -115,7 +115,7 @@
                                        Instant now, double &value) const;
     void noteForeignLoads(const std::vector<PlannedEngine> &engines, Instant now);
     void settleGrants(const std::vector<PlannedEngine> &engines, Instant now);
-    bool isSettled(Instant now);
+    bool isSettled(const std::vector<PlannedEngine> &engines, Instant now);
     bool mayLoadFromStore(const EngineSpec &spec, Instant now);
     std::optional<PlannedMove> bestMove(const EngineSpec &spec,
                                         const std::vector<PlannedEngine> &engines,
@@ -134,6 +134,8 @@
     // Models without a replica, since when.
     std::map<std::string, Instant> unheldSince;
     std::optional<Instant> restartedAt;
+    // When this planner saw the first engine; nothing while the list is empty.
+    std::optional<Instant> firstListedAt;
     Instant listGrewAt{};
     // The list was once complete under this planner; engines that come later are new ones.
     bool settled = false;
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -191,6 +191,27 @@
     }
 }
 
+TEST_CASE("A planner that is elected before any engine is listed keeps the placement that it finds")
+{
+    // The list is empty for longer than it takes to settle, and then grows engine by engine.
+    Fleet fleet(specOf(6), {});
+    fleet.planner.restart(fleet.now);
+    for (int i = 0; i < 10; ++i)
+        CHECK(fleet.step({}).empty());
+    const std::vector<PlannedEngine> listed = {engineWith("a", {"m0", "m1", "m2"}),
+                                               engineWith("b", {"m0", "m3", "m4"}),
+                                               engineWith("c", {"m0", "m5"})};
+    for (const auto &engine : listed) {
+        fleet.engines.push_back(engine);
+        fleet.engines.back().onDisk = {"m3", "m4", "m5"};
+        fleet.planner.noteListGrowth(fleet.now);
+        fleet.carryOut(fleet.step({}));
+    }
+    for (int i = 0; i < 10; ++i)
+        fleet.carryOut(fleet.step({}));
+    CHECK(fleet.replicas("m0") == 3);
+}
+
 TEST_CASE("Without any demand the model with most replicas gives way")
 {
     Fleet fleet(specOf(4), {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m0", "m2"}),
