Weigh replicas by the load of the engines that hold them

Engines with two busy models stood beside idle ones. EngineLoads now levels the demand over the engines as the gateways do, and tells what a replica more or less changes there; the forecast is gone, since it hid the busiest model among the others.

--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -10,18 +10,6 @@
 
 // Requests per second that a silent model counts for: it must stay reachable.
 constexpr double ReachableRate = 0.25;
-// Part of a model's requests that a second replica saves on average, by outliving the other one.
-constexpr double SpareShare = 0.03;
-// Utilization up to which all requests are served well. From there the part falls evenly to the one
-// that remains at full utilization; what comes beyond it is refused.
-constexpr double EasyUtilization = 0.15;
-constexpr double FullQuality = 0.75;
-// Demand moves on within seconds, before a load ends: a model that has this part of the busiest
-// one's requests is planned for as if it had the larger part.
-constexpr double RisingShare = 0.1;
-constexpr double RisenShare = 0.6;
-// Penalty for another replica beside a busy one, in the unit of gains, for each engine of work.
-constexpr double CrowdingCost = 0.5;
 // Part of the bound on loads that a planner grants in a window, and in its first window. Together
 // they stay below the bound: loads that the predecessor granted may be lost with their engines and
 // are then seen by nobody.
@@ -30,25 +18,6 @@
 // Most moves that one round grants.
 constexpr int MovesPerRound = 24;
 
-/// Part of the requests that engines serve well at a utilization.
-double qualityAt(double utilization)
-{
-    if (utilization <= EasyUtilization)
-        return 1;
-    if (utilization <= 1)
-        return 1 - (1 - FullQuality) * (utilization - EasyUtilization) / (1 - EasyUtilization);
-    return FullQuality / utilization;
-}
-
-/// Requests per second that are served well with a number of replicas.
-double servedWell(const PlannedDemand &demand, int replicas)
-{
-    if (replicas <= 0)
-        return 0;
-    const double spare = replicas >= 2 ? SpareShare : 0;
-    return demand.requests * (qualityAt(demand.work / replicas) + spare);
-}
-
 double requestsFor(const std::map<std::string, PlannedDemand> &demand, const std::string &model)
 {
     const auto found = demand.find(model);
@@ -207,15 +176,7 @@
     // Replicas that answer now and that no grant takes away.
     std::map<std::string, int> ready;
     std::map<std::string, std::set<std::string>> dataCentres;
-    // Demand that is planned for, and the work of each engine under it.
-    std::map<std::string, PlannedDemand> demand;
-    std::map<std::string, double> engineWork;
-
-    PlannedDemand demandOf(const std::string &model) const
-    {
-        const auto found = this->demand.find(model);
-        return found == this->demand.end() ? PlannedDemand{ReachableRate, 0} : found->second;
-    }
+    std::optional<EngineLoads> loads;
 
     int replicasOf(const std::string &model) const { return countOf(this->replicas, model); }
     int readyOf(const std::string &model) const { return countOf(this->ready, model); }
@@ -229,50 +190,41 @@
 };
 
 ReplicaPlanner::Outlook
-ReplicaPlanner::outlook(const std::vector<PlannedEngine> &engines,
+ReplicaPlanner::outlook(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
                         const std::map<std::string, PlannedDemand> &demand) const
 {
     Outlook outlook;
+    EngineLoads::Placement placement;
     for (const auto &engine : engines) {
         auto &models = outlook.models[engine.id];
         for (const auto &model : engine.models) {
             if (model != engine.unloading)
                 models.push_back(model);
         }
-        for (const auto &model : models)
-            ++outlook.ready[model];
+        const size_t answering = models.size();
         if (!engine.loading.empty() && !contains(models, engine.loading))
             models.push_back(engine.loading);
+        std::vector<std::string> ready(models.begin(),
+                                       models.begin() + static_cast<ptrdiff_t>(answering));
         if (const auto grant = this->grants.find(engine.id); grant != this->grants.end()) {
             const auto &move = grant->second.move;
-            if (std::erase(models, move.unload) > 0)
-                --outlook.ready[move.unload];
+            std::erase(models, move.unload);
+            std::erase(ready, move.unload);
             if (!contains(models, move.load))
                 models.push_back(move.load);
         }
+        auto &holdings = placement[engine.id];
         for (const auto &model : models) {
             ++outlook.replicas[model];
             outlook.dataCentres[model].insert(engine.dataCentre);
+            holdings.push_back({model, contains(ready, model)});
+            outlook.ready[model] += holdings.back().ready ? 1 : 0;
         }
     }
-    double busiest = 0;
-    for (const auto &[model, row] : demand)
-        busiest = std::max(busiest, row.requests);
-    for (const auto &[model, row] : demand) {
-        PlannedDemand planned = row;
-        if (row.requests > 0 && row.requests >= RisingShare * busiest &&
-            row.requests < RisenShare * busiest) {
-            planned.work *= RisenShare * busiest / row.requests;
-            planned.requests = RisenShare * busiest;
-        }
-        planned.requests = std::max(planned.requests, ReachableRate);
-        outlook.demand.emplace(model, planned);
-    }
-    for (const auto &[engineId, models] : outlook.models) {
-        for (const auto &model : models)
-            outlook.engineWork[engineId] +=
-                outlook.demandOf(model).work / std::max(1, outlook.replicasOf(model));
-    }
+    std::map<std::string, PlannedDemand> planned = demand;
+    for (const auto &model : spec.models)
+        planned[model.name].requests = std::max(planned[model.name].requests, ReachableRate);
+    outlook.loads.emplace(placement, planned);
     return outlook;
 }
 
@@ -292,51 +244,49 @@
                                                    Instant now, double &value) const
 {
     const auto &models = outlook.models.at(engine.id);
-    const auto demand = outlook.demandOf(model);
-    const int replicas = outlook.replicasOf(model);
-    const double gain = (servedWell(demand, replicas + 1) - servedWell(demand, replicas)) *
-                        usefulShare(engine, *spec.findModel(model));
-    PlannedMove move{engine.id, model, "", gain};
+    const double useful = usefulShare(engine, *spec.findModel(model));
+    PlannedMove move{engine.id, model, "", outlook.loads->gainOf(engine.id, model, "") * useful};
     std::vector<std::string> after = models;
     after.push_back(model);
     double loss = MinGainOfFreeRoom;
     if (!fits(spec, after)) {
-        double least = 0;
+        const double margin = outlook.replicasOf(model) == 0 ? MinGainOfFreeRoom : MinGain;
+        double best = 0;
         int mostReplicas = 0;
         for (const auto &victim : models) {
-            const auto victimDemand = outlook.demandOf(victim);
-            // Replicas that are still being loaded serve nobody for as long as the unload costs.
             const int count = outlook.readyOf(victim);
             // Every model stays reachable, whatever its demand.
             if (count <= 1 || !contains(engine.models, victim))
                 continue;
-            const double victimLoss =
-                servedWell(victimDemand, count) - servedWell(victimDemand, count - 1);
+            std::vector<std::string> rest = after;
+            std::erase(rest, victim);
+            if (!fits(spec, rest))
+                continue;
+            const double victimLoss = outlook.loads->lossOf(engine.id, victim) * Hysteresis;
+            const double gain = outlook.loads->gainOf(engine.id, model, victim) * useful;
+            const double net = gain - victimLoss;
             // Without any demand the model with most replicas can spare one.
-            if (move.unload.empty() || victimLoss < least ||
-                (victimLoss == least && count > mostReplicas)) {
+            if (move.unload.empty() || net > best || (net == best && count > mostReplicas)) {
                 move.unload = victim;
-                least = victimLoss;
+                move.gain = gain;
+                loss = victimLoss + margin;
+                best = net;
                 mostReplicas = count;
             }
         }
-        std::erase(after, move.unload);
-        if (move.unload.empty() || !fits(spec, after))
+        if (move.unload.empty())
             return std::nullopt;
-        loss = least * Hysteresis + (replicas == 0 ? MinGainOfFreeRoom : MinGain);
     }
     const auto dataCentres = outlook.dataCentres.find(model);
     const bool isSpread = dataCentres == outlook.dataCentres.end() ||
                           !dataCentres->second.contains(engine.dataCentre);
-    const auto work = outlook.engineWork.find(engine.id);
-    const double crowding = work == outlook.engineWork.end() ? 0 : work->second * CrowdingCost;
     // Every model is to be reachable, whatever its rate and its victim's.
     const auto unheld = this->unheldSince.find(model);
     const bool isOverdue =
         unheld != this->unheldSince.end() && now >= unheld->second + UnheldPatience;
     if (move.gain <= loss && !isOverdue)
         return std::nullopt;
-    value = move.gain - loss - crowding - (isSpread ? 0 : SpreadCost);
+    value = move.gain - loss - (isSpread ? 0 : SpreadCost);
     return move;
 }
 
@@ -345,7 +295,7 @@
                          const std::map<std::string, PlannedDemand> &demand, bool storeAllowed,
                          Instant now) const
 {
-    const Outlook outlook = this->outlook(engines, demand);
+    const Outlook outlook = this->outlook(spec, engines, demand);
     std::optional<PlannedMove> best;
     double bestValue = 0;
     for (const auto &model : spec.models) {
@@ -376,7 +326,7 @@
     std::vector<PlannedMove> moves;
     if (!this->isSettled(engines, now))
         return moves;
-    this->noteUnheld(spec, this->outlook(engines, demand), now);
+    this->noteUnheld(spec, this->outlook(spec, engines, demand), now);
     for (int round = 0; round < MovesPerRound; ++round) {
         const bool storeAllowed = this->mayLoadFromStore(spec, now);
         const auto move = this->bestMove(spec, engines, demand, storeAllowed, now);
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -7,6 +7,7 @@
 
 #include "base/Time.h"
 #include "fleet/FleetConfig.h"
+#include "replicas/EngineLoads.h"
 
 #include <deque>
 #include <map>
@@ -32,15 +33,6 @@
     std::set<std::string> onDisk;
 };
 
-/// Demand for a model over all gateways.
-struct PlannedDemand
-{
-    /// Requests per second.
-    double requests = 0;
-    /// Engines that the requests would keep busy.
-    double work = 0;
-};
-
 /// Bound on the loads from the weight store that begin within a window, over all engines.
 struct LoadBounds
 {
@@ -108,7 +100,7 @@
     /// What is planned for each engine and model, once all grants are carried out.
     struct Outlook;
 
-    Outlook outlook(const std::vector<PlannedEngine> &engines,
+    Outlook outlook(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
                     const std::map<std::string, PlannedDemand> &demand) const;
     std::optional<PlannedMove> moveFor(const EngineSpec &spec, const PlannedEngine &engine,
                                        const std::string &model, const Outlook &outlook,
