Give a model that nobody held one replica, not many at once

Cause, from the same log: when a model had been without a replica for five seconds it was loaded at any cost, and the rule stayed true within one round of the planner after the first grant. At 10.8 s eight engines were told to drop replicas of the busiest models and to load one model that nobody asked for, from the weight store, for nine seconds; the same for two more models. The test counts 4 replicas before, 1 after.

--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -282,8 +282,8 @@
                           !dataCentres->second.contains(engine.dataCentre);
     // Every model is to be reachable, whatever its rate and its victim's.
     const auto unheld = this->unheldSince.find(model);
-    const bool isOverdue =
-        unheld != this->unheldSince.end() && now >= unheld->second + UnheldPatience;
+    const bool isOverdue = outlook.replicasOf(model) == 0 && unheld != this->unheldSince.end() &&
+                           now >= unheld->second + UnheldPatience;
     if (move.gain <= loss && !isOverdue)
         return std::nullopt;
     value = move.gain - loss - (isSpread ? 0 : SpreadCost);
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -96,6 +96,20 @@
         for (const auto &model : fleet.spec.models)
             CHECK(fleet.replicas(model.name) >= 1);
     }
+    SUBCASE("and one replica is enough for a model that nobody held")
+    {
+        // All room is taken by models of two replicas each, so every victim is a loss; m6 was lost
+        // with its engine.
+        Fleet fleet(specOf(7),
+                    {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m0", "m1", "m2"}),
+                     engineWith("c", {"m3", "m4", "m5"}), engineWith("d", {"m3", "m4", "m5"})});
+        std::map<std::string, PlannedDemand> busy;
+        for (int i = 0; i < 6; ++i)
+            busy["m" + std::to_string(i)] = {20, 0.5};
+        for (int i = 0; i < 20; ++i)
+            fleet.carryOut(fleet.step(busy));
+        CHECK(fleet.replicas("m6") == 1);
+    }
     SUBCASE("no demand evicts the last replica of a silent model")
     {
         Fleet fleet(specOf(6),
