Wait for an engine with a copy before a model that nobody holds is loaded from the weight store

Five seconds after the crash the second one of each was still missing, and eight replicas of busy models made way for loads of nine seconds elsewhere. While an engine has a copy, others now ask the store for the model only after 12 s. The test fails with 5 s.

--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -176,6 +176,8 @@
     // Replicas that answer now and that no grant takes away.
     std::map<std::string, int> ready;
     std::map<std::string, std::set<std::string>> dataCentres;
+    // Models with a copy on the host of an engine that can be ordered.
+    std::set<std::string> copied;
     std::optional<EngineLoads> loads;
 
     int replicasOf(const std::string &model) const { return countOf(this->replicas, model); }
@@ -213,6 +215,10 @@
             if (!contains(models, move.load))
                 models.push_back(move.load);
         }
+        if (engine.canChange) {
+            outlook.copied.insert(engine.inMemory.begin(), engine.inMemory.end());
+            outlook.copied.insert(engine.onDisk.begin(), engine.onDisk.end());
+        }
         auto &holdings = placement[engine.id];
         for (const auto &model : models) {
             ++outlook.replicas[model];
@@ -280,16 +286,25 @@
     const auto dataCentres = outlook.dataCentres.find(model);
     const bool isSpread = dataCentres == outlook.dataCentres.end() ||
                           !dataCentres->second.contains(engine.dataCentre);
-    // Every model is to be reachable, whatever its rate and its victim's.
-    const auto unheld = this->unheldSince.find(model);
-    const bool isOverdue = outlook.replicasOf(model) == 0 && unheld != this->unheldSince.end() &&
-                           now >= unheld->second + UnheldPatience;
-    if (move.gain <= loss && !isOverdue)
+    if (move.gain <= loss && !this->isOverdue(engine, model, outlook, now))
         return std::nullopt;
     value = move.gain - loss - (isSpread ? 0 : SpreadCost);
     return move;
 }
 
+bool ReplicaPlanner::isOverdue(const PlannedEngine &engine, const std::string &model,
+                               const Outlook &outlook, Instant now) const
+{
+    // Every model is to be reachable, whatever its rate and its victim's.
+    const auto unheld = this->unheldSince.find(model);
+    if (outlook.replicasOf(model) != 0 || unheld == this->unheldSince.end())
+        return false;
+    const bool fromStore = !hasCopy(engine, model);
+    return now >= unheld->second + (fromStore && outlook.copied.contains(model)
+                                        ? UnheldStorePatience
+                                        : UnheldPatience);
+}
+
 std::optional<PlannedMove>
 ReplicaPlanner::bestMove(const EngineSpec &spec, const std::vector<PlannedEngine> &engines,
                          const std::map<std::string, PlannedDemand> &demand, bool storeAllowed,
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -69,6 +69,9 @@
     /// A model that nobody has held for this long is loaded at any cost. Engines that crash are
     /// back sooner, and load it from copies on their hosts.
     static constexpr Duration UnheldPatience = std::chrono::seconds(5);
+    /// The same from the weight store, while an engine has a copy on its host: that engine may carry
+    /// out another order first, and a load from the store would take longer than to wait for it.
+    static constexpr Duration UnheldStorePatience = std::chrono::seconds(12);
     /// A new planner waits until the instance list has not grown for this long: engines that are
     /// not listed yet hold models that would look as if nobody held them.
     static constexpr Duration SettleTime = milliseconds(800);
@@ -114,6 +117,9 @@
                                         const std::map<std::string, PlannedDemand> &demand,
                                         bool storeAllowed, Instant now) const;
     void noteUnheld(const EngineSpec &spec, const Outlook &outlook, Instant now);
+    /// Nobody has held the model for so long that this engine is to load it at any cost.
+    bool isOverdue(const PlannedEngine &engine, const std::string &model, const Outlook &outlook,
+                   Instant now) const;
 
     const LoadBounds bounds;
     // Grants under way, by engine. One engine changes one model at a time.
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -96,6 +96,27 @@
         for (const auto &model : fleet.spec.models)
             CHECK(fleet.replicas(model.name) >= 1);
     }
+    SUBCASE("an engine with a copy is waited for rather than one that has to ask the store")
+    {
+        // "c" came back from a crash with a copy of m4 and loads m3 first; all other room is taken.
+        Fleet fleet(specOf(5), {engineWith("a", {"m0", "m1", "m2"}),
+                                engineWith("b", {"m0", "m1", "m2"}), engineWith("c", {})});
+        fleet.engines[2].onDisk = {"m3", "m4"};
+        fleet.engines[2].loading = "m3";
+        std::map<std::string, PlannedDemand> busy;
+        for (int i = 0; i < 4; ++i)
+            busy["m" + std::to_string(i)] = {20, 0.5};
+        for (int i = 0; i < 20; ++i) {
+            for (const auto &move : fleet.step(busy))
+                CHECK(move.load != "m4");
+        }
+        fleet.engines[2].loading.clear();
+        fleet.engines[2].models = {"m3"};
+        for (int i = 0; i < 4; ++i)
+            fleet.carryOut(fleet.step(busy));
+        CHECK(fleet.replicas("m4") == 1);
+        CHECK(fleet.replicas("m0") >= 2);
+    }
     SUBCASE("and one replica is enough for a model that nobody held")
     {
         // All room is taken by models of two replicas each, so every victim is a loss; m6 was lost
