Do not believe the instance list on an engine that lacked one of its models

In the five seconds after the restart 878 requests went to four engines each, were refused for want of the model, and were told to return in half a second; loading takes over two, so their repeat was spent too. Earlier the refuted model was forgotten with each new list. The test fails on the old code.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -77,6 +77,8 @@
             upstream.snapshot.reset();
             upstream.health = {};
         }
+        if (upstream.entry.bornMs != entry.bornMs || upstream.entry.models != entry.models)
+            upstream.refutedUntil = {};
         upstream.entry = entry;
     }
 }
@@ -108,7 +110,10 @@
 
 const std::vector<HeldModel> &Dispatcher::held(const Upstream &upstream, Instant now) const
 {
-    return this->hasSnapshot(upstream, now) ? upstream.snapshotModels : upstream.entry.models;
+    static const std::vector<HeldModel> Unknown;
+    if (this->hasSnapshot(upstream, now))
+        return upstream.snapshotModels;
+    return now < upstream.refutedUntil ? Unknown : upstream.entry.models;
 }
 
 std::vector<HeldModel> Dispatcher::heldModels(const std::string &upstreamId, Instant now) const
@@ -285,9 +290,10 @@
 {
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used", MissingModelRetry};
-    if (const auto left = this->timeUntilLoaded(query.model, now))
-        return {ErrorKind::NoReplica, "the model is being loaded", *left + LoadedMargin};
-    return {ErrorKind::NoReplica, "no engine can serve the model", MissingModelRetry};
+    const bool loading = this->timeUntilLoaded(query.model, now).has_value();
+    return {ErrorKind::NoReplica,
+            loading ? "the model is being loaded" : "no engine can serve the model",
+            this->retryForMissing(query.model, now)};
 }
 
 std::optional<Duration> Dispatcher::timeUntilLoaded(const std::string &model, Instant now) const
@@ -366,21 +372,29 @@
 }
 
 void Dispatcher::noteMissing(const std::string &upstreamId, const std::string &model,
-                             const std::string &adapter)
+                             const std::string &adapter, Instant now)
 {
     const auto found = this->upstreams.find(upstreamId);
     if (found == this->upstreams.end())
         return;
-    const auto drop = [&](std::vector<HeldModel> &models) {
-        for (auto &held : models) {
-            if (held.name == model)
-                std::erase(held.adapters, adapter);
-        }
-        if (adapter.empty())
-            std::erase_if(models, [&](const HeldModel &held) { return held.name == model; });
-    };
-    drop(found->second.entry.models);
-    drop(found->second.snapshotModels);
+    auto &upstream = found->second;
+    if (!this->hasSnapshot(upstream, now)) {
+        upstream.refutedUntil = now + RefutedTime;
+        return;
+    }
+    for (auto &held : upstream.snapshotModels) {
+        if (held.name == model)
+            std::erase(held.adapters, adapter);
+    }
+    if (adapter.empty())
+        std::erase_if(upstream.snapshotModels,
+                      [&](const HeldModel &held) { return held.name == model; });
+}
+
+Duration Dispatcher::retryForMissing(const std::string &model, Instant now) const
+{
+    const auto left = this->timeUntilLoaded(model, now);
+    return left ? *left + LoadedMargin : MissingModelRetry;
 }
 
 } // namespace tray
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -77,6 +77,9 @@
 public:
     /// Snapshots older than this are not used.
     static constexpr Duration SnapshotLifetime = std::chrono::seconds(2);
+    /// An engine that lacks a model that the instance list tells of has restarted: without its
+    /// steward's word nothing that the list says of its models is believed for this long.
+    static constexpr Duration RefutedTime = std::chrono::seconds(4);
 
     using ProximityOf = std::function<Proximity(const std::string &dataCentre)>;
 
@@ -103,7 +106,9 @@
     void noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting, Instant now);
     /// The upstream answered that it lacks what the request needs: the view of it is old.
     void noteMissing(const std::string &upstreamId, const std::string &model,
-                     const std::string &adapter);
+                     const std::string &adapter, Instant now);
+    /// When a caller should come back for a model that engines refused for want of it.
+    Duration retryForMissing(const std::string &model, Instant now) const;
 
     /// Models and adapters of an upstream by the newest word on them.
     std::vector<HeldModel> heldModels(const std::string &upstreamId, Instant now) const;
@@ -132,6 +137,8 @@
         std::optional<proto::EngineSnapshot> snapshot;
         std::vector<HeldModel> snapshotModels;
         Instant snapshotAt{};
+        // The instance list's word on the models is refuted until then, or until it changes.
+        Instant refutedUntil{};
         // Attempts begun since the snapshot or the last told load.
         uint32_t begunSince = 0;
         uint32_t toldRunning = 0;
--- a/src/fleet/Upstream.h
+++ b/src/fleet/Upstream.h
@@ -29,6 +29,8 @@
 {
     std::string name;
     std::vector<std::string> adapters;
+
+    bool operator==(const HeldModel &) const = default;
 };
 
 /// One entry of the instance list.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -352,8 +352,8 @@
         result.outcome = answer.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
         if (answer.misdirected)
-            this->gateway.dispatcher.noteMissing(upstreamId, this->facts.model,
-                                                 this->facts.adapter);
+            this->gateway.dispatcher.noteMissing(upstreamId, this->facts.model, this->facts.adapter,
+                                                 clockNow());
         // Reads the rest so that the connection can be used again.
         const auto rest = co_await stream.read(FullRetry);
         co_return result;
@@ -467,7 +467,14 @@
         co_return;
     }
     if (this->runs == 0) {
-        co_await this->refuse(ErrorKind::Overloaded, result.reason, FullRetry);
+        // Engines that lack the model have to load it first.
+        const bool missing =
+            result.outcome == AttemptOutcome::Misdirected && !this->facts.model.empty();
+        Duration retryAfter = FullRetry;
+        if (missing)
+            retryAfter = this->gateway.dispatcher.retryForMissing(this->facts.model, clockNow());
+        co_await this->refuse(missing ? ErrorKind::NoReplica : ErrorKind::Overloaded, result.reason,
+                              retryAfter);
         co_return;
     }
     co_await this->refuse(result.outcome == AttemptOutcome::Silent ? ErrorKind::Timeout
--- a/src/replicas/EngineLoads.cpp
+++ b/src/replicas/EngineLoads.cpp
@@ -102,9 +102,8 @@
     if (index == this->indexes.end() || found == this->models.end())
         return nullptr;
     const auto &replicas = found->second.replicas;
-    const auto replica = std::find_if(replicas.begin(), replicas.end(), [&](const auto &row) {
-        return row.engine == index->second;
-    });
+    const auto replica = std::find_if(replicas.begin(), replicas.end(),
+                                      [&](const auto &row) { return row.engine == index->second; });
     return replica == replicas.end() ? nullptr : &*replica;
 }
 
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -300,9 +300,9 @@
     if (outlook.replicasOf(model) != 0 || unheld == this->unheldSince.end())
         return false;
     const bool fromStore = !hasCopy(engine, model);
-    return now >= unheld->second + (fromStore && outlook.copied.contains(model)
-                                        ? UnheldStorePatience
-                                        : UnheldPatience);
+    return now >=
+           unheld->second +
+               (fromStore && outlook.copied.contains(model) ? UnheldStorePatience : UnheldPatience);
 }
 
 std::optional<PlannedMove>
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -69,8 +69,9 @@
     /// A model that nobody has held for this long is loaded at any cost. Engines that crash are
     /// back sooner, and load it from copies on their hosts.
     static constexpr Duration UnheldPatience = std::chrono::seconds(5);
-    /// The same from the weight store, while an engine has a copy on its host: that engine may carry
-    /// out another order first, and a load from the store would take longer than to wait for it.
+    /// The same from the weight store, while an engine has a copy on its host: that engine may
+    /// carry out another order first, and a load from the store would take longer than to wait for
+    /// it.
     static constexpr Duration UnheldStorePatience = std::chrono::seconds(12);
     /// A new planner waits until the instance list has not grown for this long: engines that are
     /// not listed yet hold models that would look as if nobody held them.
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -98,9 +98,48 @@
     }
     SUBCASE("an engine that answered that it lacks the model is not asked again")
     {
-        dispatcher.noteMissing("a", "m1", "");
+        dispatcher.noteMissing("a", "m1", "", Start);
         CHECK(chosen(dispatcher, queryOf(), Start).empty());
     }
+    SUBCASE("after a restart that the list does not tell of")
+    {
+        // All processes were lost; the list is as before and the steward does not speak yet.
+        auto entry = engineNamed("a");
+        entry.models = {{"m1", {"a1"}}, {"m2", {}}};
+        dispatcher.setUpstreams({{"a", entry}});
+        dispatcher.noteMissing("a", "m1", "a1", Start);
+        auto other = queryOf();
+        other.model = "m2";
+
+        SUBCASE("the list's word on the other models is not believed either")
+        {
+            CHECK(chosen(dispatcher, other, Start).empty());
+            // The list is read again and says the same.
+            dispatcher.setUpstreams({{"a", entry}});
+            CHECK(chosen(dispatcher, queryOf(), Start).empty());
+        }
+        SUBCASE("until the engine writes something else")
+        {
+            entry.models = {{"m2", {}}};
+            dispatcher.setUpstreams({{"a", entry}});
+            CHECK(chosen(dispatcher, other, Start) == "a");
+        }
+        SUBCASE("or its steward speaks, who also tells when to come back")
+        {
+            auto snapshot = snapshotOf("a");
+            snapshot.mutable_models()->Clear();
+            snapshot.set_loading("m1");
+            snapshot.set_loading_left_ms(1700);
+            dispatcher.noteSnapshot(snapshot, Start);
+            CHECK(dispatcher.retryForMissing("m1", Start) == milliseconds(2000));
+            dispatcher.noteSnapshot(snapshotOf("a"), Start + milliseconds(100));
+            CHECK(chosen(dispatcher, queryOf(), Start + milliseconds(100)) == "a");
+        }
+        SUBCASE("and for some seconds only")
+        {
+            CHECK(chosen(dispatcher, other, Start + Dispatcher::RefutedTime) == "a");
+        }
+    }
     SUBCASE("a failed connection pauses its use, and the pause ends")
     {
         const auto ticket = dispatcher.begin("a", queryOf(), Start);
--- a/tests/replicas/EngineLoadsTest.cpp
+++ b/tests/replicas/EngineLoadsTest.cpp
@@ -53,12 +53,14 @@
 {
     SUBCASE("little while they are idle")
     {
-        const EngineLoads loads({{"a", {{"m"}}}, {"b", {{"m"}}}, {"c", {{"m"}}}}, {{"m", {9, 0.2}}});
+        const EngineLoads loads({{"a", {{"m"}}}, {"b", {{"m"}}}, {"c", {{"m"}}}},
+                                {{"m", {9, 0.2}}});
         CHECK(loads.lossOf("a", "m") < 0.1);
     }
     SUBCASE("much once they are busy themselves")
     {
-        const EngineLoads loads({{"a", {{"m"}}}, {"b", {{"m"}}}, {"c", {{"m"}}}}, {{"m", {30, 2.7}}});
+        const EngineLoads loads({{"a", {{"m"}}}, {"b", {{"m"}}}, {"c", {{"m"}}}},
+                                {{"m", {30, 2.7}}});
         CHECK(loads.lossOf("a", "m") > 3);
     }
     SUBCASE("all of its requests if the others are still being loaded")
