Let requests wait for a load that ends within their goal

Such a request now waits if the load is expected to end within its goal, and is refused at once otherwise. A request of a second's goal waits for the last part of a load only.

The test over sockets fails without the wait (503 after 51 ms).

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -290,10 +290,10 @@
 {
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used", MissingModelRetry};
-    const bool loading = this->timeUntilLoaded(query.model, now).has_value();
-    return {ErrorKind::NoReplica,
-            loading ? "the model is being loaded" : "no engine can serve the model",
-            this->retryForMissing(query.model, now)};
+    const Duration retryAfter = this->retryForMissing(query.model, now);
+    if (this->timeUntilLoaded(query.model, now))
+        return {ErrorKind::NoReplica, "the model is being loaded", retryAfter, retryAfter};
+    return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter};
 }
 
 std::optional<Duration> Dispatcher::timeUntilLoaded(const std::string &model, Instant now) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -48,6 +49,8 @@
     ErrorKind kind = ErrorKind::NoReplica;
     std::string reason;
     Duration retryAfter{};
+    /// Set if an engine loads the model: expected time until requests can be sent to it.
+    std::optional<Duration> readyIn;
 };
 
 /// The best upstream reads other prompts of this instance now: ask again when one of them is read.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -106,6 +106,12 @@
                 break;
             if (last.outcome == AttemptOutcome::Full)
                 break;
+            // The answer will be on time although the model is still being loaded.
+            const Instant now = clockNow();
+            if (refusal->readyIn && *refusal->readyIn <= this->timeInGoal(now)) {
+                co_await this->gateway.roomChanged.wait(RoomRecheck, this->urgency());
+                continue;
+            }
             this->gateway.demand.noteRefused(this->facts.model, clockNow());
             co_await this->refuse(refusal->kind, refusal->reason, refusal->retryAfter);
             co_return;
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <functional>
 
 using namespace tray;
 using namespace tray::platform;
@@ -56,19 +57,51 @@
         settings.regions = {{"here", "r"}, {"there", "r"}};
         settings.callers = freeAddress();
         settings.readiness = freeAddress();
-        settings.datagrams = {"127.0.0.1", 0};
+        settings.datagrams = freeAddress();
+        this->datagrams = settings.datagrams;
+        REQUIRE(isOk(this->steward.listen({"127.0.0.1", 0})));
         this->address = settings.callers;
         this->readiness = settings.readiness;
         this->gateway.emplace(this->context, settings, this->client, this->codec, this->metrics);
         REQUIRE(isOk(this->gateway->start()));
     }
 
-    void addUpstream(const std::string &id, const std::string &zone, const Address &address)
+    /// Runs a step beside the next request, some time after it was sent.
+    void later(Duration delay, std::function<void()> step)
+    {
+        asio::co_spawn(
+            this->context,
+            [this, delay, step = std::move(step)]() -> asio::awaitable<void> {
+                asio::steady_timer timer(this->context, delay);
+                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+                step();
+            },
+            asio::detached);
+    }
+
+    void addUpstream(const std::string &id, const std::string &zone, const Address &address,
+                     const std::string &service = "shop")
     {
         this->store.put("servers", id,
-                        fmt::format(R"({{"service":"shop","address":"{}","zone":"{}","slots":4,)"
+                        fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,)"
                                     R"("state":"ready","sequence":1,"models":[]}})",
-                                    toString(address), zone));
+                                    service, toString(address), zone));
+    }
+
+    /// Tells the gateway, as a steward would, that engine "e-1" loads a model or holds it.
+    void tellModel(const std::string &model, std::optional<uint32_t> loadingLeftMs)
+    {
+        proto::Datagram datagram;
+        auto *snapshot = datagram.mutable_snapshot();
+        snapshot->set_upstream_id("e-1");
+        snapshot->set_can_order(true);
+        if (loadingLeftMs) {
+            snapshot->set_loading(model);
+            snapshot->set_loading_left_ms(*loadingLeftMs);
+        } else {
+            snapshot->add_models()->set_name(model);
+        }
+        this->steward.send(this->datagrams, std::move(datagram));
     }
 
     /// Sends a request once the gateway is ready, and returns the whole answer.
@@ -118,8 +151,10 @@
     Metrics metrics;
     UpstreamStandIn first;
     UpstreamStandIn second;
+    DatagramPort steward{context, "side-1", [](const proto::Datagram &, const Address &) {}};
     Address address;
     Address readiness;
+    Address datagrams;
     std::optional<Gateway> gateway;
 
 private:
@@ -338,6 +373,48 @@
     }
 }
 
+TEST_CASE("A request for a model that is being loaded")
+{
+    Path path(wholeAnswer);
+    path.store.put("config", "main", R"({"version":2,"routes":[
+        {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"safe","timeout_ms":4000,
+         "goal_ms":1500,"max_attempts":1,"service":"llm"}],
+        "services":[{"name":"llm","max_conns":50,"engine":{"slots":64,"kv_cache_tokens":100000,
+         "models":[{"name":"m1","weights_mb":60000,"load_s":8,"adapters":0,"adapter_mb":12}],
+         "weights_mb":220000,"adapter_slots":8,"loads_per_s":1}}],
+        "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
+         "idle_timeout_ms":5000}})");
+    UpstreamStandIn engine(path.context, wholeAnswer);
+    path.addUpstream("e-1", "here", engine.listen(), "llm");
+    path.runFor(milliseconds(900));
+    const HttpHeaders headers{{"Marjoramtray-Model", "m1"},
+                              {"Marjoramtray-Token-Usage", "500,10"},
+                              {"Marjoramtray-Deadline-Ms", "4000"}};
+    const Instant began = clockNow();
+
+    SUBCASE("waits if the load ends within its goal")
+    {
+        path.tellModel("m1", 400);
+        path.later(milliseconds(500), [&] { path.tellModel("m1", std::nullopt); });
+        path.runFor(milliseconds(50));
+        const auto answer = path.send("/ask/1", headers);
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 200);
+        CHECK(clockNow() - began >= milliseconds(400));
+    }
+    SUBCASE("is told at once when to come back otherwise")
+    {
+        path.tellModel("m1", 5000);
+        path.runFor(milliseconds(50));
+        const auto answer = path.send("/ask/1", headers);
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 503);
+        CHECK(std::stod(std::string(findHeader(value(answer).headers, "Retry-After"))) >= 5);
+        CHECK(clockNow() - began < milliseconds(800));
+    }
+    CHECK(engine.received.size() <= 1);
+}
+
 TEST_CASE("A stream that breaks")
 {
     SUBCASE("goes on at another upstream after the last whole event, if it may")
