Log refuted holdings and waits for a load

Found by reading the change again: two decisions that touch a request left no line. holdings_refuted names the engine that lacked a model of the list, wait_for_load the request, the expected end of the load and what is left of the goal.

The path's test took a datagram port that was only known to be free for connections: one of 24 runs, six at a time, failed with 'Address already in use'.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -371,16 +371,17 @@
         found->second.begunSince = 0;
 }
 
-void Dispatcher::noteMissing(const std::string &upstreamId, const std::string &model,
+bool Dispatcher::noteMissing(const std::string &upstreamId, const std::string &model,
                              const std::string &adapter, Instant now)
 {
     const auto found = this->upstreams.find(upstreamId);
     if (found == this->upstreams.end())
-        return;
+        return false;
     auto &upstream = found->second;
     if (!this->hasSnapshot(upstream, now)) {
+        const bool isNew = now >= upstream.refutedUntil;
         upstream.refutedUntil = now + RefutedTime;
-        return;
+        return isNew;
     }
     for (auto &held : upstream.snapshotModels) {
         if (held.name == model)
@@ -389,6 +390,7 @@
     if (adapter.empty())
         std::erase_if(upstream.snapshotModels,
                       [&](const HeldModel &held) { return held.name == model; });
+    return false;
 }
 
 Duration Dispatcher::retryForMissing(const std::string &model, Instant now) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -107,8 +107,9 @@
              Instant now);
     /// An upstream told its load with an answer.
     void noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting, Instant now);
-    /// The upstream answered that it lacks what the request needs: the view of it is old.
-    void noteMissing(const std::string &upstreamId, const std::string &model,
+    /// The upstream answered that it lacks what the request needs: the view of it is old. True if
+    /// that refutes what the instance list says of its models.
+    bool noteMissing(const std::string &upstreamId, const std::string &model,
                      const std::string &adapter, Instant now);
     /// When a caller should come back for a model that engines refused for want of it.
     Duration retryForMissing(const std::string &model, Instant now) const;
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -109,6 +109,7 @@
             // The answer will be on time although the model is still being loaded.
             const Instant now = clockNow();
             if (refusal->readyIn && *refusal->readyIn <= this->timeInGoal(now)) {
+                this->noteWaitForLoad(*refusal->readyIn, now);
                 co_await this->gateway.roomChanged.wait(RoomRecheck, this->urgency());
                 continue;
             }
@@ -148,6 +149,15 @@
     co_await this->refuseFailed(std::move(last));
 }
 
+void Exchange::noteWaitForLoad(Duration readyIn, Instant now)
+{
+    if (!std::exchange(this->waitedForLoad, true))
+        logDecision(LogWeight::Routine, now,
+                    fmt::format("event=wait_for_load id={} model={} ready_in_ms={} goal_left_ms={}",
+                                this->facts.id, this->facts.model, toMs(readyIn),
+                                toMs(this->timeInGoal(now))));
+}
+
 Duration Exchange::callerPatience(Instant now) const
 {
     const Duration byGoal = std::max<Duration>({ShortestPatience, PatienceGoals * this->route->goal,
@@ -357,9 +367,13 @@
     if (answer.notRun) {
         result.outcome = answer.misdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
-        if (answer.misdirected)
+        if (answer.misdirected &&
             this->gateway.dispatcher.noteMissing(upstreamId, this->facts.model, this->facts.adapter,
-                                                 clockNow());
+                                                 clockNow()))
+            logDecision(LogWeight::Notable, clockNow(),
+                        fmt::format("event=holdings_refuted id={} upstream={} model={} adapter={}",
+                                    this->facts.id, upstreamId, this->facts.model,
+                                    this->facts.adapter));
         // Reads the rest so that the connection can be used again.
         const auto rest = co_await stream.read(FullRetry);
         co_return result;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -33,6 +33,7 @@
 
     boost::asio::awaitable<void> serveRoute();
     boost::asio::awaitable<bool> waitForRoom(DispatchWait wait);
+    void noteWaitForLoad(Duration readyIn, Instant now);
     Duration callerPatience(Instant now) const;
     Duration timeInGoal(Instant now) const;
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
@@ -72,6 +73,8 @@
     bool callerGone = false;
     // Set while the request waits for an engine to read other prompts.
     std::optional<WaitingRoom::Ticket> placeInRoom;
+    // The request has waited for an engine to load its model.
+    bool waitedForLoad = false;
     // The head of the answer went out; only events of the same stream may follow.
     bool streaming = false;
     EventSplitter events;
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -203,11 +203,9 @@
             if (model != engine.unloading)
                 models.push_back(model);
         }
-        const size_t answering = models.size();
+        std::vector<std::string> ready = models;
         if (!engine.loading.empty() && !contains(models, engine.loading))
             models.push_back(engine.loading);
-        std::vector<std::string> ready(models.begin(),
-                                       models.begin() + static_cast<ptrdiff_t>(answering));
         if (const auto grant = this->grants.find(engine.id); grant != this->grants.end()) {
             const auto &move = grant->second.move;
             std::erase(models, move.unload);
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -57,13 +57,15 @@
         settings.regions = {{"here", "r"}, {"there", "r"}};
         settings.callers = freeAddress();
         settings.readiness = freeAddress();
-        settings.datagrams = freeAddress();
-        this->datagrams = settings.datagrams;
         REQUIRE(isOk(this->steward.listen({"127.0.0.1", 0})));
+        settings.datagrams = freeDatagramAddress();
+        this->datagrams = settings.datagrams;
         this->address = settings.callers;
         this->readiness = settings.readiness;
         this->gateway.emplace(this->context, settings, this->client, this->codec, this->metrics);
-        REQUIRE(isOk(this->gateway->start()));
+        const auto started = this->gateway->start();
+        INFO((isOk(started) ? "" : error(started).message));
+        REQUIRE(isOk(started));
     }
 
     /// Runs a step beside the next request, some time after it was sent.
@@ -165,6 +167,14 @@
         return {"127.0.0.1", acceptor.local_endpoint().port()};
     }
 
+    /// Ports of datagrams and of connections are taken independently of each other.
+    static Address freeDatagramAddress()
+    {
+        asio::io_context context;
+        asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", socket.local_endpoint().port()};
+    }
+
     asio::awaitable<void> awaitReady()
     {
         for (int i = 0; i < 400; ++i) {
