Log what each request waits for that is in flight at the end of a stop

Each one now gets an event=unanswered line with its phase, its age and whether its answer has begun.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -45,8 +45,10 @@
 
 Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
     : gateway(gateway), request(std::move(request)), responder(responder), arrived(arrived),
-      config(gateway.config)
-{}
+      siblings(gateway.exchanges), config(gateway.config)
+{
+    this->siblings->insert(this);
+}
 
 asio::awaitable<void> Exchange::run()
 {
@@ -98,6 +100,7 @@
             last.reason = "the deadline passed";
             break;
         }
+        this->phase = ExchangePhase::Choosing;
         const DispatchQuery query = this->makeQuery();
         const Dispatch choice = this->gateway.dispatcher.choose(query, clockNow());
         if (const auto *refusal = std::get_if<DispatchRefusal>(&choice)) {
@@ -109,6 +112,7 @@
             // The answer will be on time although the model is still being loaded.
             const Instant now = clockNow();
             if (refusal->readyIn && *refusal->readyIn <= this->timeInGoal(now)) {
+                this->phase = ExchangePhase::Load;
                 this->noteWaitForLoad(*refusal->readyIn, now);
                 co_await this->gateway.roomChanged.wait(RoomRecheck, this->urgency());
                 continue;
@@ -197,6 +201,7 @@
     }
     if (isNew)
         this->placeInRoom = room.enter(this->facts.model, this->urgency(), readMs);
+    this->phase = ExchangePhase::Room;
     const Duration recheck = std::min<Duration>(this->deadline - now, RoomRecheck);
     co_await this->gateway.roomChanged.wait(recheck, this->urgency());
     co_return true;
@@ -205,6 +210,7 @@
 Exchange::~Exchange()
 {
     this->leaveRoom();
+    this->siblings->erase(this);
 }
 
 void Exchange::leaveRoom()
@@ -266,6 +272,7 @@
     this->gateway.datagrams.send(steward, datagram);
     if (!target.needsAdapter)
         co_return true;
+    this->phase = ExchangePhase::Adapter;
     const Instant limit = std::min(this->deadline, clockNow() + AdapterTimeout);
     Instant repeatAt = clockNow() + AdapterRepeat;
     while (!this->callerGone) {
@@ -288,6 +295,7 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::attempt(DispatchTarget target)
 {
     const Instant began = clockNow();
+    this->phase = ExchangePhase::FirstAnswer;
     auto &dispatcher = this->gateway.dispatcher;
     this->lastUpstream = target.upstreamId;
     this->lastSnapshotAge = target.snapshotAge;
@@ -326,6 +334,7 @@
                          : kind == ErrorKind::Timeout           ? AttemptOutcome::Silent
                                                                 : AttemptOutcome::Broken;
     } else {
+        this->phase = ExchangePhase::Rest;
         dispatcher.firstAnswer(target.upstreamId, ticket);
         this->gateway.roomChanged.raise();
         this->firstAnswerAt = clockNow();
@@ -535,6 +544,18 @@
     this->responder.abort();
 }
 
+void Exchange::logUnanswered(Instant now) const
+{
+    logDecision(
+        LogWeight::Notable, now,
+        fmt::format("event=unanswered id={} route={} model={} phase={} begun={} upstream={} "
+                    "sends={} runs={} age_ms={} deadline_left_ms={}",
+                    this->facts.id, this->route == nullptr ? "none" : this->route->name,
+                    this->facts.model, enumName(this->phase), this->streaming, this->lastUpstream,
+                    this->sends, this->runs, toMs(now - this->arrived),
+                    toMs(this->deadline - now)));
+}
+
 void Exchange::log(int status, const std::string &outcome, const std::string &reason) const
 {
     const Instant now = clockNow();
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -1,11 +1,28 @@
 // One request of a caller, from its arrival to its final answer.
 #pragma once
 
+#include "base/EnumNames.h"
 #include "gateway/EventSplitter.h"
 #include "gateway/Gateway.h"
 
 namespace tray {
 
+/// What a request waits for.
+enum class ExchangePhase : uint8_t { Choosing, Room, Load, Adapter, FirstAnswer, Rest };
+
+template <>
+struct EnumNames<ExchangePhase>
+{
+    static constexpr auto Table = std::to_array<EnumName<ExchangePhase>>({
+        {ExchangePhase::Choosing, "choosing"},
+        {ExchangePhase::Room, "room"},
+        {ExchangePhase::Load, "load"},
+        {ExchangePhase::Adapter, "adapter"},
+        {ExchangePhase::FirstAnswer, "first_answer"},
+        {ExchangePhase::Rest, "rest"},
+    });
+};
+
 /// Lives as long as the coroutine that serves the request. Each request gets one final answer: an
 /// upstream's, passed on unchanged, or one of our own that is true about whether the request ran.
 class Exchange
@@ -16,6 +33,8 @@
     ~Exchange();
 
     boost::asio::awaitable<void> run();
+    /// Tells what a request waits for that has no final answer yet.
+    void logUnanswered(Instant now) const;
 
 private:
     /// What is left to decide after an attempt.
@@ -62,6 +81,7 @@
     const HttpRequest request;
     HttpResponder &responder;
     const Instant arrived;
+    const std::shared_ptr<std::set<Exchange *>> siblings;
 
     // The configuration that was in force at the arrival decides until the end.
     std::shared_ptr<const FleetConfig> config;
@@ -75,6 +95,7 @@
     int sends = 0;
     std::shared_ptr<HttpCancel> cancel;
     bool callerGone = false;
+    ExchangePhase phase = ExchangePhase::Choosing;
     // Set while the request waits for an engine to read other prompts.
     std::optional<WaitingRoom::Ticket> placeInRoom;
     // The request has waited for an engine to load its model.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -150,6 +150,8 @@
     this->callerServer.drain();
     while (!this->callerServer.isDrained() && clockNow() < end)
         co_await pauseFor(milliseconds(20));
+    for (const auto *exchange : *this->exchanges)
+        exchange->logUnanswered(clockNow());
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
     this->desk.stop();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -17,9 +17,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <set>
 
 namespace tray {
 
+class Exchange;
+
 /// What a gateway is told at its start.
 struct GatewaySettings
 {
@@ -108,6 +111,9 @@
     // An attempt ended or its prompt was read.
     Signal roomChanged;
     WaitingRoom room;
+    // Requests that are being served; each one enters and leaves by itself, and may outlive the
+    // gateway.
+    std::shared_ptr<std::set<Exchange *>> exchanges = std::make_shared<std::set<Exchange *>>();
     std::map<std::string, RetryAllowance> allowances;
     PlannerDesk desk;
     bool upstreamsKnown = false;
