--- /dev/null
+++ b/tests/platform/GatewayPath.h
@@ -0,0 +1,222 @@
+// A gateway between a caller, a store and two upstreams, in one process over real sockets.
+#pragma once
+
+#include "HeaderCodec.h"
+#include "StoreClient.h"
+#include "StoreStandIn.h"
+#include "UpstreamStandIn.h"
+#include "gateway/Gateway.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <functional>
+
+namespace tray::test {
+
+using platform::HeaderCodec;
+using platform::StoreClient;
+namespace asio = boost::asio;
+
+inline const std::string Config = R"({"version":1,"routes":[
+ {"name":"look","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":1500,
+  "max_attempts":2,"service":"shop"},
+ {"name":"take","host":"a.example","path_prefix":"/take/","kind":"unsafe","timeout_ms":1500,
+  "max_attempts":1,"service":"shop"},
+ {"name":"tell","host":"a.example","path_prefix":"/tell/","kind":"streaming","timeout_ms":1500,
+  "max_attempts":1,"service":"shop"},
+ {"name":"retell","host":"a.example","path_prefix":"/retell/","kind":"streaming",
+  "timeout_ms":1500,"max_attempts":2,"resumable":true,"service":"shop"}],
+ "services":[{"name":"shop","max_conns":50}],
+ "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
+  "idle_timeout_ms":5000}})";
+
+/// A gateway before two upstreams in one process.
+class GatewayPath
+{
+public:
+    explicit GatewayPath(UpstreamStandIn::Behaviour first, UpstreamStandIn::Behaviour second = {},
+                         Duration stopGrace = std::chrono::seconds(8))
+        : store(this->context), http(this->context), caller(this->context),
+          client(this->http, this->store.listen()), first(this->context, std::move(first)),
+          second(
+              this->context,
+              second ? std::move(second) : [](const HttpRequest &request) -> UpstreamReply {
+                  return {UpstreamStandIn::answerTo(request, 200, "second")};
+              })
+    {
+        this->store.put("config", "main", Config);
+        // The first one is nearer and so gets the first attempt.
+        this->addUpstream("i-1", "here", this->first.listen());
+        this->addUpstream("i-2", "there", this->second.listen());
+        GatewaySettings settings;
+        settings.instance = "front-1";
+        settings.dataCentre = "here";
+        settings.region = "r";
+        settings.regions = {{"here", "r"}, {"there", "r"}};
+        settings.stopGrace = stopGrace;
+        settings.callers = freeAddress();
+        settings.readiness = freeAddress();
+        REQUIRE(isOk(this->steward.listen({"127.0.0.1", 0})));
+        settings.datagrams = freeDatagramAddress();
+        this->datagrams = settings.datagrams;
+        this->address = settings.callers;
+        this->readiness = settings.readiness;
+        this->gateway.emplace(this->context, settings, this->client, this->codec, this->metrics);
+        const auto started = this->gateway->start();
+        INFO((isOk(started) ? "" : error(started).message));
+        REQUIRE(isOk(started));
+    }
+
+    /// Runs a step beside the next request, some time after it was sent.
+    void later(Duration delay, std::function<void()> step)
+    {
+        asio::co_spawn(
+            this->context,
+            [this, delay, step = std::move(step)]() -> asio::awaitable<void> {
+                asio::steady_timer timer(this->context, delay);
+                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+                step();
+            },
+            asio::detached);
+    }
+
+    void addUpstream(const std::string &id, const std::string &zone, const Address &address,
+                     const std::string &service = "shop")
+    {
+        this->store.put("servers", id,
+                        fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,)"
+                                    R"("state":"ready","sequence":1,"models":[]}})",
+                                    service, toString(address), zone));
+    }
+
+    /// Tells the gateway, as a steward would, that engine "e-1" loads a model or holds it.
+    void tellModel(const std::string &model, std::optional<uint32_t> loadingLeftMs)
+    {
+        proto::Datagram datagram;
+        auto *snapshot = datagram.mutable_snapshot();
+        snapshot->set_upstream_id("e-1");
+        snapshot->set_can_order(true);
+        if (loadingLeftMs) {
+            snapshot->set_loading(model);
+            snapshot->set_loading_left_ms(*loadingLeftMs);
+        } else {
+            snapshot->add_models()->set_name(model);
+        }
+        this->steward.send(this->datagrams, std::move(datagram));
+    }
+
+    /// Sends a request once the gateway is ready, and returns the whole answer.
+    Result<HttpResponse> send(const std::string &target, HttpHeaders headers = {},
+                              std::string body = "", Duration timeout = std::chrono::seconds(5))
+    {
+        HttpRequest request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.target = target;
+        request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
+        request.body = std::move(body);
+        std::optional<Result<HttpResponse>> answer;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                co_await this->awaitReady();
+                auto result = co_await this->caller.request(this->address, request, timeout);
+                answer = std::move(result);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run_for(std::chrono::seconds(20));
+        REQUIRE(answer.has_value());
+        return std::move(*answer);
+    }
+
+    /// Sends a request and returns all bytes that come back until the gateway closes.
+    std::string sendRaw(const std::string &bytes)
+    {
+        std::string answer;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                co_await this->awaitReady();
+                asio::ip::tcp::socket socket(this->context);
+                const asio::ip::tcp::endpoint gateway(asio::ip::make_address(this->address.host),
+                                                      this->address.port);
+                constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+                co_await socket.async_connect(gateway, Await);
+                co_await asio::async_write(socket, asio::buffer(bytes), Await);
+                co_await asio::async_read(socket, asio::dynamic_buffer(answer), Await);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run_for(std::chrono::seconds(10));
+        return answer;
+    }
+
+    void runFor(Duration duration)
+    {
+        this->context.restart();
+        this->context.run_for(duration);
+    }
+
+    int statusOf(const std::string &target, const std::string &body = "")
+    {
+        const auto answer = this->send(target, {}, body);
+        return isOk(answer) ? value(answer).status : 0;
+    }
+
+    asio::io_context context;
+    StoreStandIn store;
+    HttpClient http;
+    HttpClient caller;
+    StoreClient client;
+    HeaderCodec codec;
+    Metrics metrics;
+    UpstreamStandIn first;
+    UpstreamStandIn second;
+    DatagramPort steward{context, "side-1", [](const proto::Datagram &, const Address &) {}};
+    Address address;
+    Address readiness;
+    Address datagrams;
+    std::optional<Gateway> gateway;
+
+private:
+    static Address freeAddress()
+    {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+
+    /// Ports of datagrams and of connections are taken independently of each other.
+    static Address freeDatagramAddress()
+    {
+        asio::io_context context;
+        asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", socket.local_endpoint().port()};
+    }
+
+    asio::awaitable<void> awaitReady()
+    {
+        for (int i = 0; i < 400; ++i) {
+            HttpRequest question;
+            question.target = "/v1/readiness";
+            const auto answer =
+                co_await this->caller.request(this->readiness, question, std::chrono::seconds(1));
+            if (isOk(answer) && value(answer).status == 200)
+                co_return;
+            asio::steady_timer timer(this->context, milliseconds(10));
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+};
+
+} // namespace tray::test
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -1,20 +1,6 @@
 // The whole path of a request over real sockets: store, gateway and upstreams that misbehave.
-#include "HeaderCodec.h"
-#include "StoreClient.h"
-#include "StoreStandIn.h"
-#include "UpstreamStandIn.h"
+#include "GatewayPath.h"
 #include "gateway/EventSplitter.h"
-#include "gateway/Gateway.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <doctest/doctest.h>
-#include <fmt/format.h>
-#include <functional>
 
 using namespace tray;
 using namespace tray::platform;
@@ -23,199 +9,6 @@
 
 namespace {
 
-const std::string Config = R"({"version":1,"routes":[
- {"name":"look","host":"a.example","path_prefix":"/look/","kind":"safe","timeout_ms":1500,
-  "max_attempts":2,"service":"shop"},
- {"name":"take","host":"a.example","path_prefix":"/take/","kind":"unsafe","timeout_ms":1500,
-  "max_attempts":1,"service":"shop"},
- {"name":"tell","host":"a.example","path_prefix":"/tell/","kind":"streaming","timeout_ms":1500,
-  "max_attempts":1,"service":"shop"},
- {"name":"retell","host":"a.example","path_prefix":"/retell/","kind":"streaming",
-  "timeout_ms":1500,"max_attempts":2,"resumable":true,"service":"shop"}],
- "services":[{"name":"shop","max_conns":50}],
- "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
-  "idle_timeout_ms":5000}})";
-
-/// A gateway before two upstreams in one process.
-class Path
-{
-public:
-    explicit Path(UpstreamStandIn::Behaviour first, UpstreamStandIn::Behaviour second = {})
-        : store(this->context), http(this->context), caller(this->context),
-          client(this->http, this->store.listen()), first(this->context, std::move(first)),
-          second(
-              this->context,
-              second ? std::move(second) : [](const HttpRequest &request) -> UpstreamReply {
-                  return {UpstreamStandIn::answerTo(request, 200, "second")};
-              })
-    {
-        this->store.put("config", "main", Config);
-        // The first one is nearer and so gets the first attempt.
-        this->addUpstream("i-1", "here", this->first.listen());
-        this->addUpstream("i-2", "there", this->second.listen());
-        GatewaySettings settings;
-        settings.instance = "front-1";
-        settings.dataCentre = "here";
-        settings.region = "r";
-        settings.regions = {{"here", "r"}, {"there", "r"}};
-        settings.callers = freeAddress();
-        settings.readiness = freeAddress();
-        REQUIRE(isOk(this->steward.listen({"127.0.0.1", 0})));
-        settings.datagrams = freeDatagramAddress();
-        this->datagrams = settings.datagrams;
-        this->address = settings.callers;
-        this->readiness = settings.readiness;
-        this->gateway.emplace(this->context, settings, this->client, this->codec, this->metrics);
-        const auto started = this->gateway->start();
-        INFO((isOk(started) ? "" : error(started).message));
-        REQUIRE(isOk(started));
-    }
-
-    /// Runs a step beside the next request, some time after it was sent.
-    void later(Duration delay, std::function<void()> step)
-    {
-        asio::co_spawn(
-            this->context,
-            [this, delay, step = std::move(step)]() -> asio::awaitable<void> {
-                asio::steady_timer timer(this->context, delay);
-                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-                step();
-            },
-            asio::detached);
-    }
-
-    void addUpstream(const std::string &id, const std::string &zone, const Address &address,
-                     const std::string &service = "shop")
-    {
-        this->store.put("servers", id,
-                        fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,)"
-                                    R"("state":"ready","sequence":1,"models":[]}})",
-                                    service, toString(address), zone));
-    }
-
-    /// Tells the gateway, as a steward would, that engine "e-1" loads a model or holds it.
-    void tellModel(const std::string &model, std::optional<uint32_t> loadingLeftMs)
-    {
-        proto::Datagram datagram;
-        auto *snapshot = datagram.mutable_snapshot();
-        snapshot->set_upstream_id("e-1");
-        snapshot->set_can_order(true);
-        if (loadingLeftMs) {
-            snapshot->set_loading(model);
-            snapshot->set_loading_left_ms(*loadingLeftMs);
-        } else {
-            snapshot->add_models()->set_name(model);
-        }
-        this->steward.send(this->datagrams, std::move(datagram));
-    }
-
-    /// Sends a request once the gateway is ready, and returns the whole answer.
-    Result<HttpResponse> send(const std::string &target, HttpHeaders headers = {},
-                              std::string body = "", Duration timeout = std::chrono::seconds(5))
-    {
-        HttpRequest request;
-        request.method = body.empty() ? "GET" : "POST";
-        request.target = target;
-        request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
-        request.headers.insert(request.headers.end(), headers.begin(), headers.end());
-        request.body = std::move(body);
-        std::optional<Result<HttpResponse>> answer;
-        asio::co_spawn(
-            this->context,
-            [&]() -> asio::awaitable<void> {
-                co_await this->awaitReady();
-                auto result = co_await this->caller.request(this->address, request, timeout);
-                answer = std::move(result);
-                this->context.stop();
-            },
-            asio::detached);
-        this->context.restart();
-        this->context.run_for(std::chrono::seconds(20));
-        REQUIRE(answer.has_value());
-        return std::move(*answer);
-    }
-
-    /// Sends a request and returns all bytes that come back until the gateway closes.
-    std::string sendRaw(const std::string &bytes)
-    {
-        std::string answer;
-        asio::co_spawn(
-            this->context,
-            [&]() -> asio::awaitable<void> {
-                co_await this->awaitReady();
-                asio::ip::tcp::socket socket(this->context);
-                const asio::ip::tcp::endpoint gateway(asio::ip::make_address(this->address.host),
-                                                      this->address.port);
-                constexpr auto Await = asio::as_tuple(asio::use_awaitable);
-                co_await socket.async_connect(gateway, Await);
-                co_await asio::async_write(socket, asio::buffer(bytes), Await);
-                co_await asio::async_read(socket, asio::dynamic_buffer(answer), Await);
-                this->context.stop();
-            },
-            asio::detached);
-        this->context.restart();
-        this->context.run_for(std::chrono::seconds(10));
-        return answer;
-    }
-
-    void runFor(Duration duration)
-    {
-        this->context.restart();
-        this->context.run_for(duration);
-    }
-
-    int statusOf(const std::string &target, const std::string &body = "")
-    {
-        const auto answer = this->send(target, {}, body);
-        return isOk(answer) ? value(answer).status : 0;
-    }
-
-    asio::io_context context;
-    StoreStandIn store;
-    HttpClient http;
-    HttpClient caller;
-    StoreClient client;
-    HeaderCodec codec;
-    Metrics metrics;
-    UpstreamStandIn first;
-    UpstreamStandIn second;
-    DatagramPort steward{context, "side-1", [](const proto::Datagram &, const Address &) {}};
-    Address address;
-    Address readiness;
-    Address datagrams;
-    std::optional<Gateway> gateway;
-
-private:
-    static Address freeAddress()
-    {
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        return {"127.0.0.1", acceptor.local_endpoint().port()};
-    }
-
-    /// Ports of datagrams and of connections are taken independently of each other.
-    static Address freeDatagramAddress()
-    {
-        asio::io_context context;
-        asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
-        return {"127.0.0.1", socket.local_endpoint().port()};
-    }
-
-    asio::awaitable<void> awaitReady()
-    {
-        for (int i = 0; i < 400; ++i) {
-            HttpRequest question;
-            question.target = "/v1/readiness";
-            const auto answer =
-                co_await this->caller.request(this->readiness, question, std::chrono::seconds(1));
-            if (isOk(answer) && value(answer).status == 200)
-                co_return;
-            asio::steady_timer timer(this->context, milliseconds(10));
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        }
-    }
-};
-
 UpstreamReply wholeAnswer(const HttpRequest &request)
 {
     return {UpstreamStandIn::answerTo(request, 200, "first")};
@@ -241,7 +34,7 @@
 
 TEST_CASE("A request is passed on and its answer comes back unchanged")
 {
-    Path path(wholeAnswer);
+    GatewayPath path(wholeAnswer);
     const auto answer = path.send("/look/1?x=2", {{"Marjoramtray-Deadline-Ms", "900"}});
     REQUIRE(isOk(answer));
     CHECK(value(answer).status == 200);
@@ -298,7 +91,7 @@
     {
         UpstreamReply cut;
         cut.reset = true;
-        Path path([&](const HttpRequest &) { return cut; });
+        GatewayPath path([&](const HttpRequest &) { return cut; });
         CHECK(path.statusOf("/take/1", "x") == 502);
         CHECK(path.first.received.size() == 1);
         CHECK(path.second.received.empty());
@@ -307,13 +100,13 @@
     {
         UpstreamReply hang;
         hang.hang = true;
-        Path path([&](const HttpRequest &) { return hang; });
+        GatewayPath path([&](const HttpRequest &) { return hang; });
         CHECK(path.statusOf("/take/1", "x") == 504);
         CHECK(path.second.received.empty());
     }
     SUBCASE("refused without running it, it may go elsewhere")
     {
-        Path path([](const HttpRequest &) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &) -> UpstreamReply {
             return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
         });
         const auto answer = path.send("/take/1", {}, "x");
@@ -325,7 +118,7 @@
         const auto full = [](const HttpRequest &) -> UpstreamReply {
             return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
         };
-        Path path(full, full);
+        GatewayPath path(full, full);
         const auto answer = path.send("/take/1", {}, "x");
         REQUIRE(isOk(answer));
         CHECK(value(answer).status == 429);
@@ -333,7 +126,7 @@
     }
     SUBCASE("a failure that the upstream answered is passed on")
     {
-        Path path([](const HttpRequest &request) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &request) -> UpstreamReply {
             return {UpstreamStandIn::answerTo(request, 500, "failed")};
         });
         const auto answer = path.send("/take/1", {}, "x");
@@ -350,7 +143,7 @@
     {
         UpstreamReply cut;
         cut.close = true;
-        Path path([&](const HttpRequest &request) {
+        GatewayPath path([&](const HttpRequest &request) {
             cut.bytes = UpstreamStandIn::answerTo(request, 200, "whole answer");
             cut.bytes.resize(cut.bytes.size() - 4);
             return cut;
@@ -361,19 +154,19 @@
     }
     SUBCASE("a success without the upstream's signature is none")
     {
-        Path path([](const HttpRequest &) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &) -> UpstreamReply {
             return {"HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\nContent-Length: 2\r\n\r\nno"};
         });
         CHECK(path.statusOf("/take/1", "x") == 502);
     }
     SUBCASE("bytes that are no answer")
     {
-        Path path([](const HttpRequest &) -> UpstreamReply { return {"garbage\r\n\r\n"}; });
+        GatewayPath path([](const HttpRequest &) -> UpstreamReply { return {"garbage\r\n\r\n"}; });
         CHECK(path.statusOf("/take/1", "x") == 502);
     }
     SUBCASE("a second answer on the connection belongs to no request")
     {
-        Path path([](const HttpRequest &request) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &request) -> UpstreamReply {
             return {UpstreamStandIn::answerTo(request, 200, "first") +
                     UpstreamStandIn::answerTo(request, 200, "extra")};
         });
@@ -385,7 +178,7 @@
     }
     SUBCASE("an answer without a length is whole when the connection ends in order")
     {
-        Path path([](const HttpRequest &) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &) -> UpstreamReply {
             UpstreamReply reply;
             reply.bytes = "HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\n"
                           "Marjoramtray-Response-Seal: s1\r\nConnection: close\r\n\r\nunframed";
@@ -398,7 +191,7 @@
     }
     SUBCASE("and is not when it was reset")
     {
-        Path path([](const HttpRequest &) -> UpstreamReply {
+        GatewayPath path([](const HttpRequest &) -> UpstreamReply {
             UpstreamReply reply;
             reply.bytes = "HTTP/1.1 200 X\r\nMarjoramtray-Request-Id: r1\r\n"
                           "Marjoramtray-Response-Seal: s1\r\nConnection: close\r\n\r\nunframed";
@@ -411,7 +204,7 @@
 
 TEST_CASE("A request for a model that is being loaded")
 {
-    Path path(wholeAnswer);
+    GatewayPath path(wholeAnswer);
     path.store.put("config", "main", R"({"version":2,"routes":[
         {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"safe","timeout_ms":4000,
          "goal_ms":1500,"max_attempts":1,"service":"llm"}],
@@ -455,7 +248,7 @@
 {
     SUBCASE("goes on at another upstream after the last whole event, if it may")
     {
-        Path path(brokenStream, [](const HttpRequest &request) -> UpstreamReply {
+        GatewayPath path(brokenStream, [](const HttpRequest &request) -> UpstreamReply {
             CHECK(findHeader(request.headers, "Last-Event-Id") == "2");
             return {UpstreamStandIn::streamHeadFor(request) +
                     UpstreamStandIn::chunkOf(eventOf(3) + eventOf(4)) + "0\r\n\r\n"};
@@ -466,7 +259,7 @@
     }
     SUBCASE("is cut for the caller, never ended as if it were whole")
     {
-        Path path(brokenStream);
+        GatewayPath path(brokenStream);
         CHECK_FALSE(isOk(path.send("/tell/1", {}, "x")));
         CHECK(path.second.received.empty());
     }
@@ -509,7 +302,7 @@
     {
         reply.hang = true;
     }
-    Path path(brokenStream, [&](const HttpRequest &) { return reply; });
+    GatewayPath path(brokenStream, [&](const HttpRequest &) { return reply; });
     SUBCASE("there is no other upstream")
     {
         path.store.remove("servers", "i-2");
@@ -527,7 +320,7 @@
     // Engine "e-1" breaks its streams; engine "e-2" reads a long prompt of another model meanwhile.
     UpstreamReply hang;
     hang.hang = true;
-    Path path(wholeAnswer);
+    GatewayPath path(wholeAnswer);
     UpstreamStandIn breaking(path.context, [](const HttpRequest &request) {
         UpstreamReply reply = brokenStream(request);
         reply.delay = milliseconds(100);
@@ -679,7 +472,7 @@
     }
     const bool isWhole =
         reply.bytes.ends_with("ok") && reply.bytes.find("chunked") == std::string::npos;
-    Path path([&](const HttpRequest &request) {
+    GatewayPath path([&](const HttpRequest &request) {
         return request.target == "/look/9" ? wholeAnswer(request) : reply;
     });
     const auto answer = path.send(target, {}, "x");
@@ -708,7 +501,7 @@
                      "Marjoramtray-Response-Seal: s1\r\nTransfer-Encoding: chunked\r\n\r\n" +
                      UpstreamStandIn::chunkOf(eventOf(1));
     }
-    Path path([&](const HttpRequest &) { return hang; });
+    GatewayPath path([&](const HttpRequest &) { return hang; });
     CHECK_FALSE(isOk(path.send("/tell/1", {}, "x", milliseconds(200))));
     path.runFor(milliseconds(450));
     CHECK(path.first.abandoned == 1);
@@ -719,7 +512,7 @@
 {
     UpstreamReply slow;
     slow.delay = milliseconds(600);
-    Path path([&](const HttpRequest &request) {
+    GatewayPath path([&](const HttpRequest &request) {
         slow.bytes = UpstreamStandIn::answerTo(request, 200, "slow");
         return slow;
     });
@@ -764,7 +557,7 @@
 
 TEST_CASE("A gateway that knows no configuration yet says that nothing ran")
 {
-    Path path(wholeAnswer);
+    GatewayPath path(wholeAnswer);
     path.store.refusing = true;
     // The requests of this case are sent before the first answer of the store.
     std::optional<int> status;
