Give every request a final answer before a stop ends

A stop waited for its requests until 0.4 s before the grace time ended; whatever was left then was closed with the process. A request may wait for room or for a load as long as its caller is patient (30 s for a goal of 10 s), a stop lasts 8 s, and nothing told the waits of the stop.

Class: a wait that outlives its process. Each wait now asks StopWindow whether its answer is expected to be whole before the end, with the route's usual time from first bytes to end; if not, the request is refused at once with 503, as other instances can take it. 0.6 s before the grace time ends whatever is left gets its final answer: 503 if it was not sent, 502 if an engine may have run it; a stream that has begun is cut.

GatewayStopTest failed before (no answer to a request that waits for a load, for room, or for an engine) and passes now.

Ruled out: a silent path to an engine (an attempt would have been recorded as reaching it, or links were disturbed), and a connection closed as idle (that happens 2.3 s after SIGTERM, not at its end).

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -28,6 +28,8 @@
 constexpr size_t MaxAnswerBytes = 8u << 20;
 // Pause before callers return after a refusal for want of room.
 constexpr Duration FullRetry = milliseconds(500);
+// The same where other instances can take the request at once.
+constexpr Duration ElsewhereRetry = milliseconds(50);
 // Longest time between two looks for room; word of it may be lost with an attempt's upstream.
 constexpr Duration RoomRecheck = milliseconds(100);
 // Callers give up a stream without a first event after this time: a constant, or so many times its
@@ -100,6 +102,10 @@
             last.reason = "the deadline passed";
             break;
         }
+        if (this->gateway.stopWindow.isOver(clockNow())) {
+            last.reason = "the instance stops";
+            break;
+        }
         this->phase = ExchangePhase::Choosing;
         const DispatchQuery query = this->makeQuery();
         const Dispatch choice = this->gateway.dispatcher.choose(query, clockNow());
@@ -111,7 +117,14 @@
                 break;
             // The answer will be on time although the model is still being loaded.
             const Instant now = clockNow();
-            if (refusal->readyIn && *refusal->readyIn <= this->timeInGoal(now)) {
+            const bool isOnTime = refusal->readyIn && *refusal->readyIn <= this->timeInGoal(now);
+            if (isOnTime &&
+                !this->gateway.stopWindow.fits(this->route->name, *refusal->readyIn, now)) {
+                co_await this->refuseForStop(
+                    fmt::format("the model is ready in {} ms", toMs(*refusal->readyIn)));
+                co_return;
+            }
+            if (isOnTime) {
                 this->phase = ExchangePhase::Load;
                 this->noteWaitForLoad(*refusal->readyIn, now);
                 co_await this->gateway.roomChanged.wait(RoomRecheck, this->urgency());
@@ -199,6 +212,11 @@
                               predicted - limit / 2);
         co_return false;
     }
+    if (!this->gateway.stopWindow.fits(this->route->name, predicted, now)) {
+        this->leaveRoom();
+        co_await this->refuseForStop(fmt::format("predicted {} ms", toMs(predicted)));
+        co_return false;
+    }
     if (isNew)
         this->placeInRoom = room.enter(this->facts.model, this->urgency(), readMs);
     this->phase = ExchangePhase::Room;
@@ -245,7 +263,8 @@
 
 bool Exchange::mayTryAgain(const AttemptResult &result, Instant now)
 {
-    if (this->callerGone || this->deadlinePassed(now) || this->sends >= MaxSends)
+    if (this->callerGone || this->deadlinePassed(now) || this->sends >= MaxSends ||
+        this->gateway.stopWindow.isOver(now))
         return false;
     // Nothing arrived at the upstream.
     if (result.outcome == AttemptOutcome::Unreachable)
@@ -280,7 +299,7 @@
         if (this->gateway.dispatcher.holds(target.upstreamId, this->facts.model,
                                            this->facts.adapter, now))
             co_return true;
-        if (now >= limit)
+        if (now >= limit || this->gateway.stopWindow.isOver(now))
             co_return false;
         if (now >= repeatAt) {
             this->gateway.datagrams.send(steward, datagram);
@@ -444,6 +463,9 @@
             this->callerGone = true;
         if (ended && !this->callerGone) {
             co_await this->responder.finish();
+            if (this->firstAnswerAt)
+                this->gateway.stopWindow.noteRest(this->route->name,
+                                                  clockNow() - *this->firstAnswerAt);
             result.done = true;
             this->log(stream.status(), "served", "");
             co_return result;
@@ -505,6 +527,10 @@
         this->log(status, "upstream_failed", result.reason);
         co_return;
     }
+    if (this->runs == 0 && this->gateway.stopWindow.isOver(clockNow())) {
+        co_await this->refuseForStop(result.reason);
+        co_return;
+    }
     if (this->runs == 0) {
         // Engines that lack the model have to load it first.
         const bool missing =
@@ -544,7 +570,7 @@
     this->responder.abort();
 }
 
-void Exchange::logUnanswered(Instant now) const
+void Exchange::endForStop(Instant now)
 {
     logDecision(
         LogWeight::Notable, now,
@@ -554,6 +580,13 @@
                     this->facts.model, enumName(this->phase), this->streaming, this->lastUpstream,
                     this->sends, this->runs, toMs(now - this->arrived),
                     toMs(this->deadline - now)));
+    if (this->cancel)
+        this->cancel->cancel();
+}
+
+asio::awaitable<void> Exchange::refuseForStop(std::string reason)
+{
+    co_await this->refuse(ErrorKind::Draining, "the instance stops: " + reason, ElsewhereRetry);
 }
 
 void Exchange::log(int status, const std::string &outcome, const std::string &reason) const
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -33,8 +33,8 @@
     ~Exchange();
 
     boost::asio::awaitable<void> run();
-    /// Tells what a request waits for that has no final answer yet.
-    void logUnanswered(Instant now) const;
+    /// Ends the wait or the attempt of a request that a stop leaves no more time.
+    void endForStop(Instant now);
 
 private:
     /// What is left to decide after an attempt.
@@ -67,6 +67,8 @@
     /// Ends a stream that cannot go on. The caller must not take the part that it has for the
     /// whole.
     void cutStream(const std::string &reason);
+    /// The final answer of a request that was not sent and is better served elsewhere.
+    boost::asio::awaitable<void> refuseForStop(std::string reason);
 
     DispatchQuery makeQuery() const;
     void noteDemand();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -42,8 +42,8 @@
 constexpr Duration SubscribePeriod = std::chrono::seconds(1);
 // Time for the balancer to see that readiness was withdrawn: two questions, a second apart.
 constexpr Duration BalancerTime = milliseconds(2300);
-// Part of the stop's time that is left for the end of the process.
-constexpr Duration StopMargin = milliseconds(400);
+// Time between two looks whether a drain is complete.
+constexpr Duration DrainCheck = milliseconds(20);
 // Gateways that share the repeats before the peers are known.
 constexpr size_t UnknownGateways = 6;
 
@@ -138,20 +138,29 @@
     return Unit{};
 }
 
+asio::awaitable<void> Gateway::awaitDrain(Instant limit)
+{
+    while (!this->callerServer.isDrained() && clockNow() < limit)
+        co_await pauseFor(DrainCheck);
+}
+
 asio::awaitable<void> Gateway::stop()
 {
-    const Instant end = clockNow() + this->settings.stopGrace - StopMargin;
-    this->stopping = true;
+    this->stopWindow.begin(clockNow(), this->settings.stopGrace);
     this->callerServer.beginLeaving();
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_begin in_flight={}", this->callerServer.inFlight()));
+    // Those that wait look again whether they may go on.
+    this->roomChanged.raise();
     // Callers still arrive until the balancer has noticed; they are served and told to move on.
     co_await pauseFor(BalancerTime);
     this->callerServer.drain();
-    while (!this->callerServer.isDrained() && clockNow() < end)
-        co_await pauseFor(milliseconds(20));
-    for (const auto *exchange : *this->exchanges)
-        exchange->logUnanswered(clockNow());
+    co_await this->awaitDrain(this->stopWindow.lastAnswer());
+    for (auto *exchange : *this->exchanges)
+        exchange->endForStop(clockNow());
+    this->roomChanged.raise();
+    this->snapshotArrived.raise();
+    co_await this->awaitDrain(this->stopWindow.end());
     logDecision(LogWeight::Notable, clockNow(),
                 fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
     this->desk.stop();
@@ -160,7 +169,7 @@
 
 bool Gateway::isReady() const
 {
-    return this->config != nullptr && this->upstreamsKnown && !this->stopping;
+    return this->config != nullptr && this->upstreamsKnown && !this->stopWindow.isStopping();
 }
 
 void Gateway::noteStore(bool reachable, const std::string &reason)
@@ -196,7 +205,7 @@
 {
     uint64_t revision = 0;
     Duration retry = FirstRetry;
-    while (!this->stopping) {
+    while (!this->stopWindow.isStopping()) {
         // Not one conditional expression: g++ 12 destroys its awaited temporaries twice.
         Result<ConfigReading> reading;
         if (revision == 0)
@@ -271,7 +280,7 @@
 asio::awaitable<void> Gateway::followUpstreams()
 {
     Duration retry = FirstRetry;
-    while (!this->stopping) {
+    while (!this->stopWindow.isStopping()) {
         if (!this->relay.mustRead(clockNow())) {
             co_await this->listWordArrived.wait(ListRelay::WordPeriod);
             continue;
@@ -305,7 +314,7 @@
 asio::awaitable<void> Gateway::relayLoop()
 {
     bool wasReader = false;
-    while (!this->stopping) {
+    while (!this->stopWindow.isStopping()) {
         const Instant now = clockNow();
         if (wasReader != this->relay.isReader()) {
             wasReader = this->relay.isReader();
@@ -419,7 +428,7 @@
 
 asio::awaitable<void> Gateway::subscribeLoop()
 {
-    while (!this->stopping) {
+    while (!this->stopWindow.isStopping()) {
         this->takeNotices(this->directory.expire(clockNow()));
         this->subscribeAll();
         co_await pauseFor(SubscribePeriod);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/PlannerDesk.h"
 #include "gateway/RequestCodec.h"
 #include "gateway/Signal.h"
+#include "gateway/StopWindow.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 #include "observe/Metrics.h"
@@ -54,7 +55,8 @@
 
     /// Binds all addresses and starts to follow the store.
     Result<Unit> start();
-    /// Withdraws readiness, lets callers move away and waits for the requests in flight.
+    /// Withdraws readiness, lets callers move away and waits for the requests in flight. Those that
+    /// are left shortly before the end get a final answer.
     boost::asio::awaitable<void> stop();
     /// Knows a configuration and the upstreams, and is not stopping.
     bool isReady() const;
@@ -70,6 +72,7 @@
     /// Reads the configuration while the watch for it may hang since a failure of the store.
     boost::asio::awaitable<void> refreshConfig();
     boost::asio::awaitable<void> subscribeLoop();
+    boost::asio::awaitable<void> awaitDrain(Instant limit);
 
     void takeConfig(const ConfigReading &reading);
     void takeNotices(const UpstreamDirectory::Notices &notices);
@@ -120,7 +123,7 @@
     bool storeReachable = true;
     // The watch of the configuration may hang unnoticed until then.
     Instant configSuspectUntil{};
-    bool stopping = false;
+    StopWindow stopWindow;
 };
 
 } // namespace tray
