Leave a kept connection alone when an earlier call on it is cancelled

A request whose attempt was refused by a full engine keeps its handle while it waits; if its caller left then, the connection was closed under whichever request used it by now, which ended with 502 or a cut stream. A connection now knows its holder, and a cancel closes it only for the call that has it.

The case in NetTest failed before (the second call broke) and passes now.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -40,6 +40,8 @@
     beast::tcp_stream stream;
     // Its limit ends an answer whose head, chunk head or trailers never end.
     beast::flat_buffer buffer{HttpClient::MaxHeadBytes};
+    // Raised when a call takes the connection and when it gives it back.
+    uint64_t holder = 0;
     Instant idleSince;
     // Longest idle time that the peer allows; from its Keep-Alive header.
     Duration peerIdle = std::chrono::hours(1);
@@ -97,6 +99,7 @@
     void giveBack(const std::string &key, std::shared_ptr<Connection> connection)
     {
         connection->stream.expires_never();
+        ++connection->holder;
         connection->idleSince = std::chrono::steady_clock::now();
         const std::lock_guard lock(this->mutex);
         auto &list = this->idle[key];
@@ -253,11 +256,13 @@
 void HttpClient::Impl::attach(const HttpCallOptions &options,
                               const std::shared_ptr<Connection> &connection)
 {
+    ++connection->holder;
     if (!options.cancel)
         return;
     const std::weak_ptr<Connection> weak = connection;
-    options.cancel->closeConnection = [weak] {
-        if (const auto open = weak.lock())
+    options.cancel->closeConnection = [weak, holder = connection->holder] {
+        const auto open = weak.lock();
+        if (open && open->holder == holder)
             open->stream.close();
     };
 }
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -110,6 +112,43 @@
     }
 }
 
+TEST_CASE("A call that is cancelled after its end leaves its kept connection to the next call")
+{
+    asio::io_context context;
+    HttpServer server(
+        context, [&](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+            if (request.target == "/slow") {
+                asio::steady_timer timer(context, milliseconds(100));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            co_await responder.respond(makeResponse(200, "text/plain", request.target));
+        });
+    const auto address = value(server.listen(AnyPort));
+    HttpClient client(context);
+    HttpCallOptions options;
+    options.cancel = std::make_shared<HttpCancel>();
+    runOn(context, [&]() -> asio::awaitable<void> {
+        {
+            HttpRequest first{"GET", "/first", {}, ""};
+            auto opened =
+                co_await client.open(address, std::move(first), std::chrono::seconds(5), options);
+            REQUIRE(isOk(opened));
+            const auto body = co_await value(opened)->read(std::chrono::seconds(5));
+            REQUIRE(isOk(body));
+            const auto end = co_await value(opened)->read(std::chrono::seconds(5));
+            REQUIRE(isOk(end));
+        }
+        asio::steady_timer late(context, milliseconds(50));
+        late.async_wait([&](auto) { options.cancel->cancel(); });
+        HttpRequest second{"GET", "/slow", {}, ""};
+        const auto answer =
+            co_await client.request(address, std::move(second), std::chrono::seconds(5));
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).body == "/slow");
+        CHECK(client.dialled() == 1);
+    }());
+}
+
 TEST_CASE("A second answer to one request closes the connection instead of being sent")
 {
     asio::io_context context;
