Reset connections of calls that are given up

The new case in NetTest failed before, after a time-out and after a cancel alike: the paused peer read all 100,070 bytes after the call had ended.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -127,6 +127,8 @@
             co_return Error{ErrorKind::UpstreamUnreachable,
                             toString(address) + ": " + code.message()};
         setUpSocket(connection->stream.socket());
+        // However the call ends, bytes that the peer has not taken by then are dropped.
+        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), code);
         co_return connection;
     }
 
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -56,6 +56,8 @@
 };
 
 /// Sends requests. Safe to use from any thread; each call runs on the caller's executor.
+/// Connections are closed by a reset: a request that was given up does not reach a peer later that
+/// has not taken all of it yet.
 class HttpClient
 {
 public:
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -149,6 +150,43 @@
     }());
 }
 
+TEST_CASE("A request that was given up does not reach a peer that pauses and reads on later")
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context);
+    const asio::ip::tcp::endpoint loopback(asio::ip::make_address(AnyPort.host), 0);
+    acceptor.open(loopback.protocol());
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind(loopback);
+    acceptor.listen();
+    const Address address{AnyPort.host, acceptor.local_endpoint().port()};
+    HttpClient client(context);
+    const std::string body(100000, 'x');
+    std::string received;
+    runOn(context, [&]() -> asio::awaitable<void> {
+        HttpCallOptions options;
+        HttpRequest request{"POST", "/take", {}, body};
+        SUBCASE("its time is over") {}
+        SUBCASE("it was cancelled")
+        {
+            options.cancel = std::make_shared<HttpCancel>();
+        }
+        asio::steady_timer early(context, milliseconds(100));
+        early.async_wait([&](auto) {
+            if (options.cancel)
+                options.cancel->cancel();
+        });
+        const auto opened =
+            co_await client.open(address, std::move(request), milliseconds(200), options);
+        REQUIRE_FALSE(isOk(opened));
+        auto peer = co_await acceptor.async_accept(asio::use_awaitable);
+        boost::system::error_code ended;
+        co_await asio::async_read(peer, asio::dynamic_buffer(received),
+                                  asio::redirect_error(asio::use_awaitable, ended));
+    }());
+    CHECK(received.size() < body.size());
+}
+
 TEST_CASE("A second answer to one request closes the connection instead of being sent")
 {
     asio::io_context context;
