Finish a stop although SIGTERM comes again

Series of stops overlap, so a supervisor may send it twice. Now only SIGINT, a person's second interrupt, cuts a stop short.

The case in ServiceTest failed before: stop() was cut off after 40 ms of 300.

--- a/src/net/Service.cpp
+++ b/src/net/Service.cpp
@@ -31,6 +31,21 @@
     });
 }
 
+/// A supervisor may repeat SIGTERM while requests are still answered; only SIGINT cuts a stop
+/// short.
+void awaitSecondSignal(asio::io_context &context, asio::signal_set &signals)
+{
+    signals.async_wait([&](auto code, int number) {
+        if (code)
+            return;
+        spdlog::info("event=signal_during_stop signal={} ends={}", number, number == SIGINT);
+        if (number == SIGINT)
+            context.stop();
+        else
+            awaitSecondSignal(context, signals);
+    });
+}
+
 /// A handler that throws ends itself alone.
 void runThroughErrors(asio::io_context &context)
 {
@@ -61,10 +76,7 @@
         if (code)
             return;
         spdlog::info("event=stop_begin signal={}", number);
-        signals.async_wait([&](auto again, int) {
-            if (!again)
-                context.stop();
-        });
+        awaitSecondSignal(context, signals);
         limit.expires_after(stopLimit);
         limit.async_wait([&](auto expired) {
             if (!expired)
--- a/tests/net/ServiceTest.cpp
+++ b/tests/net/ServiceTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <stdexcept>
@@ -34,6 +35,37 @@
     CHECK(reloads == 2);
 }
 
+TEST_CASE("A signal during a stop")
+{
+    asio::io_context context;
+    int second = SIGTERM;
+    bool whole = true;
+    SUBCASE("SIGTERM does not cut the stop short") {}
+    SUBCASE("SIGINT ends the daemon at once")
+    {
+        second = SIGINT;
+        whole = false;
+    }
+    asio::steady_timer first(context, milliseconds(20));
+    first.async_wait([](auto) { std::raise(SIGTERM); });
+    asio::steady_timer again(context, milliseconds(60));
+    again.async_wait([&](auto) { std::raise(second); });
+    asio::steady_timer onceMore(context, milliseconds(100));
+    onceMore.async_wait([&](auto) { std::raise(second); });
+    asio::steady_timer drain(context);
+    bool drained = false;
+    const bool complete = runService(
+        context, 1,
+        [&]() -> asio::awaitable<void> {
+            drain.expires_after(milliseconds(300));
+            co_await drain.async_wait(asio::use_awaitable);
+            drained = true;
+        },
+        std::chrono::seconds(5));
+    CHECK(complete == whole);
+    CHECK(drained == whole);
+}
+
 TEST_CASE("An unexpected error ends neither the process nor the task that it met")
 {
     asio::io_context context;
