Answer a request whose handler throws

The caller now gets a 500 that promises nothing, unless its answer had begun, which is cut as before.

The case in NetTest failed before.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -276,7 +276,8 @@
         if (code) {
             if (isPeerFault(code)) {
                 this->requestKeepsAlive = false;
-                co_await this->respond(this->server->refusal(refusalOf(code)));
+                HttpResponse answer = this->server->refusal(refusalOf(code));
+                co_await this->respond(std::move(answer));
             }
             co_return false;
         }
@@ -292,11 +293,20 @@
         this->requestKeepsAlive = message.keep_alive();
         ++this->requests;
         ++this->server->inFlight;
+        bool failed = false;
         try {
             co_await this->server->handler(std::move(request), *this);
         } catch (const std::exception &failure) {
             spdlog::error("event=handler_failed error=\"{}\"", failure.what());
-            this->closing = true;
+            failed = true;
+        }
+        this->closing = this->closing || failed;
+        // A handler that ends without an answer has no caller any more.
+        if (failed && !this->started) {
+            this->requestKeepsAlive = false;
+            HttpResponse answer = this->server->refusal(
+                Error{ErrorKind::Internal, "the request met an unexpected error"});
+            co_await this->respond(std::move(answer));
         }
         --this->server->inFlight;
         // A stream that was not finished is cut, so that the peer does not take it for whole.
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -113,6 +113,40 @@
     }
 }
 
+TEST_CASE("A request whose handler throws")
+{
+    asio::io_context context;
+    HttpServer server(context,
+                      [](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+                          if (request.target == "/begun")
+                              co_await responder.start(200, contentType("text/event-stream"));
+                          throw std::runtime_error("nobody thought of this");
+                      });
+    const auto address = value(server.listen(AnyPort));
+    HttpClient client(context);
+    SUBCASE("gets a final answer that promises nothing, and so does the next one")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            for (int i = 0; i < 2; ++i) {
+                HttpRequest request{"GET", "/", {}, ""};
+                const auto answer =
+                    co_await client.request(address, std::move(request), std::chrono::seconds(5));
+                REQUIRE(isOk(answer));
+                CHECK(value(answer).status == 500);
+            }
+        }());
+    }
+    SUBCASE("is cut if its answer has begun")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            HttpRequest request{"GET", "/begun", {}, ""};
+            const auto answer =
+                co_await client.request(address, std::move(request), std::chrono::seconds(5));
+            CHECK_FALSE(isOk(answer));
+        }());
+    }
+}
+
 TEST_CASE("A call that is cancelled after its end leaves its kept connection to the next call")
 {
     asio::io_context context;
