Send no request whose caller has left by the time it is read

The gateway now looks for the end of the caller's connection whenever it chooses an upstream. GatewayPathTest's new case failed before.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -98,6 +98,11 @@
     AttemptResult last;
     last.reason = "no upstream was tried";
     while (!this->callerGone) {
+        // A busy loop hears of the caller's end only after it has sent the request.
+        if (this->responder.isPeerGone()) {
+            this->callerGone = true;
+            break;
+        }
         if (this->deadlinePassed(clockNow())) {
             last.reason = "the deadline passed";
             break;
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -555,6 +555,21 @@
     CHECK(stopped);
 }
 
+TEST_CASE("A request whose caller left before it was read goes to no upstream")
+{
+    GatewayPath path(wholeAnswer);
+    REQUIRE(path.statusOf("/look/1") == 200);
+    asio::ip::tcp::socket caller(path.context);
+    caller.connect({asio::ip::make_address(path.address.host), path.address.port});
+    asio::write(caller, asio::buffer(std::string("GET /look/2 HTTP/1.1\r\nHost: a.example\r\n"
+                                                 "Marjoramtray-Request-Id: r2\r\n\r\n")));
+    // The gateway reads only now.
+    caller.close();
+    path.runFor(milliseconds(200));
+    CHECK(path.first.received.size() == 1);
+    CHECK(path.second.received.empty());
+}
+
 TEST_CASE("A gateway that knows no configuration yet says that nothing ran")
 {
     GatewayPath path(wholeAnswer);
