Forget a handler's callback when the handler ends

A handler that throws is answered with 500, and writing that answer takes time. The callback for a peer that leaves was kept meanwhile, although what it refers to (an Exchange of the gateway) ended with the handler: a caller that left just then made the server use freed memory. Came with the 500 itself; before it nothing was awaited between the two.

The case in NetTest failed before (the callback ran after the handler's end) and passes now.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -300,6 +300,8 @@
             spdlog::error("event=handler_failed error=\"{}\"", failure.what());
             failed = true;
         }
+        // What the callback refers to ends with the handler.
+        this->peerGone.reset();
         this->closing = this->closing || failed;
         // A handler that ends without an answer has no caller any more.
         if (failed && !this->started) {
@@ -312,7 +314,6 @@
         // A stream that was not finished is cut, so that the peer does not take it for whole.
         if (this->streaming)
             this->abort();
-        this->peerGone.reset();
         co_return !this->closing && this->started && !this->server->draining;
     }
 
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -147,6 +147,40 @@
     }
 }
 
+TEST_CASE("A handler that threw does not hear that its peer leaves while its answer is written")
+{
+    asio::io_context context;
+    bool running = false;
+    bool calledAfterEnd = false;
+    HttpServer server(
+        context,
+        [&](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
+            running = true;
+            responder.onPeerGone([&] { calledAfterEnd = calledAfterEnd || !running; });
+            running = false;
+            throw std::runtime_error("nobody thought of this");
+            co_return;
+        },
+        {},
+        // Too long to be written at once to a peer that does not read.
+        [](const Error &) { return makeResponse(500, "text/plain", std::string(32u << 20, 'x')); });
+    const auto address = value(server.listen(AnyPort));
+    runOn(context, [&]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket(context);
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+        co_await socket.async_connect(endpoint, asio::use_awaitable);
+        const std::string request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+        asio::steady_timer timer(context, milliseconds(100));
+        co_await timer.async_wait(asio::use_awaitable);
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        timer.expires_after(milliseconds(200));
+        co_await timer.async_wait(asio::use_awaitable);
+    }());
+    CHECK_FALSE(running);
+    CHECK_FALSE(calledAfterEnd);
+}
+
 TEST_CASE("A call that is cancelled after its end leaves its kept connection to the next call")
 {
     asio::io_context context;
