Say of no request that may have run that it did not

Callers of a repeatable request got 429, or 503 during a stop, if its first attempt had reached an engine and broken and its repeat then had to wait for room that would come too late. Both promise that it has not run. Where there is no engine at all the earlier attempt decided already; the wait for room did not ask. It now ends with the earlier attempt's outcome: the engine's own failure, or 502 or 504. Requests that must not be repeated never came here.

The case in GatewayPathTest failed before (429 instead of 502 and of the engine's 500) and passes now. The 503 of a stop takes the same way out and has no case of its own.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -135,10 +135,14 @@
             co_return;
         }
         if (const auto *wait = std::get_if<DispatchWait>(&choice)) {
-            const bool worthwhile = co_await this->waitForRoom(*wait);
-            if (!worthwhile)
-                co_return;
-            continue;
+            // What was tried may have run, or answered, which decides the final answer.
+            const bool mayHaveRun = !this->streaming && (this->runs > 0 || last.failure);
+            const bool worthwhile = co_await this->waitForRoom(*wait, mayHaveRun);
+            if (worthwhile)
+                continue;
+            if (mayHaveRun)
+                break;
+            co_return;
         }
         this->leaveRoom();
         const auto target = std::get<DispatchTarget>(choice);
@@ -189,7 +193,7 @@
     return std::min<Duration>(this->arrived + this->route->goal - now, this->callerPatience(now));
 }
 
-asio::awaitable<bool> Exchange::waitForRoom(DispatchWait wait)
+asio::awaitable<bool> Exchange::waitForRoom(DispatchWait wait, bool mayHaveRun)
 {
     const Instant now = clockNow();
     auto &room = this->gateway.room;
@@ -206,6 +210,8 @@
         isNew && !this->streaming ? this->timeInGoal(now) : this->callerPatience(now);
     if (predicted > limit) {
         this->leaveRoom();
+        if (mayHaveRun)
+            co_return false;
         co_await this->refuse(ErrorKind::Overloaded,
                               fmt::format("{} prompts wait; predicted {} ms, limit {} ms",
                                           room.size(), toMs(predicted), toMs(limit)),
@@ -214,6 +220,8 @@
     }
     if (!this->gateway.stopWindow.fits(this->route->name, predicted, now)) {
         this->leaveRoom();
+        if (mayHaveRun)
+            co_return false;
         co_await this->refuseForStop(fmt::format("predicted {} ms", toMs(predicted)));
         co_return false;
     }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -51,7 +51,9 @@
     };
 
     boost::asio::awaitable<void> serveRoute();
-    boost::asio::awaitable<bool> waitForRoom(DispatchWait wait);
+    /// False if waiting is of no use; the request has then been refused, unless an earlier attempt
+    /// may have run.
+    boost::asio::awaitable<bool> waitForRoom(DispatchWait wait, bool mayHaveRun);
     void noteWaitForLoad(Duration readyIn, Instant now);
     Duration callerPatience(Instant now) const;
     Duration timeInGoal(Instant now) const;
--- a/tests/platform/GatewayPathTest.cpp
+++ b/tests/platform/GatewayPathTest.cpp
@@ -396,6 +396,77 @@
     }
 }
 
+TEST_CASE(
+    "A request that may have run is never told that it did not, though its repeat finds no room")
+{
+    // Engine "e-1" breaks off late; engine "e-2" reads a long prompt of another model meanwhile.
+    UpstreamReply late;
+    SUBCASE("its engine broke off")
+    {
+        late.close = true;
+    }
+    SUBCASE("its engine failed")
+    {
+        late.bytes = "HTTP/1.1 500 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                     "Marjoramtray-Response-Seal: s1\r\nContent-Length: 4\r\n\r\noops";
+    }
+    late.delay = milliseconds(700);
+    const int expected = late.close ? 502 : 500;
+    GatewayPath path(wholeAnswer);
+    UpstreamStandIn breaking(path.context, [&](const HttpRequest &) { return late; });
+    UpstreamStandIn busy(path.context, [](const HttpRequest &) {
+        UpstreamReply hang;
+        hang.hang = true;
+        return hang;
+    });
+    path.store.put("config", "main", R"({"version":2,"routes":[
+        {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"safe",
+         "timeout_ms":2500,"goal_ms":750,"max_attempts":2,"service":"llm"},
+        {"name":"long","host":"a.example","path_prefix":"/long/","kind":"streaming",
+         "timeout_ms":4000,"goal_ms":4000,"max_attempts":1,"service":"llm"}],
+        "services":[{"name":"llm","max_conns":50,"engine":{"slots":64,"kv_cache_tokens":100000,
+         "models":[{"name":"m1","weights_mb":60000,"load_s":8,"adapters":0,"adapter_mb":12},
+          {"name":"m2","weights_mb":60000,"load_s":8,"adapters":0,"adapter_mb":12}],
+         "weights_mb":220000,"adapter_slots":8,"loads_per_s":1}}],
+        "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
+         "idle_timeout_ms":5000}})");
+    const auto addEngine = [&](const std::string &id, const std::string &zone,
+                               const Address &address, const std::string &models) {
+        path.store.put("servers", id,
+                       fmt::format(R"({{"service":"llm","address":"{}","zone":"{}","slots":4,)"
+                                   R"("state":"ready","sequence":1,"models":[{}]}})",
+                                   toString(address), zone, models));
+    };
+    const std::string m1 = R"({"name":"m1","version":1,"adapters":[]})";
+    const std::string m2 = R"({"name":"m2","version":1,"adapters":[]})";
+    addEngine("e-1", "here", breaking.listen(), m1);
+    addEngine("e-2", "there", busy.listen(), m1 + "," + m2);
+    path.runFor(milliseconds(900));
+    path.later(milliseconds(1), [&] {
+        asio::co_spawn(
+            path.context,
+            [&]() -> asio::awaitable<void> {
+                HttpRequest request;
+                request.method = "POST";
+                request.target = "/long/1";
+                request.headers = {{"Host", "a.example"},
+                                   {"Marjoramtray-Request-Id", "r2"},
+                                   {"Marjoramtray-Model", "m2"},
+                                   {"Marjoramtray-Token-Usage", "50000,10"}};
+                co_await path.caller.request(path.address, request, std::chrono::seconds(5));
+            },
+            asio::detached);
+    });
+    path.runFor(milliseconds(100));
+    REQUIRE(busy.received.size() == 1);
+    const auto answer = path.send(
+        "/ask/1", {{"Marjoramtray-Model", "m1"}, {"Marjoramtray-Token-Usage", "500,10"}}, "x");
+    REQUIRE(isOk(answer));
+    REQUIRE(breaking.received.size() == 1);
+    CHECK(busy.received.size() == 1);
+    CHECK(value(answer).status == expected);
+}
+
 TEST_CASE("Bytes without end from an upstream end one request, and little of them is kept")
 {
     const std::string head = "HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: r1\r\n"
