Answer in time in a stop that is shorter than the balancer's time

A grace time under 2.9 s was used up by the wait for the balancer: the final answers were due before it ended, and the process's limit cut all requests in flight. The wait now ends with the time for final answers. No site has such a grace time today (all have 8 s); the settings take any.

The case in GatewayStopTest failed before (no answer, 2.3 s of 1.5 s) and passes now.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -153,7 +153,7 @@
     // Those that wait look again whether they may go on.
     this->roomChanged.raise();
     // Callers still arrive until the balancer has noticed; they are served and told to move on.
-    co_await pauseFor(BalancerTime);
+    co_await pauseFor(std::min<Duration>(BalancerTime, this->stopWindow.lastAnswer() - clockNow()));
     this->callerServer.drain();
     co_await this->awaitDrain(this->stopWindow.lastAnswer());
     for (auto *exchange : *this->exchanges)
--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -49,8 +49,8 @@
 class StoppingGateway
 {
 public:
-    explicit StoppingGateway(UpstreamStandIn::Behaviour behaviour)
-        : path(behaviour, {}, StopGrace), engine(path.context, behaviour)
+    explicit StoppingGateway(UpstreamStandIn::Behaviour behaviour, Duration grace = StopGrace)
+        : path(behaviour, {}, grace), engine(path.context, behaviour)
     {
         this->path.store.put("config", "main", PatientConfig);
         this->path.addUpstream("e-1", "here", this->engine.listen(), "llm");
@@ -187,3 +187,15 @@
     CHECK(gateway.engine.abandoned == 1);
     CHECK(gateway.stopTook < StopGrace);
 }
+
+TEST_CASE("A stop whose grace time is shorter than the balancer's time still answers in time")
+{
+    constexpr Duration ShortGrace = milliseconds(1500);
+    StoppingGateway gateway(hangForever, ShortGrace);
+    CallerEnd caller;
+    gateway.send(caller, "/take/1", "r1", 0);
+    REQUIRE(gateway.path.first.received.size() == 1);
+    gateway.stop();
+    CHECK(caller.status() == 502);
+    CHECK(gateway.stopTook < ShortGrace);
+}
