Send no request to an engine whose adapter arrives with a stop's end

The end of the stop is now asked first. Found by review; the window is too narrow for a test that always meets it.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -309,10 +309,12 @@
     Instant repeatAt = clockNow() + AdapterRepeat;
     while (!this->callerGone) {
         const Instant now = clockNow();
+        if (this->gateway.stopWindow.isOver(now))
+            co_return false;
         if (this->gateway.dispatcher.holds(target.upstreamId, this->facts.model,
                                            this->facts.adapter, now))
             co_return true;
-        if (now >= limit || this->gateway.stopWindow.isOver(now))
+        if (now >= limit)
             co_return false;
         if (now >= repeatAt) {
             this->gateway.datagrams.send(steward, datagram);
