Limit the rest of an answer by the request's deadline alone

Callers that read slowly, or paused for longer than the operator's header timeout, had sound answers cut within their deadline; a caller that kept reading a little at a time held its stream and the upstream's run past the deadline without end.

Cause: each write was limited by the header timeout, which bounds what callers send, and the relay of events looked at the deadline only in reads, which do not time out while the upstream has bytes ready. The deadline now limits the writes of a stream, and the relay checks it before each read. Whole answers get at least the former time.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -71,6 +71,7 @@
     }
     const Duration patience = this->facts.patience.value_or(this->route->timeout);
     this->deadline = this->arrived + std::min(patience, this->route->timeout);
+    this->responder.setDeadline(this->deadline);
     this->service = chooseService(*this->route, hash64(this->facts.id));
     this->responder.onPeerGone([this] {
         this->callerGone = true;
@@ -441,6 +442,12 @@
     this->events.dropRest();
     while (!this->callerGone) {
         const Instant waitedSince = clockNow();
+        // A read alone does not end while the upstream has bytes ready.
+        if (this->deadlinePassed(waitedSince)) {
+            result.outcome = AttemptOutcome::Silent;
+            result.reason = "the deadline passed";
+            co_return result;
+        }
         auto piece = co_await stream.read(this->deadline - waitedSince);
         this->longestPause = std::max(this->longestPause, clockNow() - waitedSince);
         if (!isOk(piece)) {
@@ -459,8 +466,10 @@
         }
         if (!whole.empty())
             this->lastEventAt = clockNow();
-        if (!whole.empty() && !co_await this->responder.write(std::move(whole)))
+        if (!whole.empty() && !co_await this->responder.write(std::move(whole))) {
             this->callerGone = true;
+            result.reason = "the caller left or did not read in time";
+        }
         if (ended && !this->callerGone) {
             co_await this->responder.finish();
             if (this->firstAnswerAt)
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "net/Listener.h"
 #include "net/SocketOptions.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
+#include <optional>
 #include <spdlog/spdlog.h>
 #include <unordered_set>
 
@@ -144,7 +146,8 @@
         message.prepare_payload();
         if (this->headRequest)
             message.body().clear();
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        const Instant usual = clockNow() + this->server->limits.requestTimeout;
+        this->stream.expires_at(std::max(usual, this->deadline.value_or(usual)));
         const auto [code, bytes] = co_await http::async_write(this->stream, message, Await);
         this->closing = this->closing || code || !message.keep_alive();
         co_return !code;
@@ -163,7 +166,7 @@
         message.chunked(true);
         this->closing = this->closing || !message.keep_alive();
         http::response_serializer<http::empty_body> serializer{message};
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        this->limitWrite();
         const auto [code, bytes] =
             co_await http::async_write_header(this->stream, serializer, Await);
         this->closing = this->closing || code;
@@ -174,7 +177,7 @@
     {
         if (data.empty())
             co_return true;
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        this->limitWrite();
         const auto [code, bytes] = co_await asio::async_write(
             this->stream, http::make_chunk(asio::const_buffer(data.data(), data.size())), Await);
         this->closing = this->closing || code;
@@ -184,13 +187,15 @@
     asio::awaitable<bool> finish() override
     {
         this->streaming = false;
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        this->limitWrite();
         const auto [code, bytes] =
             co_await asio::async_write(this->stream, http::make_chunk_last(), Await);
         this->closing = this->closing || code;
         co_return !code;
     }
 
+    void setDeadline(Instant deadline) override { this->deadline = deadline; }
+
     void onPeerGone(std::function<void()> callback) override
     {
         this->peerGone = std::make_shared<std::function<void()>>(std::move(callback));
@@ -218,6 +223,15 @@
     }
 
 private:
+    /// Limits the write of a stream's next piece.
+    void limitWrite()
+    {
+        if (this->deadline)
+            this->stream.expires_at(*this->deadline);
+        else
+            this->stream.expires_after(this->server->limits.requestTimeout);
+    }
+
     /// A request gets one answer. Another head would be read as part of the first answer's body, or
     /// as the answer to the next request; the connection ends instead.
     bool rejectSecondAnswer()
@@ -262,6 +276,7 @@
         if (!co_await this->waitForRequest())
             co_return false;
         this->started = false;
+        this->deadline.reset();
         this->stream.expires_after(this->server->limits.requestTimeout);
         auto [code, bytes] =
             co_await http::async_read_header(this->stream, this->buffer, parser, Await);
@@ -379,6 +394,8 @@
     uint64_t requests = 0;
     // Set while a request is being answered.
     std::shared_ptr<std::function<void()>> peerGone;
+    // End of the present request's time; none until the handler names it.
+    std::optional<Instant> deadline;
     bool idle = false;
     bool started = false;
     bool streaming = false;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -19,8 +19,8 @@
     uint32_t headerBytes = 16384;
     /// Largest request body, in bytes; more is answered with 413.
     uint64_t bodyBytes = 1048576;
-    /// Longest time to receive a request once its first byte is there, and to write a piece of an
-    /// answer.
+    /// Longest time to receive a request once its first byte is there, and to write an answer, or a
+    /// piece of it, that has no deadline.
     Duration requestTimeout = std::chrono::seconds(5);
     /// Longest time that a connection may stay idle.
     Duration idleTimeout = std::chrono::seconds(60);
@@ -37,6 +37,9 @@
     virtual boost::asio::awaitable<bool> start(int status, HttpHeaders headers) = 0;
     virtual boost::asio::awaitable<bool> write(std::string data) = 0;
     virtual boost::asio::awaitable<bool> finish() = 0;
+    /// The caller may take until then to read the answer. A stream is not written any further; a
+    /// whole answer still gets the server's usual time.
+    virtual void setDeadline(Instant deadline) = 0;
     /// An answer has been started or sent.
     virtual bool isStarted() const = 0;
     /// True once the peer has closed its connection; checks without waiting.
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -70,18 +70,22 @@
         request.body = message.body();
         this->received.push_back(request);
         const UpstreamReply reply = this->behaviour(request);
-        if (reply.delay > Duration::zero()) {
-            asio::steady_timer timer(this->context, reply.delay);
-            co_await timer.async_wait(Await);
-        }
+        co_await this->wait(reply.delay);
         if (!reply.bytes.empty())
             co_await asio::async_write(socket, asio::buffer(reply.bytes), Await);
+        for (const auto &piece : reply.pieces) {
+            co_await this->wait(reply.pause);
+            co_await asio::async_write(socket, asio::buffer(piece), Await);
+        }
         while (!reply.endless.empty()) {
+            co_await this->wait(reply.pause);
             const auto [failed, written] =
                 co_await asio::async_write(socket, asio::buffer(reply.endless), Await);
             this->endlessBytes += written;
-            if (failed)
+            if (failed) {
+                this->endlessEndedAt = clockNow();
                 co_return;
+            }
         }
         if (reply.hang) {
             char byte;
@@ -100,6 +104,14 @@
     }
 }
 
+asio::awaitable<void> UpstreamStandIn::wait(Duration duration)
+{
+    if (duration <= Duration::zero())
+        co_return;
+    asio::steady_timer timer(this->context, duration);
+    co_await timer.async_wait(Await);
+}
+
 std::string UpstreamStandIn::answerTo(const HttpRequest &request, int status,
                                       const std::string &body)
 {
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace tray::test {
@@ -26,6 +27,10 @@
     bool hang = false;
     /// Sent again and again after the bytes, until the other side closes.
     std::string endless;
+    /// Sent after the bytes and before the endless ones, each after the pause.
+    std::vector<std::string> pieces;
+    /// Time before each piece and before each repetition of the endless bytes.
+    Duration pause{};
 };
 
 class UpstreamStandIn
@@ -42,6 +47,8 @@
     int abandoned = 0;
     /// Endless bytes that the other side took before it closed.
     size_t endlessBytes = 0;
+    /// When the other side last ended a connection that was sent endless bytes.
+    std::optional<Instant> endlessEndedAt;
 
     /// A signed answer to a request, with its length.
     static std::string answerTo(const HttpRequest &request, int status, const std::string &body);
@@ -52,6 +59,7 @@
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> wait(Duration duration);
 
     boost::asio::io_context &context;
     Behaviour behaviour;
