Wait for the rest of a refusal no longer than the deadline

Callers whose upstream refused shortly before the deadline and did not finish its refusal heard up to half a second late. The read of the rest now ends with the deadline.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -410,7 +410,8 @@
                                     this->facts.id, upstreamId, this->facts.model,
                                     this->facts.adapter));
         // Reads the rest so that the connection can be used again.
-        const auto rest = co_await stream.read(FullRetry);
+        const Duration patience = std::min<Duration>(FullRetry, this->deadline - clockNow());
+        const auto rest = co_await stream.read(patience);
         co_return result;
     }
     result.mayHaveRun = true;
--- a/tests/platform/SlowStreamTest.cpp
+++ b/tests/platform/SlowStreamTest.cpp
@@ -168,6 +168,19 @@
     CHECK(path.second.received.empty());
 }
 
+TEST_CASE("A refusal whose rest does not come is no reason to miss the deadline")
+{
+    UpstreamReply reply;
+    reply.bytes = "HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 100\r\n\r\n";
+    reply.delay = RouteTimeout - milliseconds(100);
+    reply.hang = true;
+    GatewayPath path([&](const HttpRequest &) { return reply; });
+    PacedCaller caller(path, 4096, Duration::zero());
+    caller.run("/take/1", std::chrono::seconds(4));
+    CHECK(caller.answer.starts_with("HTTP/1.1 429"));
+    CHECK(clockNow() - caller.sentAt <= RouteTimeout + milliseconds(200));
+}
+
 TEST_CASE("A caller that reads a little now and then ends with the deadline")
 {
     UpstreamReply reply;
