Drop a steward's wishes after a pause of the process

A steward that had not run for some seconds ordered loads by wishes from before or during the pause, whose planner may have been replaced: wishes that its socket kept were taken for new, and on a clock that stands still during a suspension earlier ones had not lapsed.

The steward now looks at the clock that counts suspensions, drops its wishes after a pause and passes over the datagrams that came meanwhile; planners and gateways repeat their wishes.

--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -48,6 +48,13 @@
     return true;
 }
 
+void OrderPlanner::dropWishes()
+{
+    this->wishedAt = {};
+    this->lastLife.clear();
+    this->adapterWishes.clear();
+}
+
 void OrderPlanner::wishAdapter(const std::string &model, const std::string &adapter, Instant now)
 {
     this->adapterWishes[{model, adapter}] = now;
--- a/src/steward/OrderPlanner.h
+++ b/src/steward/OrderPlanner.h
@@ -29,6 +29,8 @@
 
     /// Takes over the models that the planner of a term wishes. False if the term is an old one.
     bool wishModels(uint64_t term, std::vector<std::string> models, Instant now);
+    /// Nothing that was wished so far is carried out any more; the highest term is kept.
+    void dropWishes();
     void wishAdapter(const std::string &model, const std::string &adapter, Instant now);
     /// The engine came back empty: these are the models of its last life, most wanted first. Until
     /// a planner speaks, those with copies on the engine's host are loaded again: after a loss of
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -1,6 +1,7 @@
 // Loops of a steward.
 #include "steward/Steward.h"
 
+#include "base/BootClock.h"
 #include "base/Hash.h"
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
@@ -11,6 +12,7 @@
 #include <fmt/ranges.h>
 #include <iterator>
 #include <sstream>
+#include <utility>
 
 namespace tray {
 
@@ -29,6 +31,12 @@
 constexpr Duration OrderPause = milliseconds(30);
 // An engine holds other models for this long before they are recorded: moves come in series.
 constexpr Duration RecordPause = std::chrono::seconds(2);
+// Time between two looks at the clock, and the one that only a pause of the process explains; less
+// than the silence after which a planner is replaced.
+constexpr Duration WatchPeriod = milliseconds(200);
+constexpr Duration ShortestPause = milliseconds(1500);
+// Time in which what came during a pause is read; planners and gateways repeat their wishes.
+constexpr Duration BacklogTime = milliseconds(100);
 constexpr Duration FirstRetry = milliseconds(200);
 constexpr Duration LongestRetry = std::chrono::seconds(1);
 
@@ -95,6 +103,7 @@
     if (const auto bound = this->datagrams.listen(this->settings.datagrams); !isOk(bound))
         return error(bound);
     keepRunning(this->context, "obtain_authority", [this] { return this->obtainAuthority(); });
+    keepRunning(this->context, "pause_watch", [this] { return this->pauseWatch(); });
     keepRunning(this->context, "report_loop", [this] { return this->reportLoop(); });
     return Unit{};
 }
@@ -273,6 +282,25 @@
     this->recordIfChanged(clockNow());
 }
 
+asio::awaitable<void> Steward::pauseWatch()
+{
+    while (!this->stopping) {
+        this->lookForPause(bootNow());
+        co_await pauseFor(WatchPeriod);
+    }
+}
+
+void Steward::lookForPause(Instant bootTime)
+{
+    const Instant lastRan = std::exchange(this->ranAt, bootTime).value_or(bootTime);
+    if (bootTime < lastRan + ShortestPause)
+        return;
+    this->planner.dropWishes();
+    this->backlogUntil = bootTime + BacklogTime;
+    logDecision(LogWeight::Notable, clockNow(),
+                fmt::format("event=process_paused ms={}", toMs(bootTime - lastRan)));
+}
+
 void Steward::wake()
 {
     if (this->working || this->stopping || this->silent || !this->report || !this->canOrder())
@@ -287,6 +315,7 @@
         const auto *service = this->config->findService(this->settings.service);
         if (service == nullptr || !service->engine)
             break;
+        this->lookForPause(bootNow());
         const auto order = this->planner.next(*this->report, *service->engine, clockNow());
         if (!order)
             break;
@@ -327,6 +356,11 @@
 void Steward::receive(const proto::Datagram &datagram, const Address &sender)
 {
     const Instant now = clockNow();
+    const Instant bootTime = bootNow();
+    this->lookForPause(bootTime);
+    const bool isWish = datagram.has_adapter_wish() || datagram.has_placement_wish();
+    if (isWish && bootTime < this->backlogUntil)
+        return;
     if (datagram.has_subscribe()) {
         const auto &subscribe = datagram.subscribe();
         this->upstreamId = subscribe.upstream_id();
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -54,6 +54,9 @@
     boost::asio::awaitable<void> work();
 
     void receive(const proto::Datagram &datagram, const Address &sender);
+    /// Drops all wishes if the process has been paused for so long that they may have run out.
+    void lookForPause(Instant bootTime);
+    boost::asio::awaitable<void> pauseWatch();
     void wake();
     void takeReport(EngineReport report);
     void restoreLastLife(Instant now);
@@ -92,6 +95,10 @@
     // One order is under way at a time; wishes that come meanwhile are seen by its loop.
     bool working = false;
     bool stopping = false;
+    // When this process is known to have run last, and until when datagrams may be old ones that
+    // the socket kept during a pause; by the clock that counts suspensions.
+    std::optional<Instant> ranAt;
+    Instant backlogUntil{};
 };
 
 } // namespace tray
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 #include <map>
+#include <thread>
 
 using namespace tray;
 namespace asio = boost::asio;
@@ -273,3 +274,37 @@
         CHECK(scene.snapshots.back().models_on_disk_size() == 4);
     }
 }
+
+TEST_CASE("A steward that was paused follows no wish from before or during the pause")
+{
+    Scene scene;
+    scene.engine.state.busy = true;
+    scene.start();
+    scene.subscribe();
+    scene.runFor(milliseconds(500));
+
+    // The process does not run for longer than a planner without a word keeps its role.
+    const auto pause = [&] { std::this_thread::sleep_for(std::chrono::milliseconds(2500)); };
+    SUBCASE("one that its socket kept")
+    {
+        scene.wish(3, {"m1"});
+        pause();
+    }
+    SUBCASE("one that came just before")
+    {
+        scene.wish(3, {"m1"});
+        scene.runFor(milliseconds(200));
+        pause();
+    }
+    scene.engine.state.busy = false;
+    scene.subscribe();
+    scene.runFor(milliseconds(300));
+    CHECK(scene.loaded().empty());
+
+    SUBCASE("but the next one of the planner that there is now")
+    {
+        scene.wish(4, {"m2"});
+        scene.runFor(milliseconds(300));
+        CHECK(scene.loaded() == std::vector<std::string>{"m2"});
+    }
+}
