Bound chunk headers and trailers of requests

A caller that sent bytes without end in a chunk's size, before it, in its extension or in trailers had all of them kept in the gateway's memory until the header timeout, and then no answer. The parser limits headers and bodies only, and the server's read buffer had no limit; it has one now for each request, and such a request gets 431.

Evidence: EndlessCallerTest, whose caller sends at most 64 MiB.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -46,6 +46,8 @@
 {
     if (code == http::error::header_limit)
         return {ErrorKind::HeaderTooLarge, "the request header is too large"};
+    if (code == http::error::buffer_overflow)
+        return {ErrorKind::HeaderTooLarge, "a chunk header or the trailers are too large"};
     if (code == http::error::body_limit)
         return {ErrorKind::BodyTooLarge, "the request body is too large"};
     if (code == beast::error::timeout)
@@ -262,6 +264,9 @@
         if (!co_await this->waitForRequest())
             co_return false;
         this->started = false;
+        // The parser limits headers and bodies only: this limit ends chunk headers and trailers.
+        this->buffer.max_size(std::max(this->buffer.size(), this->server->limits.headerBytes +
+                                                                MaxEarlyBytes + EarlyPiece));
         this->stream.expires_after(this->server->limits.requestTimeout);
         auto [code, bytes] =
             co_await http::async_read_header(this->stream, this->buffer, parser, Await);
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -15,7 +15,8 @@
 /// Limits of the server's input and waits.
 struct HttpServerLimits
 {
-    /// Largest request header, in bytes; more is answered with 431.
+    /// Largest request header, in bytes; more is answered with 431. So are chunk headers and
+    /// trailers that exceed this and the bytes that are read ahead.
     uint32_t headerBytes = 16384;
     /// Largest request body, in bytes; more is answered with 413.
     uint64_t bodyBytes = 1048576;
