Answer a request that arrives too slowly

A caller whose header or body trickled beyond header_timeout_ms got no answer: its connection was closed. The read's limit was the stream's timeout, which closes the connection, so the 408 that follows could never be written. A timer of the connection now ends the reading only, and tries again, since an attempt between two reads ends none.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -34,6 +34,9 @@
 // Time for the first request on a new connection to arrive during a drain: some round trips between
 // regions.
 constexpr Duration FirstRequestGrace = milliseconds(300);
+// Time between two attempts to end the reading of a request that is late: an attempt between two
+// reads ends none.
+constexpr Duration LateRetry = milliseconds(5);
 
 HttpResponse defaultRefusal(const Error &reason)
 {
@@ -96,7 +99,7 @@
 public:
     Connection(std::shared_ptr<Impl> server, tcp::socket socket)
         : server(std::move(server)), stream(std::move(socket)),
-          graceTimer(this->stream.get_executor())
+          graceTimer(this->stream.get_executor()), readTimer(this->stream.get_executor())
     {
         const std::lock_guard lock(this->server->mutex);
         this->server->connections.insert(this);
@@ -242,6 +245,29 @@
             });
     }
 
+    /// Ends the reading of a request at a time. The stream's own timeout would close the connection
+    /// before the answer.
+    void limitReading(Instant deadline)
+    {
+        this->stream.expires_never();
+        this->reading = true;
+        this->readDeadline = deadline;
+        this->awaitReadDeadline(deadline);
+    }
+
+    void awaitReadDeadline(Instant until)
+    {
+        this->readTimer.expires_at(until);
+        this->readTimer.async_wait(
+            [this, weak = std::weak_ptr<int>(this->alive)](beast::error_code code) {
+                // A wait that ended just before it was cancelled belongs to an earlier request.
+                if (code || !weak.lock() || !this->reading || clockNow() < this->readDeadline)
+                    return;
+                this->stream.cancel();
+                this->awaitReadDeadline(clockNow() + LateRetry);
+            });
+    }
+
     /// The peer has sent something that was not read yet.
     bool hasBytes()
     {
@@ -267,7 +293,7 @@
         // The parser limits headers and bodies only: this limit ends chunk headers and trailers.
         this->buffer.max_size(std::max(this->buffer.size(), this->server->limits.headerBytes +
                                                                 MaxEarlyBytes + EarlyPiece));
-        this->stream.expires_after(this->server->limits.requestTimeout);
+        this->limitReading(clockNow() + this->server->limits.requestTimeout);
         auto [code, bytes] =
             co_await http::async_read_header(this->stream, this->buffer, parser, Await);
         if (!code && parser.get()[http::field::expect] == "100-continue") {
@@ -278,6 +304,10 @@
         if (!code)
             std::tie(code, bytes) =
                 co_await http::async_read(this->stream, this->buffer, parser, Await);
+        this->reading = false;
+        this->readTimer.cancel();
+        if (code == asio::error::operation_aborted && clockNow() >= this->readDeadline)
+            code = beast::error::timeout;
         if (code) {
             if (isPeerFault(code)) {
                 this->requestKeepsAlive = false;
@@ -379,6 +409,10 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     asio::steady_timer graceTimer;
+    asio::steady_timer readTimer;
+    Instant readDeadline;
+    // A request is being read and must have arrived by the deadline.
+    bool reading = false;
     std::shared_ptr<int> alive = std::make_shared<int>();
     // Requests that were read from the connection.
     uint64_t requests = 0;
--- a/tests/platform/EndlessCallerTest.cpp
+++ b/tests/platform/EndlessCallerTest.cpp
@@ -140,6 +140,16 @@
         bytes = {chunked, UpstreamStandIn::chunkOf(filler)};
         status = "413";
     }
+    SUBCASE("in a header, a byte now and then")
+    {
+        bytes = {head + "X-Long: ", "1", milliseconds(50)};
+        status = "408";
+    }
+    SUBCASE("in a body with a length, a byte now and then")
+    {
+        bytes = {head + "Content-Length: 5000\r\n\r\n", "1", milliseconds(50)};
+        status = "408";
+    }
     SUBCASE("after a request that is being answered")
     {
         bytes = {head + "Content-Length: 1\r\n\r\nx", filler};
