Fail a read of an answer whose time is over

A read whose time had passed still returned whatever the peer had ready, so a sender faster than its reader kept a call beyond its deadline, up to the limit of the body (16 MiB). The case in NetTest failed before and passes now.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -225,6 +225,9 @@
     asio::awaitable<Result<std::string>> read(Duration silence) override
     {
         while (!this->whole) {
+            // The stream's timeout does not end a read while the peer has bytes ready.
+            if (silence <= Duration::zero())
+                co_return Error{ErrorKind::StreamBroken, "the time to read the answer is over"};
             std::string piece(PieceSize, '\0');
             this->parser->get().body().data = piece.data();
             this->parser->get().body().size = piece.size();
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -299,6 +299,30 @@
     CHECK(received.size() < body.size());
 }
 
+TEST_CASE("A read whose time is over fails although more of the answer is ready")
+{
+    asio::io_context context;
+    HttpServer server(context, [](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
+        co_await responder.start(200, contentType("text/plain"));
+        std::string piece(100000, 'x');
+        co_await responder.write(std::move(piece));
+        co_await responder.finish();
+    });
+    const auto address = value(server.listen(AnyPort));
+    HttpClient client(context);
+    runOn(context, [&]() -> asio::awaitable<void> {
+        HttpRequest request{"GET", "/", {}, ""};
+        auto opened = co_await client.open(address, std::move(request), std::chrono::seconds(5));
+        REQUIRE(isOk(opened));
+        asio::steady_timer timer(context, milliseconds(100));
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto first = co_await value(opened)->read(std::chrono::seconds(1));
+        CHECK(isOk(first));
+        const auto late = co_await value(opened)->read(milliseconds(-1));
+        CHECK_FALSE(isOk(late));
+    }());
+}
+
 TEST_CASE("A second answer to one request closes the connection instead of being sent")
 {
     asio::io_context context;
