--- a/tests/entry/EntryServerTest.cpp
+++ b/tests/entry/EntryServerTest.cpp
@@ -131,6 +131,10 @@
         CHECK(value(answer).status == 429);
         CHECK(findHeader(value(answer).headers, "Retry-After") == "3");
         CHECK(ranOf(value(answer)) == "no");
+        // The claim is released after the answer has been written.
+        const Instant limit = clockNow() + std::chrono::seconds(1);
+        while (entry.claims.released == 0 && clockNow() < limit)
+            std::this_thread::sleep_for(milliseconds(1));
         CHECK(entry.claims.released == 1);
         const auto repeat = entry.complete(false, "key");
         CHECK(value(repeat).status == 200);
