--- a/tests/platform/EndlessPeerTest.cpp
+++ b/tests/platform/EndlessPeerTest.cpp
@@ -100,10 +100,10 @@
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            do {
+            for (bool goesOn = true; goesOn; goesOn = !ended) {
                 const auto reading = co_await others.readUpstreams();
                 served += isOk(reading) ? 1 : 0;
-            } while (!ended);
+            }
             context.stop();
         },
         asio::detached);
