--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,13 +9,15 @@
 stamps=$build/lint
 mkdir -p "$stamps"
 
-# Prints "source<tab>file" for each project file that a source was compiled from.
+# Prints "source<tab>file" for each project file that a source was compiled from. With a base directory, ccache names files
+# relative to the build directory, which lies in the root.
 dependencies() {
     ninja -C "$build" -t deps | awk -v root="$PWD/" '
         /^[^ ]/ { first = 1; next }
-        /^    / { if (first) { source = $1; first = 0 }
-                  if (index($1, root) == 1 && index(source, root) == 1)
-                      print substr(source, length(root) + 1) "\t" substr($1, length(root) + 1) }' | sort -u
+        /^    / { file = $1; sub(/^\.\.\//, root, file)
+                  if (first) { source = file; first = 0 }
+                  if (index(file, root) == 1 && index(source, root) == 1)
+                      print substr(source, length(root) + 1) "\t" substr(file, length(root) + 1) }' | sort -u
 }
 
 # Prints "source<tab>digest" over the contents that decide about a source.
