Let a planner's role lapse while its process is paused

A gateway that planned placement and did not run for some seconds sent wishes by its old term when it ran again, although a peer might have taken the role: it gave the role up only once it heard the higher term.

The role now lapses once the planner's own word is as old as the silence after which a peer takes over, by the clock that counts suspensions; it is looked at before each plan and before its wishes are sent. A term whose record was written before a pause is not taken after it. The planner then waits like any candidate.

The calls of won() in the older tests name when the write began; what they check is the same.

--- a/src/gateway/PlannerDesk.cpp
+++ b/src/gateway/PlannerDesk.cpp
@@ -1,6 +1,7 @@
 // Election, exchange of demand, and wishes to stewards.
 #include "gateway/PlannerDesk.h"
 
+#include "base/BootClock.h"
 #include "base/Hash.h"
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
@@ -44,7 +45,7 @@
                          double processorShare, Address address, LoadBounds bounds, Ports ports)
     : context(context), instance(std::move(instance)), dataCentre(std::move(dataCentre)),
       address(std::move(address)), bounds(bounds), ports(std::move(ports)),
-      election(hash64(this->instance), processorShare, clockNow()), changed(context)
+      election(hash64(this->instance), processorShare, bootNow()), changed(context)
 {}
 
 void PlannerDesk::start()
@@ -90,16 +91,17 @@
     Instant tellAt = clockNow();
     while (!this->stopping) {
         const Instant now = clockNow();
+        const bool plans = this->keepsRole();
         if (now >= tellAt) {
             this->tellPeers(now);
             tellAt = now + TickPeriod;
         }
-        if (this->election.isPlanner()) {
+        if (plans) {
             if (this->pacer.mayPlan(now)) {
                 this->plan(now);
                 this->pacer.planned(now, clockNow());
             }
-        } else if (this->election.wantsRole(now) && !this->electing) {
+        } else if (this->election.wantsRole(bootNow()) && !this->electing) {
             this->electing = true;
             keepRunning(this->context, "take_role", [this] { return this->takeRole(); });
         }
@@ -110,9 +112,18 @@
     }
 }
 
+bool PlannerDesk::keepsRole()
+{
+    const uint64_t term = this->election.ownTerm();
+    if (this->election.lapse(bootNow()))
+        logDecision(LogWeight::Notable, clockNow(),
+                    fmt::format("event=planner_lapsed term={}", term));
+    return this->election.isPlanner();
+}
+
 asio::awaitable<void> PlannerDesk::takeRole()
 {
-    this->election.tryBegan(clockNow());
+    this->election.tryBegan(bootNow());
     Record record{PlannerRecord, this->instance + " " + toHex(newNonce()), 0};
     const auto present = co_await this->ports.store.readRecord(LeaseRecords, PlannerRecord);
     const bool exists = isOk(present);
@@ -120,10 +131,12 @@
     if (exists)
         record.revision = value(present).revision;
     // A planner may have been heard meanwhile.
-    if (readable && this->election.wantsRole(clockNow() + PlannerElection::RetryPause)) {
+    const Instant calledAt = bootNow();
+    if (readable && this->election.wantsRole(calledAt + PlannerElection::RetryPause)) {
         const auto written = co_await this->ports.store.writeRecord(LeaseRecords, record);
-        if (isOk(written)) {
-            this->election.won(value(written), clockNow());
+        if (isOk(written))
+            this->election.won(value(written), calledAt, bootNow());
+        if (isOk(written) && this->election.isPlanner()) {
             for (auto &[service, planner] : this->planners)
                 planner.restart(clockNow());
             this->planners.clear();
@@ -132,8 +145,8 @@
             this->ports.elected();
             logDecision(LogWeight::Notable, clockNow(),
                         fmt::format("event=planner_elected term={}", value(written)));
-        } else if (error(written).kind == ErrorKind::VersionConflict) {
-            this->election.lost(clockNow());
+        } else if (!isOk(written) && error(written).kind == ErrorKind::VersionConflict) {
+            this->election.lost(bootNow());
         }
     }
     this->electing = false;
@@ -147,7 +160,9 @@
     report->set_address(toString(this->address));
     report->set_data_centre(this->dataCentre);
     report->set_planner_term(this->election.ownTerm());
-    const bool toAll = this->election.isPlanner() || !this->election.knowsPlanner(now) ||
+    if (this->election.isPlanner())
+        this->election.spoke(bootNow());
+    const bool toAll = this->election.isPlanner() || !this->election.knowsPlanner(bootNow()) ||
                        now >= this->helloAt + HelloPeriod;
     if (toAll)
         this->helloAt = now;
@@ -175,12 +190,12 @@
     if (report.planner_term() == 0)
         return;
     const bool wasPlanner = this->election.isPlanner();
-    this->election.heard(report.planner_term(), now);
+    this->election.heard(report.planner_term(), bootNow());
     if (wasPlanner && !this->election.isPlanner())
         logDecision(
             LogWeight::Notable, now,
             fmt::format("event=planner_resigned to={} term={}", sender, report.planner_term()));
-    if (this->plannerName != sender && this->election.knowsPlanner(now)) {
+    if (this->plannerName != sender && this->election.knowsPlanner(bootNow())) {
         this->plannerName = sender;
         logDecision(
             LogWeight::Notable, now,
@@ -281,7 +296,8 @@
                                     wanted == demand.end() ? 0.0 : wanted->second.work,
                                     this->election.ownTerm()));
         }
-        this->sendWishes(engines, planner, now);
+        if (this->keepsRole())
+            this->sendWishes(engines, planner, now);
     }
 }
 
--- a/src/gateway/PlannerDesk.h
+++ b/src/gateway/PlannerDesk.h
@@ -74,6 +74,8 @@
     boost::asio::awaitable<void> takeRole();
 
     void tellPeers(Instant now);
+    /// This gateway plans, and its term has not lapsed during a pause of the process.
+    bool keepsRole();
     void plan(Instant now);
     void sendWishes(const std::vector<PlannedEngine> &engines, const ReplicaPlanner &planner,
                     Instant now);
--- a/src/replicas/PlannerElection.cpp
+++ b/src/replicas/PlannerElection.cpp
@@ -34,13 +34,24 @@
     this->triedAt = now;
 }
 
-void PlannerElection::won(uint64_t term, Instant now)
+void PlannerElection::won(uint64_t term, Instant calledAt, Instant now)
 {
-    // A higher term may have been heard while the write was on its way.
-    if (term <= this->heardTerm)
+    // A higher term may have been heard while the write was on its way, or wait to be heard after a
+    // pause.
+    if (term <= this->heardTerm || now >= calledAt + Silence)
         return this->lost(now);
     this->term = term;
     this->heardAt = now;
+    this->spokeAt = now;
+}
+
+bool PlannerElection::lapse(Instant now)
+{
+    if (!this->isPlanner() || now < this->spokeAt + Silence)
+        return false;
+    this->term = 0;
+    this->heardAt = now;
+    return true;
 }
 
 void PlannerElection::lost(Instant now)
--- a/src/replicas/PlannerElection.h
+++ b/src/replicas/PlannerElection.h
@@ -10,8 +10,9 @@
 /// One gateway's view of the planner's role. The role is taken by a conditional write of one
 /// record; its revision is the planner's term. Nothing is renewed in the store: the planner tells
 /// its peers that it lives, and a candidate writes only after it has heard no planner for a while.
+/// A planner that has been silent for as long, since its process was paused, gives the role up.
 /// Stewards obey the highest term that they have seen, so two planners at once cost moves, never
-/// safety.
+/// safety. All times are of the clock that counts suspensions.
 class PlannerElection
 {
 public:
@@ -36,10 +37,15 @@
     bool wantsRole(Instant now) const;
     /// A try began; none other begins until it ends or the pause is over.
     void tryBegan(Instant now);
-    /// The record was written with this revision.
-    void won(uint64_t term, Instant now);
+    /// The record was written with this revision, by a call that began then.
+    void won(uint64_t term, Instant calledAt, Instant now);
     /// Somebody else wrote it; his word is awaited.
     void lost(Instant now);
+    /// The planner's word went out to its peers.
+    void spoke(Instant now) { this->spokeAt = now; }
+    /// Gives the role up if the peers have heard nothing for so long that one of them may have
+    /// taken it. True if it was given up.
+    bool lapse(Instant now);
 
     bool isPlanner() const { return this->term != 0; }
     uint64_t ownTerm() const { return this->term; }
@@ -54,6 +60,8 @@
     uint64_t heardTerm = 0;
     Instant heardAt;
     Instant triedAt{};
+    // Last word of this gateway as the planner.
+    Instant spokeAt{};
 };
 
 } // namespace tray
--- a/tests/platform/GatewayPath.h
+++ b/tests/platform/GatewayPath.h
@@ -63,7 +63,9 @@
         settings.stopGrace = stopGrace;
         settings.callers = freeAddress();
         settings.readiness = freeAddress();
-        REQUIRE(isOk(this->steward.listen({"127.0.0.1", 0})));
+        const auto stewardAddress = this->steward.listen({"127.0.0.1", 0});
+        REQUIRE(isOk(stewardAddress));
+        settings.stewardPort = value(stewardAddress).port;
         settings.datagrams = freeDatagramAddress();
         this->datagrams = settings.datagrams;
         this->address = settings.callers;
@@ -182,7 +184,13 @@
     Metrics metrics;
     UpstreamStandIn first;
     UpstreamStandIn second;
-    DatagramPort steward{context, "side-1", [](const proto::Datagram &, const Address &) {}};
+    /// What the gateway has wished of the engines.
+    std::vector<proto::PlacementWish> wishes;
+    DatagramPort steward{context, "side-1",
+                         [this](const proto::Datagram &datagram, const Address &) {
+                             if (datagram.has_placement_wish())
+                                 this->wishes.push_back(datagram.placement_wish());
+                         }};
     Address address;
     Address readiness;
     Address datagrams;
--- a/tests/replicas/PlannerElectionTest.cpp
+++ b/tests/replicas/PlannerElectionTest.cpp
@@ -30,7 +30,7 @@
     }
     SUBCASE("the planner resigns when it hears a higher term")
     {
-        election.won(10, start + std::chrono::seconds(3));
+        election.won(10, start + std::chrono::seconds(3), start + std::chrono::seconds(3));
         CHECK(election.isPlanner());
         election.heard(9, start + std::chrono::seconds(4));
         CHECK(election.isPlanner());
@@ -41,7 +41,7 @@
     SUBCASE("a term that was won late does not count below one that was heard")
     {
         election.heard(12, start + std::chrono::seconds(3));
-        election.won(10, start + std::chrono::seconds(3));
+        election.won(10, start + std::chrono::seconds(3), start + std::chrono::seconds(3));
         CHECK_FALSE(election.isPlanner());
     }
     SUBCASE("a lost race waits for the winner's word")
@@ -75,3 +75,46 @@
         CHECK(weak.wantsRole(now + PlannerElection::WeakDelay));
     }
 }
+
+TEST_CASE("A planner that was paused plans no more by its old term")
+{
+    const Instant start{std::chrono::hours(1)};
+    PlannerElection election(0, 1, start);
+    election.won(10, start, start + milliseconds(5));
+    const Instant spokeAt = start + milliseconds(500);
+    election.spoke(spokeAt);
+
+    SUBCASE("for as long as its peers wait before one of them takes the role")
+    {
+        const Instant now = spokeAt + PlannerElection::Silence;
+        CHECK(election.lapse(now));
+        CHECK_FALSE(election.isPlanner());
+        CHECK_FALSE(election.lapse(now));
+
+        SUBCASE("and takes the role again only if no other planner is heard")
+        {
+            CHECK_FALSE(election.wantsRole(now + PlannerElection::Silence - milliseconds(1)));
+            CHECK(election.wantsRole(now + PlannerElection::Silence));
+        }
+        SUBCASE("and not at all from one with a higher term")
+        {
+            election.heard(11, now + milliseconds(100));
+            CHECK(election.knowsPlanner(now + milliseconds(200)));
+        }
+    }
+    SUBCASE("but a shorter pause changes nothing")
+    {
+        CHECK_FALSE(election.lapse(spokeAt + PlannerElection::Silence - milliseconds(1)));
+        CHECK(election.ownTerm() == 10);
+    }
+}
+
+TEST_CASE("A term whose record was written before a pause is not taken after it")
+{
+    const Instant start{std::chrono::hours(1)};
+    PlannerElection election(0, 1, start);
+    const Instant calledAt = start + std::chrono::seconds(3);
+    election.won(10, calledAt, calledAt + PlannerElection::Silence);
+    CHECK_FALSE(election.isPlanner());
+    CHECK_FALSE(election.wantsRole(calledAt + 2 * PlannerElection::Silence - milliseconds(1)));
+}
