Refuse streams that a stop leaves no time for before they are sent

A request that arrived during a stop, or whose engine had room at once, was sent whatever time was left; a stream that did not end was cut midway after its engine had worked for it. Only requests that had to wait were held against the stop's time.

Evidence: GatewayStopTest, "A stream that arrives during a stop": on the old code the late one of two streams reached its engine and was cut at 2.4 s.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -5,6 +5,7 @@
 #include "observe/DecisionLog.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace tray {
@@ -152,6 +153,13 @@
         }
         this->leaveRoom();
         const auto target = std::get<DispatchTarget>(choice);
+        const bool isUnserved = this->runs == 0 && !last.failure && !this->streaming;
+        const Duration firstAnswer = std::chrono::microseconds(std::lround(target.cost * 1000));
+        if (isUnserved &&
+            !this->gateway.stopWindow.fits(this->route->name, firstAnswer, clockNow())) {
+            co_await this->refuseForStop("the answer is not expected to be whole in time");
+            co_return;
+        }
         this->gateway.noteUse(target.upstreamId);
         if (!this->facts.adapter.empty()) {
             const bool ready = co_await this->ensureAdapter(target);
--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -58,6 +58,19 @@
     }
 
     void send(CallerEnd &end, const std::string &target, const std::string &id, uint32_t tokens)
+    {
+        this->begin(end, target, id, tokens);
+        this->path.runFor(milliseconds(100));
+    }
+
+    /// Sends so long after the next run of the path has begun.
+    void sendLater(Duration delay, CallerEnd &end, const std::string &target, const std::string &id,
+                   uint32_t tokens)
+    {
+        this->path.later(delay, [=, this, &end] { this->begin(end, target, id, tokens); });
+    }
+
+    void begin(CallerEnd &end, const std::string &target, const std::string &id, uint32_t tokens)
     {
         HttpRequest request;
         request.method = "POST";
@@ -77,7 +90,6 @@
                 end.at = clockNow();
             },
             asio::detached);
-        this->path.runFor(milliseconds(100));
     }
 
     /// Tells the gateway again and again, as a steward does, that the engine loads the model, with
@@ -188,6 +200,36 @@
     CHECK(gateway.stopTook < StopGrace);
 }
 
+TEST_CASE("A stream that arrives during a stop is sent only if it is expected to end in it")
+{
+    constexpr Duration Grace = std::chrono::seconds(3);
+    constexpr Duration StreamTime = std::chrono::seconds(1);
+    StoppingGateway gateway(
+        [&](const HttpRequest &request) {
+            UpstreamReply reply;
+            reply.bytes = UpstreamStandIn::streamHeadFor(request);
+            reply.pause = StreamTime;
+            reply.pieces = {UpstreamStandIn::chunkOf("id: 1\ndata: piece\n\n") + "0\r\n\r\n"};
+            return reply;
+        },
+        Grace);
+    CallerEnd before;
+    CallerEnd early;
+    CallerEnd late;
+    gateway.keepTelling(std::nullopt);
+    gateway.send(before, "/ask/1", "r1", 500);
+    gateway.path.runFor(StreamTime + milliseconds(200));
+    REQUIRE(before.status() == 200);
+    gateway.sendLater(milliseconds(300), early, "/ask/2", "r2", 500);
+    gateway.sendLater(milliseconds(1900), late, "/ask/3", "r3", 500);
+    gateway.stop();
+    CHECK(early.status() == 200);
+    CHECK(late.status() == 503);
+    CHECK(late.mayReturn());
+    CHECK(late.at - gateway.stopBegan < milliseconds(2200));
+    CHECK(gateway.engine.received.size() == 2);
+}
+
 TEST_CASE("A stop whose grace time is shorter than the balancer's time still answers in time")
 {
     constexpr Duration ShortGrace = milliseconds(1500);
