Give every attempt of an agent a final frame before its stop ends

A stopping agent waited for its open attempts without a limit of its own, and its process ended with drain_timeout_ms: connections closed without a final frame. An entry then took the agent for dead, looked for it on a fresh connection and answered its caller after that, though the agent knew that the attempt was over.

At the drain's limit each open attempt is logged and ended: those that were dispatched as failed, which may have run, the others as refused. The process has two more seconds to write the frames and to stop the engine's work. The limit counts beside the rest of the stop, which may wait for the platform.

--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -274,10 +274,19 @@
     return advertised.empty() ? this->boundData : value(parseAddress(advertised));
 }
 
+asio::awaitable<void> Agent::endOpenAt(Instant lastAnswer)
+{
+    co_await pauseFor(lastAnswer - clockNow());
+    if (!this->stopped)
+        this->runner->endOpen();
+}
+
 asio::awaitable<void> Agent::stop()
 {
     this->leaving = true;
     this->setDraining(true);
+    // Beside the rest of the stop, which may wait for the platform.
+    asio::co_spawn(this->context, this->endOpenAt(clockNow() + this->drainTime()), asio::detached);
     co_await this->node.announceLeaving();
     // Data connections stay open until the last answer was written and a resume can no longer
     // come for it.
--- a/src/agent/Agent.h
+++ b/src/agent/Agent.h
@@ -26,8 +26,11 @@
 
     /// Binds all addresses and starts the loops. Fails if another agent holds the guard port.
     Result<Unit> start();
-    /// Leaves: refuses new work, lets running work finish, stops all loops.
+    /// Leaves: refuses new work, lets running work finish within the drain's time, ends what is
+    /// left and stops all loops.
     boost::asio::awaitable<void> stop();
+    /// Time that a stop may take.
+    Duration stopLimit() const { return this->drainTime() + AttemptRunner::FinalFrameTime; }
     /// Called when a newer agent has taken over the upstream; the process must end at once.
     void setOnStale(std::function<void()> handler) { this->onStale = std::move(handler); }
 
@@ -39,6 +42,8 @@
     boost::asio::awaitable<void> watchEpoch();
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> watchService();
+    boost::asio::awaitable<void> endOpenAt(Instant lastAnswer);
+    Duration drainTime() const { return milliseconds(this->settings.agent().drain_timeout_ms()); }
     void makeUpstream();
     void registerGauges();
     RunnerHooks runnerHooks();
--- a/src/agent/AgentMain.cpp
+++ b/src/agent/AgentMain.cpp
@@ -34,7 +34,7 @@
     }
     std::cout << "data=" << toString(agent.dataAddress())
               << " admin=" << toString(agent.adminAddress()) << std::endl;
-    const auto limit = milliseconds(settings.agent().drain_timeout_ms());
+    const auto limit = agent.stopLimit();
     const auto stop = [&agent] { return agent.stop(); };
     endProcess(runService(context, 1, stop, limit) ? ExitOk : ExitFailure);
 }
--- a/src/agent/AttemptRecord.h
+++ b/src/agent/AttemptRecord.h
@@ -90,6 +90,8 @@
     /// Ends the forwarding of a running attempt.
     boost::asio::cancellation_signal cancelForwarding;
     bool cancelRequested = false;
+    /// What a running attempt fails with once its end was requested.
+    Error endReason{ErrorKind::Cancelled, "the attempt was cancelled"};
     /// Bytes of KV cache reserved for the attempt.
     uint64_t kvBytes = 0;
 
--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -179,7 +179,7 @@
     const auto done = [this, record](std::exception_ptr failure, Outcome outcome) {
         // A cancelled coroutine ends with an exception.
         if (failure && record->cancelRequested)
-            outcome = Outcome{false, false, {ErrorKind::Cancelled, "the attempt was cancelled"}};
+            outcome = Outcome{false, false, record->endReason};
         else if (failure)
             outcome = Outcome{false, false, {ErrorKind::UpstreamFailed, "the engine went silent"}};
         asio::co_spawn(this->context, this->settle(record, std::move(outcome)), asio::detached);
@@ -332,6 +332,29 @@
     }
 }
 
+void AttemptRunner::endOpen()
+{
+    std::vector<Record> open;
+    this->attempts.forEach([&](const Record &record) {
+        if (!record->isFinal())
+            open.push_back(record);
+    });
+    for (const auto &record : open) {
+        const bool runs = record->stage() == AttemptStage::Running;
+        spdlog::info("event=unanswered request={} attempt={} running={} deadline_left_ms={}",
+                     record->id.requestId, record->id.number, runs,
+                     toMs(record->deadline - clockNow()));
+        if (!runs) {
+            this->queue.remove(record->ticket);
+            this->refuse(record, Error{ErrorKind::Draining, "the agent stops"});
+        } else if (!record->cancelRequested) {
+            record->cancelRequested = true;
+            record->endReason = Error{ErrorKind::UpstreamFailed, "the agent stops"};
+            record->cancelForwarding.emit(asio::cancellation_type::terminal);
+        }
+    }
+}
+
 void AttemptRunner::sweep()
 {
     const Instant now = clockNow();
--- a/src/agent/AttemptRunner.h
+++ b/src/agent/AttemptRunner.h
@@ -51,6 +51,9 @@
     /// end.
     static constexpr auto DetachedLimit = std::chrono::seconds(5);
 
+    /// Time that the final frames of a stop may take, with a look at the engine.
+    static constexpr Duration FinalFrameTime = std::chrono::seconds(2);
+
     AttemptRunner(boost::asio::io_context &context, AdmissionLimits limits, UpstreamPorts ports,
                   RunnerHooks hooks, Metrics &metrics);
 
@@ -65,6 +68,9 @@
     /// Refuses all new and queued work from now on, or takes work again.
     void setDraining(bool draining);
     bool isDraining() const { return this->draining; }
+    /// Gives each attempt that has none its final answer, since the process ends: those that were
+    /// dispatched may have run.
+    void endOpen();
     /// Attempts that run or whose answer is still being sent.
     size_t open() const { return this->attempts.open(); }
 
--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -245,6 +245,52 @@
     CHECK(executionsOf(bench, "queued") == 0);
 }
 
+TEST_CASE("A stop that leaves an attempt no time gives it a true final answer")
+{
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        auto channel = co_await bench.connect();
+        proto::Frame attempt = attemptFrame("request-10", "x", 1000);
+        ErrorKind expected{};
+        SUBCASE("one whose answer has begun may have run")
+        {
+            co_await channel->send(attempt);
+            co_await bench.next(*channel);
+            expected = ErrorKind::StreamBroken;
+        }
+        SUBCASE("one that waits for its first byte may have run")
+        {
+            const json::object silent{{"silent", true}};
+            bench.engine->setFault(silent);
+            co_await channel->send(attempt);
+            co_await bench.pause(milliseconds(50));
+            expected = ErrorKind::UpstreamFailed;
+        }
+        SUBCASE("one that waits for a newer configuration did not run")
+        {
+            attempt.set_head_version(7);
+            co_await channel->send(attempt);
+            co_await bench.pause(milliseconds(50));
+            expected = ErrorKind::Draining;
+        }
+        bench.runner->setDraining(true);
+        bench.runner->endOpen();
+        const Instant ended = clockNow();
+        const auto last = co_await bench.finalFrame(*channel, nullptr);
+        CHECK(clockNow() - ended < AttemptRunner::FinalFrameTime);
+        CHECK(kindOf(last) == expected);
+        const bool mayHaveRun = expected != ErrorKind::Draining;
+        CHECK(last.has_failed() == mayHaveRun);
+        CHECK(last.failed().may_have_run() == mayHaveRun);
+        co_await bench.pause(milliseconds(20));
+        CHECK(bench.runner->open() == 0);
+        const json::object heard{{"silent", false}};
+        bench.engine->setFault(heard);
+    }());
+    CHECK(executionsOf(bench, "request-10") <= 1);
+}
+
 TEST_CASE("The death of an engine is told for what was running, and only for that")
 {
     AgentBench bench;
