Wait for callers that stop to read for seconds

A caller that did not read for more than 2.5 s, while its window was full, lost the rest of its answer long before its deadline, and the log called a whole answer served.

Cause: TCP_USER_TIMEOUT, which finds dead paths, also ends a connection whose peer keeps its window closed for as long, although that peer acknowledges every probe. Ruled out: limits of our own (the write's limit was the deadline, 30 s, and a caller that paused for one second got everything).

From the first bytes of an answer until the next request of its connection, the kernel now waits as long as the answer may be written: until the deadline, or for the server's usual time. Before the answer, and towards upstreams, a path is dead after 2.5 s as before; callers that vanish in the middle of an answer are noticed with the deadline.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <spdlog/spdlog.h>
 #include <unordered_set>
+#include <utility>
 
 namespace tray {
 
@@ -151,8 +152,9 @@
         message.prepare_payload();
         if (this->headRequest)
             message.body().clear();
-        const Instant usual = clockNow() + this->server->limits.requestTimeout;
+        const Instant usual = this->usualLimit();
         this->stream.expires_at(std::max(usual, this->deadline.value_or(usual)));
+        this->allowReading();
         const auto [code, bytes] = co_await http::async_write(this->stream, message, Await);
         this->closing = this->closing || code || !message.keep_alive();
         co_return !code;
@@ -172,6 +174,7 @@
         this->closing = this->closing || !message.keep_alive();
         http::response_serializer<http::empty_body> serializer{message};
         this->limitWrite();
+        this->allowReading();
         const auto [code, bytes] =
             co_await http::async_write_header(this->stream, serializer, Await);
         this->closing = this->closing || code;
@@ -228,6 +231,18 @@
     }
 
 private:
+    /// When the peer must have read an answer that has no deadline, or a shorter one.
+    Instant usualLimit() const { return clockNow() + this->server->limits.requestTimeout; }
+
+    /// From the first bytes of an answer on, a peer that does not read is no dead one.
+    void allowReading()
+    {
+        const Instant usual = this->usualLimit();
+        allowUnread(this->stream.socket(),
+                    std::max(usual, this->deadline.value_or(usual)) - clockNow());
+        this->unreadAllowed = true;
+    }
+
     /// Limits the write of a stream's next piece.
     void limitWrite()
     {
@@ -305,6 +320,8 @@
             co_return false;
         this->started = false;
         this->deadline.reset();
+        if (std::exchange(this->unreadAllowed, false))
+            allowUnread(this->stream.socket(), DeadPathTime);
         // The parser limits headers and bodies only: this limit ends chunk headers and trailers.
         this->buffer.max_size(std::max(this->buffer.size(), this->server->limits.headerBytes +
                                                                 MaxEarlyBytes + EarlyPiece));
@@ -435,6 +452,8 @@
     uint64_t requests = 0;
     // Set while a request is being answered.
     std::shared_ptr<std::function<void()>> peerGone;
+    // The kernel waits for the peer to read an answer.
+    bool unreadAllowed = false;
     // End of the present request's time; none until the handler names it.
     std::optional<Instant> deadline;
     bool idle = false;
--- a/src/net/SocketOptions.cpp
+++ b/src/net/SocketOptions.cpp
@@ -1,15 +1,13 @@
 // Socket options that find dead paths.
 #include "net/SocketOptions.h"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 
 namespace tray {
 
 namespace {
 
-// Time after which unacknowledged bytes or probes end a connection, in ms: several round trips
-// between regions, and short against the deadlines of requests.
-constexpr int DeadPathMs = 2500;
 // Idle time before the first keep-alive probe and the time between probes, in seconds.
 constexpr int ProbeSeconds = 1;
 // Unanswered probes after which the connection is dead.
@@ -31,7 +29,13 @@
     socket.set_option(ProbeIdle(ProbeSeconds), closed);
     socket.set_option(ProbeInterval(ProbeSeconds), closed);
     socket.set_option(ProbeLimit(ProbeCount), closed);
-    socket.set_option(UserTimeout(DeadPathMs), closed);
+    socket.set_option(UserTimeout(static_cast<int>(toMs(DeadPathTime))), closed);
+}
+
+void allowUnread(boost::asio::ip::tcp::socket &socket, Duration longest)
+{
+    boost::system::error_code closed;
+    socket.set_option(UserTimeout(static_cast<int>(toMs(std::max(longest, DeadPathTime)))), closed);
 }
 
 } // namespace tray
--- a/tests/platform/SlowStreamTest.cpp
+++ b/tests/platform/SlowStreamTest.cpp
@@ -1,6 +1,7 @@
 // Slow and stalled answers: a request lasts until its deadline, and neither a pause before it nor a
 // byte now and then beyond it changes that.
 #include "GatewayPath.h"
+#include "net/SocketOptions.h"
 
 using namespace tray;
 using namespace tray::test;
@@ -217,7 +218,8 @@
 TEST_CASE("A sound caller that pauses within its deadline gets the whole answer")
 {
     // More than the sockets between hold; the pause is longer than the limit on the arrival of
-    // requests. The deadline leaves a busy machine time to move the bytes.
+    // requests and than a dead path is waited for. The deadline leaves a busy machine time to move
+    // the bytes.
     constexpr int Events = 3000;
     const std::string deadlineMs = "30000";
     std::string events;
@@ -248,7 +250,7 @@
     });
     path.store.put("config", "main", config);
     path.runFor(milliseconds(600));
-    PacedCaller caller(path, 1u << 20, Duration::zero(), milliseconds(1000));
+    PacedCaller caller(path, 1u << 20, Duration::zero(), DeadPathTime + milliseconds(1500));
     caller.run(target, std::chrono::seconds(32));
     CHECK(caller.answer.size() >= events.size());
     if (isStream)
