Refuse requests that a stop has no time to read

Callers saw: a request whose upload was under way when a gateway's stop ended got no answer, and if its last bytes came in the last 0.4 s of the grace time, that was a whole request without one.

The reading of a request knew the limit of the header alone (header_timeout), and the end of a stop knew of requests in a handler alone.

HttpServer::refuseUnread() ends the reading of each request that is not whole: it gets a final 503, which is true as no handler has seen it, and its connection closes. What has arrived already is still read and goes to the handler, which answers for the stop. Gateway::stop() calls it beside the last answers. A gateway's refusals of requests that were not read have the form of its others now, and that of a stop the same Retry-After.

Open: a close with bytes of the upload unread resets the connection, so the 503 may be lost where the path loses packets.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -29,8 +29,6 @@
 constexpr size_t MaxAnswerBytes = 8u << 20;
 // Pause before callers return after a refusal for want of room.
 constexpr Duration FullRetry = milliseconds(500);
-// The same where other instances can take the request at once.
-constexpr Duration ElsewhereRetry = milliseconds(50);
 // Longest time between two looks for room; word of it may be lost with an attempt's upstream.
 constexpr Duration RoomRecheck = milliseconds(100);
 // Callers give up a stream without a first event after this time: a constant, or so many times its
@@ -619,7 +617,8 @@
 
 asio::awaitable<void> Exchange::refuseForStop(std::string reason)
 {
-    co_await this->refuse(ErrorKind::Draining, "the instance stops: " + reason, ElsewhereRetry);
+    co_await this->refuse(ErrorKind::Draining, "the instance stops: " + reason,
+                          StopWindow::ElsewhereRetry);
 }
 
 void Exchange::log(int status, const std::string &outcome, const std::string &reason) const
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -61,17 +61,30 @@
     return "";
 }
 
+/// Answer to a request that was not read whole.
+HttpResponse refusalOf(const RequestCodec &codec, const Error &reason)
+{
+    const auto &answer = errorAnswer(reason.kind);
+    std::optional<Duration> retryAfter;
+    if (reason.kind == ErrorKind::Draining)
+        retryAfter = StopWindow::ElsewhereRetry;
+    return codec.refuse("", answer.httpStatus, std::string(answer.type), reason.message,
+                        retryAfter);
+}
+
 } // namespace
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, FleetStore &store,
                  const RequestCodec &codec, Metrics &metrics)
     : context(context), settings(std::move(settings)), store(store), codec(codec), metrics(metrics),
       client(context),
-      callerServer(context,
-                   [this](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
-                       Exchange exchange(*this, std::move(request), responder, clockNow());
-                       co_await exchange.run();
-                   }),
+      callerServer(
+          context,
+          [this](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+              Exchange exchange(*this, std::move(request), responder, clockNow());
+              co_await exchange.run();
+          },
+          {}, [&codec](const Error &reason) { return refusalOf(codec, reason); }),
       readinessServer(context,
                       [this](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
                           HttpResponse answer =
@@ -158,6 +171,7 @@
     co_await this->awaitDrain(this->stopWindow.lastAnswer());
     for (auto *exchange : *this->exchanges)
         exchange->endForStop(clockNow());
+    this->callerServer.refuseUnread();
     this->roomChanged.raise();
     this->snapshotArrived.raise();
     co_await this->awaitDrain(this->stopWindow.end());
--- a/src/gateway/StopWindow.h
+++ b/src/gateway/StopWindow.h
@@ -18,6 +18,9 @@
     static constexpr Duration ExitMargin = milliseconds(400);
     /// Before that, time to write final answers to the requests that are left.
     static constexpr Duration FinalAnswerTime = milliseconds(200);
+    /// Pause before callers that are refused come back; other instances can take the request at
+    /// once.
+    static constexpr Duration ElsewhereRetry = milliseconds(50);
     /// Weight of a new sample in the running mean of a route.
     static constexpr double SampleWeight = 0.1;
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -90,6 +90,8 @@
     // The drain has handed over the last connection.
     std::atomic<bool> closed{false};
     std::atomic<bool> leaving{false};
+    // Requests that are not whole yet are read no further.
+    std::atomic<bool> refusingUnread{false};
     std::atomic<size_t> inFlight{0};
     mutable std::mutex mutex;
     // Connections that exist, to close idle ones on drain.
@@ -138,6 +140,19 @@
                    });
     }
 
+    /// Ends the reading of a request that is not whole. Called under the server's lock from any
+    /// thread.
+    void endReading()
+    {
+        asio::post(this->stream.get_executor(),
+                   [this, keep = this->server, weak = std::weak_ptr<int>(this->alive)] {
+                       if (!weak.lock() || !this->reading)
+                           return;
+                       this->readDeadline = clockNow();
+                       this->awaitReadDeadline(this->readDeadline);
+                   });
+    }
+
     asio::awaitable<bool> respond(HttpResponse response) override
     {
         if (this->rejectSecondAnswer())
@@ -308,7 +323,9 @@
         // The parser limits headers and bodies only: this limit ends chunk headers and trailers.
         this->buffer.max_size(std::max(this->buffer.size(), this->server->limits.headerBytes +
                                                                 MaxEarlyBytes + EarlyPiece));
-        this->limitReading(clockNow() + this->server->limits.requestTimeout);
+        const Duration patience =
+            this->server->refusingUnread ? Duration::zero() : this->server->limits.requestTimeout;
+        this->limitReading(clockNow() + patience);
         auto [code, bytes] =
             co_await http::async_read_header(this->stream, this->buffer, parser, Await);
         if (!code && parser.get()[http::field::expect] == "100-continue") {
@@ -326,7 +343,10 @@
         if (code) {
             if (isPeerFault(code)) {
                 this->requestKeepsAlive = false;
-                HttpResponse answer = this->server->refusal(refusalOf(code));
+                const bool isEnded = this->server->refusingUnread && code == beast::error::timeout;
+                HttpResponse answer = this->server->refusal(
+                    isEnded ? Error{ErrorKind::Draining, "the instance stops: no more is read"}
+                            : refusalOf(code));
                 co_await this->respond(std::move(answer));
             }
             co_return false;
@@ -492,6 +512,14 @@
         connection->closeIfIdle();
 }
 
+void HttpServer::refuseUnread()
+{
+    this->impl->refusingUnread = true;
+    const std::lock_guard lock(this->impl->mutex);
+    for (auto *connection : this->impl->connections)
+        connection->endReading();
+}
+
 bool HttpServer::isDrained() const
 {
     const std::lock_guard lock(this->impl->mutex);
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -56,7 +56,7 @@
     std::function<boost::asio::awaitable<void>(HttpRequest request, HttpResponder &responder)>;
 
 /// Makes the answer to a request that was refused before it reached the handler. The reason is a
-/// kind such as BadRequest, HeaderTooLarge, BodyTooLarge or RequestTimeout.
+/// kind such as BadRequest, HeaderTooLarge, BodyTooLarge, RequestTimeout or Draining.
 using HttpRefusal = std::function<HttpResponse(const Error &reason)>;
 
 /// Listens on an address and serves connections until stopped.
@@ -72,6 +72,9 @@
     /// Stops to accept, closes idle connections and lets requests finish, also those that were sent
     /// but not read yet. Answers then carry "Connection: close".
     void drain();
+    /// Refuses the requests that are not read whole, as Draining, and closes their connections;
+    /// from then on only what has arrived already is read. For the end of a stop.
+    void refuseUnread();
     /// The drain is complete: no connection is left.
     bool isDrained() const;
     /// Puts "Connection: close" on all further answers, so that peers move elsewhere by themselves.
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -429,6 +429,66 @@
     }
 }
 
+TEST_CASE("A request that is still being read when a server's stop ends is refused, not dropped")
+{
+    asio::io_context context;
+    int handled = 0;
+    HttpServer server(context,
+                      [&](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+                          ++handled;
+                          co_await responder.respond(makeResponse(200, "text/plain", request.body));
+                      });
+    const auto address = value(server.listen(AnyPort));
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(address.host), address.port});
+    const auto send = [&](const std::string &bytes) { asio::write(socket, asio::buffer(bytes)); };
+    const auto runFor = [&](Duration duration) {
+        context.restart();
+        context.run_for(duration);
+    };
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n";
+    int status = 503;
+    SUBCASE("in its head")
+    {
+        send(head);
+        runFor(milliseconds(50));
+        server.drain();
+        server.refuseUnread();
+    }
+    SUBCASE("in its body")
+    {
+        send(head + "\r\nab");
+        runFor(milliseconds(50));
+        server.drain();
+        server.refuseUnread();
+    }
+    SUBCASE("also if its first bytes are read after that")
+    {
+        runFor(milliseconds(50));
+        server.drain();
+        server.refuseUnread();
+        runFor(milliseconds(50));
+        send(head + "\r\nab");
+    }
+    SUBCASE("but one that is whole is served")
+    {
+        status = 200;
+        runFor(milliseconds(50));
+        send(head + "\r\nabcd");
+        server.drain();
+        server.refuseUnread();
+    }
+    runFor(milliseconds(150));
+    CHECK(server.isDrained());
+    std::string answer;
+    boost::system::error_code code;
+    socket.non_blocking(true);
+    asio::read(socket, asio::dynamic_buffer(answer), code);
+    CHECK(answer.starts_with("HTTP/1.1 " + std::to_string(status)));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(handled == (status == 200 ? 1 : 0));
+}
+
 TEST_CASE("Frames travel both ways on a data channel")
 {
     asio::io_context context;
--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -241,3 +241,25 @@
     CHECK(caller.status() == 502);
     CHECK(gateway.stopTook < ShortGrace);
 }
+
+TEST_CASE("A request whose upload a stop does not await is told that it did not run")
+{
+    constexpr Duration ShortGrace = milliseconds(1500);
+    StoppingGateway gateway(hangForever, ShortGrace);
+    asio::ip::tcp::socket socket(gateway.path.context);
+    gateway.path.later(milliseconds(500), [&] {
+        const auto &address = gateway.path.address;
+        socket.connect({asio::ip::make_address(address.host), address.port});
+        asio::write(socket, asio::buffer(std::string("POST /take/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                                     "Content-Length: 4\r\n\r\nab")));
+    });
+    gateway.stop();
+    CHECK(gateway.stopTook < ShortGrace);
+    std::string answer;
+    boost::system::error_code code;
+    socket.non_blocking(true);
+    asio::read(socket, asio::dynamic_buffer(answer), code);
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: 0.05") != std::string::npos);
+    CHECK(gateway.path.first.received.empty());
+}
