Refuse requests that an entry's stop has no time to read

Callers saw: a request that an entry was still reading when its stop had no more time got no answer; its connection closed with the process.

EntryServer::endAt() ended the requests that were open exchanges; one that is still being read is none. The server refuses those as well now: 503, draining, not run.

--- a/src/entry/EntryServer.cpp
+++ b/src/entry/EntryServer.cpp
@@ -33,6 +33,7 @@
 {
     co_await pauseFor(lastAnswer - clockNow());
     this->exchanges.endAll();
+    this->server.refuseUnread();
 }
 
 asio::awaitable<void> EntryServer::serve(HttpRequest request, HttpResponder &responder)
--- a/src/entry/EntryServer.h
+++ b/src/entry/EntryServer.h
@@ -33,8 +33,8 @@
     void drain() { this->server.drain(); }
     size_t inFlight() const { return this->server.inFlight(); }
     bool isDrained() const { return this->server.isDrained(); }
-    /// From this time on, requests in flight and those that still arrive get their final answers at
-    /// once, whatever they wait for.
+    /// From this time on, requests in flight, those that are still being read and those that still
+    /// arrive get their final answers at once, whatever they wait for.
     boost::asio::awaitable<void> endAt(Instant lastAnswer);
 
 private:
--- a/tests/entry/EntryStopTest.cpp
+++ b/tests/entry/EntryStopTest.cpp
@@ -166,6 +166,21 @@
         CHECK(entry.first.attempts == 0);
         stopped.wait();
     }
+    SUBCASE("a request that is still being read when the time is over did not run")
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(entry.address.host), entry.address.port});
+        asio::write(socket, asio::buffer(std::string("POST /v1/completions HTTP/1.1\r\n"
+                                                     "Host: x\r\nContent-Length: 10\r\n\r\n{")));
+        std::this_thread::sleep_for(milliseconds(50));
+        stop.stop();
+        const auto answer = exchangeRaw(socket, "");
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(answer.find("draining") != std::string::npos);
+        CHECK(answer.find("Retry-After: 1") != std::string::npos);
+        CHECK(entry.first.attempts == 0);
+    }
     SUBCASE("many at once, over all threads")
     {
         std::vector<std::future<Result<HttpResponse>>> callers;
