End a steward's stop before its grace time

What operators saw, at worst: a steward whose order had no end was killed with SIGKILL, or ended at that moment with an exit status of failure and no stop_end.

Steward::stop() waited for the order that is under way without a limit of its own; it trusted the engine client's timeouts (0.15 s and 0.4 s), and the process's limit is the grace time itself, when SIGKILL comes.

The wait ends 0.4 s before the grace time now, as a gateway's does, and stop_end tells whether an order was left open. Nothing else changes: an order that is under way may still take effect, and its steward's next life raises the fencing token first.

Evidence, plain build: StewardTest "A steward's stop ends before its grace time although an order is never answered" failed before (the stop had not returned after 0.9 s) and passes; test-steward 10 of 10 cases.

--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -37,6 +37,8 @@
 constexpr Duration ShortestPause = milliseconds(1500);
 // Time in which what came during a pause is read; planners and gateways repeat their wishes.
 constexpr Duration BacklogTime = milliseconds(100);
+// Part of a stop's time that is left for the end of the process.
+constexpr Duration ExitMargin = milliseconds(400);
 constexpr Duration FirstRetry = milliseconds(200);
 constexpr Duration LongestRetry = std::chrono::seconds(1);
 
@@ -111,12 +113,14 @@
 asio::awaitable<void> Steward::stop()
 {
     this->stopping = true;
+    const Instant end = clockNow() + this->settings.stopGrace - ExitMargin;
     logDecision(LogWeight::Notable, clockNow(), "event=stop_begin");
-    // An order that is under way ends within its timeout; its outcome is noted, no other follows.
-    while (this->working)
+    // The outcome of an order that is under way is noted, no other follows.
+    while (this->working && clockNow() < end)
         co_await pauseFor(milliseconds(10));
     this->datagrams.close();
-    logDecision(LogWeight::Notable, clockNow(), "event=stop_end");
+    logDecision(LogWeight::Notable, clockNow(),
+                fmt::format("event=stop_end order_open={}", this->working));
 }
 
 bool Steward::canOrder() const
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -19,6 +19,8 @@
     /// Service of the engine.
     std::string service;
     Address datagrams;
+    /// Time from a stop's beginning until the process is killed.
+    Duration stopGrace = std::chrono::seconds(8);
 };
 
 /// Runs on one thread. A fencing token is the store's revision of this instance's record, written
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -2,6 +2,7 @@
 #include "steward/Steward.h"
 
 #include "fleet/DatagramPort.h"
+#include "net/Pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -72,6 +73,8 @@
     {
         this->orders.push_back(order);
         this->tokens.push_back(authority.fencingToken);
+        while (this->hanging)
+            co_await pauseFor(milliseconds(10));
         ++this->state.sequence;
         if (order.verb == OrderVerb::Load)
             this->state.models.push_back({order.model, {}});
@@ -84,6 +87,8 @@
     EngineReport state;
     std::vector<EngineOrder> orders;
     std::vector<uint64_t> tokens;
+    /// Answers no order.
+    bool hanging = false;
 };
 
 /// A steward and the gateway that it answers.
@@ -101,10 +106,11 @@
         REQUIRE(isOk(this->port.listen({"127.0.0.1", 0})));
     }
 
-    void start()
+    void start(Duration stopGrace = std::chrono::seconds(8))
     {
         this->address = freeAddress();
-        this->steward.emplace(this->context, StewardSettings{"side-1", "engines", this->address},
+        this->steward.emplace(this->context,
+                              StewardSettings{"side-1", "engines", this->address, stopGrace},
                               this->store, this->engine, this->metrics);
         REQUIRE(isOk(this->steward->start()));
     }
@@ -308,3 +314,39 @@
         CHECK(scene.loaded() == std::vector<std::string>{"m2"});
     }
 }
+
+TEST_CASE("A steward's stop ends before its grace time although an order is never answered")
+{
+    constexpr Duration Grace = milliseconds(900);
+    Scene scene;
+    scene.engine.hanging = true;
+    scene.start(Grace);
+    scene.subscribe();
+    scene.runFor(milliseconds(500));
+    scene.wish(3, {"m1"});
+    scene.runFor(milliseconds(200));
+    REQUIRE(scene.loaded().size() == 1);
+    std::optional<Duration> took;
+    const Instant began = clockNow();
+    asio::co_spawn(
+        scene.context,
+        [&]() -> asio::awaitable<void> {
+            co_await scene.steward->stop();
+            took = clockNow() - began;
+        },
+        asio::detached);
+    bool isAnswered = false;
+    SUBCASE("which it awaits until then") {}
+    SUBCASE("and ends at once when one is answered late")
+    {
+        isAnswered = true;
+        scene.runFor(milliseconds(200));
+        CHECK_FALSE(took);
+        scene.engine.hanging = false;
+    }
+    scene.runFor(Grace);
+    REQUIRE(took);
+    CHECK(*took < Grace);
+    CHECK((*took < milliseconds(300)) == isAnswered);
+    CHECK(scene.loaded().size() == 1);
+}
