Leave requests their time when a stop throws

Callers would see: if a daemon's stop() threw, the process ended at once with all requests in flight, called the stop complete, exited with success and logged nothing.

runService() dropped the exception and stopped the context in any case. The error is logged now (stop_failed), the context runs on until the stop's limit, and the stop is not complete. SIGINT still ends it at once.

--- a/src/net/KeepRunning.cpp
+++ b/src/net/KeepRunning.cpp
@@ -9,8 +9,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
 std::string describe(const std::exception_ptr &failure)
 {
     try {
@@ -22,8 +20,6 @@
     }
 }
 
-} // namespace
-
 void keepRunning(asio::io_context &context, std::string name,
                  std::function<asio::awaitable<void>()> task)
 {
--- a/src/net/Service.cpp
+++ b/src/net/Service.cpp
@@ -1,6 +1,8 @@
 // Threads and signals of a daemon.
 #include "net/Service.h"
 
+#include "net/KeepRunning.h"
+
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -82,7 +84,12 @@
             if (!expired)
                 context.stop();
         });
-        asio::co_spawn(asio::make_strand(context), stop, [&](const std::exception_ptr &) {
+        asio::co_spawn(asio::make_strand(context), stop, [&](const std::exception_ptr &failure) {
+            // What is in flight keeps its time.
+            if (failure) {
+                spdlog::error("event=stop_failed error=\"{}\"", describe(failure));
+                return;
+            }
             complete = true;
             context.stop();
         });
--- a/src/net/Service.h
+++ b/src/net/Service.h
@@ -13,8 +13,9 @@
 using ReloadHandler = std::function<void()>;
 
 /// Runs the context on the given number of threads until a signal arrives and stop() has finished,
-/// or until stop() has taken longer than the limit. During a stop, SIGINT ends at once and
-/// SIGTERM changes nothing. Returns true if the stop was complete. SIGHUP never ends the process.
+/// or until stop() has taken longer than the limit, as one that throws does. During a stop, SIGINT
+/// ends at once and SIGTERM changes nothing. Returns true if the stop was complete. SIGHUP never
+/// ends the process.
 bool runService(boost::asio::io_context &context, unsigned threads,
                 std::function<boost::asio::awaitable<void>()> stop, Duration stopLimit,
                 ReloadHandler reload = {});
--- a/tests/net/ServiceTest.cpp
+++ b/tests/net/ServiceTest.cpp
@@ -66,6 +66,25 @@
     CHECK(drained == whole);
 }
 
+TEST_CASE("A stop that fails leaves what is in flight its time and is not called complete")
+{
+    asio::io_context context;
+    asio::steady_timer first(context, milliseconds(20));
+    first.async_wait([](auto) { std::raise(SIGTERM); });
+    bool answered = false;
+    asio::steady_timer request(context, milliseconds(200));
+    request.async_wait([&](auto) { answered = true; });
+    const bool complete = runService(
+        context, 1,
+        []() -> asio::awaitable<void> {
+            throw std::runtime_error("nobody thought of this");
+            co_return;
+        },
+        milliseconds(400));
+    CHECK_FALSE(complete);
+    CHECK(answered);
+}
+
 TEST_CASE("An unexpected error ends neither the process nor the task that it met")
 {
     asio::io_context context;
