Keep a listener open after a connection that cannot be taken

What callers saw: after one exception while a new connection was set up (lack of memory, most likely), the process accepted no connection any more, although it ran on and its readiness page was served by another listener; a stop that met such a connection never came to its end mark.

Cause: the accept loop is a detached coroutine, and an exception of its handler ends it without a word. The same exception in the close of a listener left the io_context before the acceptor was closed and the callback called.

Why it works: each connection is handed over through one function that logs an exception and goes on with the next connection.

--- a/src/net/Listener.cpp
+++ b/src/net/Listener.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
 
 namespace tray {
 
@@ -42,7 +43,18 @@
                 co_await pause.async_wait(Await);
                 continue;
             }
-            self->handler(std::move(socket));
+            self->handOver(std::move(socket));
+        }
+    }
+
+    /// A connection that cannot be taken, for lack of memory most likely, must not end the accept
+    /// loop or the close.
+    void handOver(tcp::socket socket)
+    {
+        try {
+            this->handler(std::move(socket));
+        } catch (const std::exception &failure) {
+            spdlog::error("event=connection_not_taken error=\"{}\"", failure.what());
         }
     }
 
@@ -57,7 +69,7 @@
             tcp::socket socket(asio::make_strand(this->context));
             this->acceptor.accept(socket, code);
             if (!code)
-                this->handler(std::move(socket));
+                this->handOver(std::move(socket));
         }
     }
 
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -5,6 +5,7 @@
 #include "net/FrameChannel.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/Listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -429,6 +430,35 @@
     }
 }
 
+TEST_CASE("A connection whose handler throws leaves the listener open to the next ones")
+{
+    asio::io_context context;
+    int offered = 0;
+    Listener listener(context, [&](asio::ip::tcp::socket) {
+        if (++offered < 3)
+            throw std::runtime_error("nobody thought of this");
+    });
+    const auto address = value(listener.listen(AnyPort));
+    const asio::ip::tcp::endpoint target(asio::ip::make_address(address.host), address.port);
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 3; ++i)
+        callers.emplace_back(context).connect(target);
+
+    SUBCASE("while it accepts")
+    {
+        context.run_for(milliseconds(300));
+        CHECK(offered == 3);
+    }
+    SUBCASE("and closes in order if they waited for the close")
+    {
+        bool closed = false;
+        listener.close([&] { closed = true; });
+        context.run_for(milliseconds(300));
+        CHECK(offered == 3);
+        CHECK(closed);
+    }
+}
+
 TEST_CASE("Frames travel both ways on a data channel")
 {
     asio::io_context context;
