Survive a control request whose handler throws

What callers saw: one exception in the handling of a control request ended the whole process (abort), with all its requests and streams.

Cause: handlers run on a thread of the messaging library, which is written in C; an exception that reaches it ends in std::terminate().

Why it works: the exception is logged, the request stays without a reply (its caller's time runs out, so nothing is said about what took effect), and the worker receives the next one. Each request answers once: a reply that comes after its failure, or a second one, is dropped instead of going to the worker's next request.

--- a/src/net/ControlServer.cpp
+++ b/src/net/ControlServer.cpp
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
+#include <spdlog/spdlog.h>
+#include <utility>
 #include <vector>
 
 namespace tray {
@@ -63,13 +65,28 @@
         nng_msg *message = nng_aio_get_msg(this->aio);
         std::string request(static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message));
         nng_msg_free(message);
+        this->handle(std::move(request));
+    }
+
+    /// The handler's exceptions must not reach the library, which is written in C.
+    void handle(std::string request)
+    {
         this->state = State::Handling;
-        (*this->handler)(std::move(request),
-                         [this, mutex = this->mutex, alive = this->alive](std::string reply) {
-                             const std::lock_guard lock(*mutex);
-                             if (*alive)
-                                 this->send(std::move(reply));
-                         });
+        const auto answered = std::make_shared<bool>(false);
+        try {
+            (*this->handler)(std::move(request), [this, mutex = this->mutex, alive = this->alive,
+                                                  answered](std::string reply) {
+                const std::lock_guard lock(*mutex);
+                if (*alive && !std::exchange(*answered, true))
+                    this->send(std::move(reply));
+            });
+        } catch (const std::exception &failure) {
+            spdlog::error("event=control_request_failed error=\"{}\"", failure.what());
+            // The caller's time runs out; the next request may come.
+            const std::lock_guard lock(*this->mutex);
+            if (*this->alive && !std::exchange(*answered, true))
+                this->receive();
+        }
     }
 };
 
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -513,3 +513,53 @@
         REQUIRE(isOk(again));
     }());
 }
+
+TEST_CASE("A control request whose handler throws ends neither the process nor the server")
+{
+    asio::io_context context;
+    std::vector<ControlServer::Reply> late;
+    ControlServer server([&](const std::string &request, const ControlServer::Reply &reply) {
+        if (request == "answered")
+            reply("done");
+        else if (request == "kept")
+            late.push_back(reply);
+        if (request != "sound")
+            throw std::runtime_error("nobody thought of this");
+        reply("sound");
+    });
+    const auto address = value(server.listen(AnyPort));
+    ControlClient client;
+    const auto call = [&](const std::string &request) {
+        std::optional<Result<std::string>> answer;
+        context.restart();
+        runOn(context, [&]() -> asio::awaitable<void> {
+            auto result = co_await client.request(address, request, milliseconds(200));
+            answer = std::move(result);
+        }());
+        return std::move(*answer);
+    };
+
+    SUBCASE("before it has replied, more often than requests may run at once")
+    {
+        for (int i = 0; i <= ControlServer::ParallelRequests; ++i) {
+            const auto answer = call("broken");
+            REQUIRE_FALSE(isOk(answer));
+            CHECK(error(answer).kind == ErrorKind::Timeout);
+        }
+    }
+    SUBCASE("after it has replied")
+    {
+        const auto answer = call("answered");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer) == "done");
+    }
+    SUBCASE("and a reply that it kept goes to no other request")
+    {
+        CHECK_FALSE(isOk(call("kept")));
+        REQUIRE(late.size() == 1);
+        late.front()("for the first one");
+    }
+    const auto next = call("sound");
+    REQUIRE(isOk(next));
+    CHECK(value(next) == "sound");
+}
