Let no late word or reading bring back an upstream that has left

What callers saw: requests could go to an upstream of which a gateway had already heard that it leaves, until its next look at the list; and a gateway could miss a leaving for good (until the entry's next change), while it believed to know the whole list.

Cause: a word that needs several datagrams is taken over part by part, but its revision counted only once all parts had come. Until then an older word of another reader, or an older answer of the store that was on its way, undid what the parts had said. Besides, parts were counted by the word's revision alone: two readers (which is normal for a moment after a pause or a lost word) cut the same changes at different places, and parts of both were taken for a whole word with changes missing.

Why it works: a word and a reading are measured against the newest revision of which any part is known, and parts count only with parts of the same reader's word between the same revisions. What is refused is read from the store, as after a lost word.

--- a/src/fleet/ListRelay.cpp
+++ b/src/fleet/ListRelay.cpp
@@ -127,6 +127,7 @@
 {
     this->knownRevision = revision;
     this->quietSince = revision;
+    this->parts = {};
     this->behind = false;
     this->answeredAt = now;
     // What the others would tell was just read: only the spread is left of the patience.
@@ -163,8 +164,9 @@
 
 bool ListRelay::isBelievable(const proto::ListWord &word) const
 {
-    // A reader that was paused tells of the past until its watch has returned.
-    return word.parts() > 0 && word.revision() >= this->knownRevision &&
+    // A reader that was paused tells of the past until its watch has returned. A part of a newer
+    // word may have ended an upstream already that an older word still lists.
+    return word.parts() > 0 && word.revision() >= this->heardRevision() &&
            word.from_revision() <= word.revision();
 }
 
@@ -190,12 +192,13 @@
         if (auto change = decode(row))
             changes.push_back(std::move(*change));
     }
-    if (this->partsRevision != word.revision()) {
-        this->partsRevision = word.revision();
-        this->partsSeen.clear();
-    }
-    this->partsSeen.insert(word.part());
-    if (this->partsSeen.size() >= word.parts()) {
+    const bool isSameWord = this->parts.rank == word.rank() &&
+                            this->parts.from == word.from_revision() &&
+                            this->parts.revision == word.revision();
+    if (!isSameWord)
+        this->parts = {word.rank(), word.from_revision(), word.revision(), {}};
+    this->parts.seen.insert(word.part());
+    if (this->parts.seen.size() >= word.parts()) {
         if (word.changes_size() > 0)
             this->quietSince = word.revision();
         this->knownRevision = word.revision();
--- a/src/fleet/ListRelay.h
+++ b/src/fleet/ListRelay.h
@@ -10,6 +10,7 @@
 
 #include "fleet.pb.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -40,10 +41,12 @@
     bool isReader() const { return this->reader; }
     /// Store revision up to which the list is known; 0 if it is to be read as a whole.
     uint64_t revision() const { return this->knownRevision; }
+    /// Highest revision of which at least a part is known.
+    uint64_t heardRevision() const { return std::max(this->knownRevision, this->parts.revision); }
 
     /// What the store told up to a revision is older than what was heard from a reader meanwhile,
     /// and must not be taken over.
-    bool isOutdated(uint64_t revision) const { return revision < this->knownRevision; }
+    bool isOutdated(uint64_t revision) const { return revision < this->heardRevision(); }
     /// The store told all changes up to a revision. Returns the words for the others, if any.
     std::vector<proto::ListWord> noteRead(uint64_t revision,
                                           const std::vector<UpstreamChange> &changes, Instant now);
@@ -74,9 +77,15 @@
     uint64_t quietSince = 0;
     Instant answeredAt{};
     Instant toldAt{};
-    // Parts that came of the word up to a revision.
-    uint64_t partsRevision = 0;
-    std::set<uint32_t> partsSeen;
+    // The newest word of which a part was taken over, and the parts of it that came. Readers cut
+    // their words at different places, so only parts of the same word make it whole.
+    struct Parts
+    {
+        uint64_t rank = 0;
+        uint64_t from = 0;
+        uint64_t revision = 0;
+        std::set<uint32_t> seen;
+    } parts;
 };
 
 } // namespace tray
--- a/tests/fleet/ListRelayTest.cpp
+++ b/tests/fleet/ListRelayTest.cpp
@@ -25,6 +25,14 @@
     return entry;
 }
 
+/// One of which two fit into a word.
+UpstreamEntry wideEntryOf(int id, uint64_t sequence)
+{
+    auto entry = entryOf(id, sequence);
+    entry.models = {{std::string(ListRelay::MaxChangeBytes / 2 - 200, 'm'), {}}};
+    return entry;
+}
+
 /// The instances of one data centre, and a store whose list changes all the time.
 class DataCentre
 {
@@ -317,4 +325,50 @@
         follower.noteRead(105, {}, later);
         CHECK(follower.take(first[0], later).empty());
     }
+    SUBCASE("neither an older word nor an older reading undoes a part of a newer word")
+    {
+        std::vector<UpstreamChange> changes{{true, entryOf(7, 118)}};
+        changes.push_back({false, wideEntryOf(8, 119)});
+        changes.push_back({false, wideEntryOf(9, 120)});
+        changes.push_back({false, wideEntryOf(99, 120)});
+        const auto newer = reader.noteRead(120, changes, later);
+        REQUIRE(newer.size() == 2);
+        const auto taken = follower.take(newer[0], later);
+        REQUIRE(taken.size() == 3);
+        CHECK(taken.front().removed);
+        CHECK(follower.revision() == 100);
+
+        ListRelay other("front-3", 0.5);
+        other.noteWholeRead(100, start);
+        REQUIRE(other.mustRead(later));
+        const auto older = other.noteRead(110, {{false, entryOf(7, 110)}}, later);
+        REQUIRE(older.size() == 1);
+        CHECK(follower.take(older[0], later).empty());
+        CHECK(follower.isOutdated(110));
+        CHECK_FALSE(follower.isOutdated(120));
+    }
+    SUBCASE("parts of two readers' words make no whole")
+    {
+        // The other one tells of an upstream more, so that the parts' limits differ.
+        ListRelay other("front-3", 0.5);
+        other.noteWholeRead(98, start);
+        REQUIRE(other.mustRead(later));
+        auto leaving = wideEntryOf(7, 108);
+        leaving.phase = UpstreamPhase::Draining;
+        std::vector<UpstreamChange> changes{{false, wideEntryOf(6, 107)}};
+        changes.push_back({false, leaving});
+        changes.push_back({false, wideEntryOf(8, 110)});
+        const auto first = reader.noteRead(110, changes, later);
+        changes.push_back({false, wideEntryOf(5, 99)});
+        const auto second = other.noteRead(110, changes, later);
+        REQUIRE(first.size() == 2);
+        REQUIRE(second.size() == 2);
+        bool told = false;
+        for (const auto &word : {first[1], second[0]}) {
+            for (const auto &change : follower.take(word, later))
+                told = told || change.entry.phase == UpstreamPhase::Draining;
+        }
+        REQUIRE_FALSE(told);
+        CHECK(follower.revision() == 100);
+    }
 }
