Recover from a word about a revision that the store never had

What callers saw: after one datagram with a wrong revision a gateway never learnt of changes of the instance list again. Upstreams that had left kept getting requests, new ones got none, until the process was restarted.

Cause: answers of the store that are older than a reader's word are passed over, as they should be for an answer that was under way when the word came. A revision that the store does not have makes every answer older. The same would follow from a store that lost its last changes.

Why it works: a reader can have told only what the store had, so an answer to a call that began after the word is never older. If it is, the known revision is dropped and the list is read as a whole, as after lost history.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -260,11 +260,16 @@
     // that has told a peer more already.
     const bool mayWait = this->storeReachable && this->relay.isReader();
     const Duration wait = mayWait ? UpstreamWatchTime : Duration::zero();
+    const uint64_t heardBefore = this->relay.heardRevision();
     auto reading = co_await this->store.awaitUpstreams(this->relay.revision(), wait);
     if (!isOk(reading))
         co_return error(reading);
     const Instant now = clockNow();
     this->noteStore(true, "");
+    // A reader can have told only what the store had by then. The word was wrong, or the store has
+    // lost its last changes.
+    if (value(reading).revision < heardBefore)
+        co_return Error{ErrorKind::Stale, "the store is behind what was heard before the call"};
     UpstreamDirectory::Notices notices;
     if (this->relay.isOutdated(value(reading).revision))
         co_return notices;
@@ -300,6 +305,9 @@
         }
         const Error problem = error(notices);
         if (problem.kind == ErrorKind::Stale) {
+            logDecision(LogWeight::Notable, clockNow(),
+                        fmt::format("event=list_forgotten revision={} reason=\"{}\"",
+                                    this->relay.heardRevision(), problem.message));
             this->relay.forgetRevision();
             continue;
         }
