Give every claim a verdict although a call to the object API throws

What callers saw: requests with an idempotency key waited for their deadline, all those of one claim shard and for as long as the process lived, after a single unexpected error in a call to the platform.

Cause: a shard waits for each read and write that it has begun. They run as detached coroutines, whose exceptions vanish, so the shard never heard of the call's end.

Why it works: a call that throws has a result: a read counts as an outage, a write as one whose outcome is unknown.

--- a/src/node/ClaimShardRunner.cpp
+++ b/src/node/ClaimShardRunner.cpp
@@ -7,11 +7,24 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <spdlog/spdlog.h>
 
 namespace tray {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Result of a call that threw. The shard waits for each call that it has begun, and all claims of
+/// the shard wait with it.
+Error unexpected(const char *call, ErrorKind kind, const std::exception &failure)
+{
+    spdlog::error("event=claim_call_failed call={} error=\"{}\"", call, failure.what());
+    return {kind, failure.what()};
+}
+
+} // namespace
+
 ClaimShardRunner::ClaimShardRunner(asio::io_context &context, ObjectApi &objects, uint32_t shard,
                                    std::string owner, ClaimShardSettings settings, Metrics &metrics)
     : objects(objects), number(shard), owner(std::move(owner)), settings(settings),
@@ -110,7 +123,12 @@
 asio::awaitable<void> ClaimShardRunner::read(uint64_t call, std::string key)
 {
     const auto self = this->shared_from_this();
-    Result<ObjectValue> object = co_await this->objects.read(std::move(key));
+    Result<ObjectValue> object;
+    try {
+        object = co_await this->objects.read(std::move(key));
+    } catch (const std::exception &failure) {
+        object = unexpected("read", ErrorKind::PlatformUnavailable, failure);
+    }
     ClaimShard::ReadResult result = Error{};
     if (isOk(object))
         result = std::make_pair(std::move(value(object).value), value(object).version);
@@ -126,8 +144,14 @@
     const auto self = this->shared_from_this();
     const Instant started = std::chrono::steady_clock::now();
     this->writes.add();
-    const Result<uint64_t> result = co_await this->objects.write(
-        std::move(action.key), std::move(action.value), action.expectedVersion);
+    Result<uint64_t> result;
+    try {
+        result = co_await this->objects.write(std::move(action.key), std::move(action.value),
+                                              action.expectedVersion);
+    } catch (const std::exception &failure) {
+        // The write may have had its effect.
+        result = unexpected("write", ErrorKind::OutcomeUnknown, failure);
+    }
     if (isOk(result))
         this->writeLatency.add(std::chrono::steady_clock::now() - started);
     else
