--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -5,6 +5,7 @@
 #include "net/FrameChannel.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/Listener.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -489,6 +490,35 @@
     CHECK(handled == (status == 200 ? 1 : 0));
 }
 
+TEST_CASE("A connection whose handler throws leaves the listener open to the next ones")
+{
+    asio::io_context context;
+    int offered = 0;
+    Listener listener(context, [&](asio::ip::tcp::socket) {
+        if (++offered < 3)
+            throw std::runtime_error("nobody thought of this");
+    });
+    const auto address = value(listener.listen(AnyPort));
+    const asio::ip::tcp::endpoint target(asio::ip::make_address(address.host), address.port);
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 3; ++i)
+        callers.emplace_back(context).connect(target);
+
+    SUBCASE("while it accepts")
+    {
+        context.run_for(milliseconds(300));
+        CHECK(offered == 3);
+    }
+    SUBCASE("and closes in order if they waited for the close")
+    {
+        bool closed = false;
+        listener.close([&] { closed = true; });
+        context.run_for(milliseconds(300));
+        CHECK(offered == 3);
+        CHECK(closed);
+    }
+}
+
 TEST_CASE("Frames travel both ways on a data channel")
 {
     asio::io_context context;
@@ -543,3 +573,53 @@
         REQUIRE(isOk(again));
     }());
 }
+
+TEST_CASE("A control request whose handler throws ends neither the process nor the server")
+{
+    asio::io_context context;
+    std::vector<ControlServer::Reply> late;
+    ControlServer server([&](const std::string &request, const ControlServer::Reply &reply) {
+        if (request == "answered")
+            reply("done");
+        else if (request == "kept")
+            late.push_back(reply);
+        if (request != "sound")
+            throw std::runtime_error("nobody thought of this");
+        reply("sound");
+    });
+    const auto address = value(server.listen(AnyPort));
+    ControlClient client;
+    const auto call = [&](const std::string &request) {
+        std::optional<Result<std::string>> answer;
+        context.restart();
+        runOn(context, [&]() -> asio::awaitable<void> {
+            auto result = co_await client.request(address, request, milliseconds(200));
+            answer = std::move(result);
+        }());
+        return std::move(*answer);
+    };
+
+    SUBCASE("before it has replied, more often than requests may run at once")
+    {
+        for (int i = 0; i <= ControlServer::ParallelRequests; ++i) {
+            const auto answer = call("broken");
+            REQUIRE_FALSE(isOk(answer));
+            CHECK(error(answer).kind == ErrorKind::Timeout);
+        }
+    }
+    SUBCASE("after it has replied")
+    {
+        const auto answer = call("answered");
+        REQUIRE(isOk(answer));
+        CHECK(value(answer) == "done");
+    }
+    SUBCASE("and a reply that it kept goes to no other request")
+    {
+        CHECK_FALSE(isOk(call("kept")));
+        REQUIRE(late.size() == 1);
+        late.front()("for the first one");
+    }
+    const auto next = call("sound");
+    REQUIRE(isOk(next));
+    CHECK(value(next) == "sound");
+}
