Keep an engine's controller at work after a call that throws

What callers saw: after one unexpected error an agent read no report of its engine any more and sent it no orders, without a line in its log. The engine was never taken for lost, so that requests went on to it even when it was gone; or, if the error met the order that brings a new epoch, the agent never loaded a model.

Cause: the controller's loop and the takeover are detached coroutines, whose exceptions vanish with the loop.

Why it works: a round that fails counts as a report that did not come, so an engine whose every call fails is lost in the time of a silent one; an order of the takeover that fails is sent again, as one without an answer.

--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -46,11 +46,19 @@
 asio::awaitable<void> EngineController::run()
 {
     while (!this->stopped) {
-        co_await this->readReport();
-        if (this->stopped)
-            co_return;
-        this->decide();
-        this->hooks.onChange();
+        // A round that fails counts as a report that did not come.
+        try {
+            co_await this->readReport();
+            if (this->stopped)
+                co_return;
+            this->decide();
+            this->hooks.onChange();
+        } catch (const std::exception &failure) {
+            spdlog::error("event=engine_round_failed upstream={} error=\"{}\"", this->upstream,
+                          failure.what());
+            if (std::chrono::steady_clock::now() - this->lastReport > this->times.lostAfter)
+                this->markLost();
+        }
         this->timer.expires_after(this->times.reportInterval);
         co_await this->timer.async_wait(Await);
     }
@@ -164,7 +172,13 @@
     order.fencing = token;
     order.action = OrderAction::Role;
     order.key.name = this->role;
-    co_return co_await this->port.order(std::move(order), this->times.callTimeout);
+    try {
+        co_return co_await this->port.order(std::move(order), this->times.callTimeout);
+    } catch (const std::exception &failure) {
+        spdlog::error("event=engine_order_failed upstream={} error=\"{}\"", this->upstream,
+                      failure.what());
+        co_return Error{ErrorKind::UpstreamFailed, failure.what()};
+    }
 }
 
 asio::awaitable<void> EngineController::fence(uint64_t token)
