Answer requests that were sent before their caller heard of the close

Callers that send ahead saw: the second of two requests on a kept connection was dropped, though it had been read, when a stop began while the first was answered: the first answer said "Connection: close" and the connection closed after it. Whether the users' callers send ahead is not known.

An answer in a stop tells of the close only if the peer has sent nothing more. What it has sent is answered first, and the last answer tells.

Evidence: NetTest "A request that a caller sent before it was told of the close is answered" failed before in both cases and passes.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -306,9 +306,13 @@
                ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
-    bool keepsAlive() const
+    /// A peer that is told of the close must not have sent its next request yet, which would be
+    /// dropped.
+    bool keepsAlive()
     {
-        return this->requestKeepsAlive && !this->server->draining && !this->server->leaving;
+        const bool isLeaving = this->server->draining || this->server->leaving;
+        return this->requestKeepsAlive &&
+               (!isLeaving || this->buffer.size() > 0 || this->hasBytes());
     }
 
     asio::awaitable<bool> serveOne()
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -191,6 +191,44 @@
     CHECK(server.isDrained());
 }
 
+TEST_CASE("A request that a caller sent before it was told of the close is answered")
+{
+    bool readEarly = false;
+    SUBCASE("and it was read early")
+    {
+        readEarly = true;
+    }
+    SUBCASE("and it was not read yet") {}
+    asio::io_context context;
+    std::optional<HttpServer> server;
+    server.emplace(context,
+                   [&](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+                       if (request.target == "/first") {
+                           if (readEarly)
+                               responder.onPeerGone([] {});
+                           asio::steady_timer timer(context, milliseconds(50));
+                           co_await timer.async_wait(asio::use_awaitable);
+                           server->beginLeaving();
+                       }
+                       co_await responder.respond(makeResponse(200, "text/plain", request.target));
+                   });
+    const auto address = value(server->listen(AnyPort));
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(address.host), address.port});
+    for (const std::string target : {"/first", "/second"})
+        asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n"));
+    context.run_for(milliseconds(200));
+    std::string received;
+    boost::system::error_code code;
+    socket.non_blocking(true);
+    asio::read(socket, asio::dynamic_buffer(received), code);
+    CHECK(code == asio::error::eof);
+    CHECK(received.ends_with("/second"));
+    // The last answer alone tells of the close.
+    CHECK(received.find("Connection: close") > received.find("/first"));
+    CHECK(received.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("A handler that threw does not hear that its peer leaves while its answer is written")
 {
     asio::io_context context;
