Hold a stop's time against the rest of an answer alone

A first send during a stop was held against the upstream's cost as well, which is no time: it holds penalties for failures and silence, so that late in a stop requests that fit could be refused. The 503 was true but needless.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -5,7 +5,6 @@
 #include "observe/DecisionLog.h"
 
 #include <algorithm>
-#include <cmath>
 #include <fmt/format.h>
 
 namespace tray {
@@ -152,9 +151,9 @@
         this->leaveRoom();
         const auto target = std::get<DispatchTarget>(choice);
         const bool isUnserved = this->runs == 0 && !last.failure && !this->streaming;
-        const Duration firstAnswer = std::chrono::microseconds(std::lround(target.cost * 1000));
+        // The cost is no time: it holds what counts against an upstream in a comparison.
         if (isUnserved &&
-            !this->gateway.stopWindow.fits(this->route->name, firstAnswer, clockNow())) {
+            !this->gateway.stopWindow.fits(this->route->name, Duration::zero(), clockNow())) {
             co_await this->refuseForStop("the answer is not expected to be whole in time");
             co_return;
         }
