Count this process's own pauses out of the silence of a data channel

Callers saw streams end and requests fail with "the upstream is silent on fresh connections" after the entry, or its whole machine, had stood still.

Cause: FrameChannel::receive compared one timer with the clock. A timer that fires late fires at once, and a peer that stood still as well has had no time to send by then.

A peer that is dead is still found within the limit while this process runs, and within the limit after a pause. The time of the whole attempt stays a hard bound, as an argument of its own.

--- a/src/entry/AttemptDriver.cpp
+++ b/src/entry/AttemptDriver.cpp
@@ -122,8 +122,7 @@
                                                     AnswerSink &sink)
 {
     auto &machine = progress.machine;
-    const Duration left = std::max<Duration>(job.limit - clockNow(), milliseconds(1));
-    auto received = co_await progress.channel->receive(std::min<Duration>(Silence, left));
+    auto received = co_await progress.channel->receive(Silence, job.limit);
     const auto now = clockNow();
     if (!isOk(received)) {
         if (now >= job.limit)
--- a/src/net/FrameChannel.cpp
+++ b/src/net/FrameChannel.cpp
@@ -1,6 +1,8 @@
 // Frames over TCP.
 #include "net/FrameChannel.h"
 
+#include "net/SilenceWatch.h"
+
 #include "dataplane.pb.h"
 
 #include <array>
@@ -9,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -26,11 +29,47 @@
 
 } // namespace
 
-struct FrameChannel::Impl
+struct FrameChannel::Impl : std::enable_shared_from_this<FrameChannel::Impl>
 {
-    explicit Impl(tcp::socket socket) : stream(std::move(socket)) {}
+    explicit Impl(tcp::socket socket)
+        : socket(std::move(socket)), lookTimer(this->socket.get_executor())
+    {}
+
+    /// Closes the socket once the peer was silent for the limit, or at the given time, while the
+    /// read with the given number waits.
+    void lookLater(uint64_t number, SilenceWatch watch, Instant until)
+    {
+        this->lookTimer.expires_at(std::min(watch.nextLook(), until));
+        this->lookTimer.async_wait(
+            [weak = this->weak_from_this(), number, watch, until](beast::error_code code) mutable {
+                const auto self = weak.lock();
+                if (code || !self || self->readNumber != number)
+                    return;
+                const Instant now = clockNow();
+                const bool isSilent = watch.isOver() && !self->hasUnreadBytes();
+                if (!isSilent && now < until) {
+                    watch.look(now);
+                    self->lookLater(number, watch, until);
+                    return;
+                }
+                self->hasTimedOut = true;
+                beast::error_code ignored;
+                self->socket.close(ignored);
+            });
+    }
+
+    /// Bytes have arrived that the waiting read has not taken yet.
+    bool hasUnreadBytes()
+    {
+        beast::error_code code;
+        return this->socket.available(code) > 0 && !code;
+    }
 
-    beast::tcp_stream stream;
+    tcp::socket socket;
+    asio::steady_timer lookTimer;
+    // Number of the read that waits; raised when it ends, so that a look that comes later is void.
+    uint64_t readNumber = 0;
+    bool hasTimedOut = false;
     std::string readBuffer;
     size_t readPosition = 0;
     size_t readEnd = 0;
@@ -38,10 +77,10 @@
     std::string queued;
 };
 
-FrameChannel::FrameChannel(tcp::socket socket) : impl(std::make_unique<Impl>(std::move(socket)))
+FrameChannel::FrameChannel(tcp::socket socket) : impl(std::make_shared<Impl>(std::move(socket)))
 {
     beast::error_code ignored;
-    this->impl->stream.socket().set_option(tcp::no_delay(true), ignored);
+    this->impl->socket.set_option(tcp::no_delay(true), ignored);
     this->impl->readBuffer.resize(16384);
 }
 
@@ -68,7 +107,7 @@
                                                    asio::any_io_executor executor)
 {
     beast::error_code code;
-    auto &socket = channel->impl->stream.socket();
+    auto &socket = channel->impl->socket;
     const auto protocol = socket.local_endpoint(code).protocol();
     if (code)
         return nullptr;
@@ -84,7 +123,7 @@
     return std::make_unique<FrameChannel>(std::move(moved));
 }
 
-asio::awaitable<Result<proto::Frame>> FrameChannel::receive(Duration silence)
+asio::awaitable<Result<proto::Frame>> FrameChannel::receive(Duration silence, Instant until)
 {
     auto &state = *this->impl;
     const auto broken = [](const std::string &what) {
@@ -112,12 +151,14 @@
         }
         if (state.readBuffer.size() < std::max<size_t>(wanted, 16384))
             state.readBuffer.resize(wanted);
-        state.stream.expires_after(silence);
-        const auto [code, bytes] = co_await state.stream.async_read_some(
+        state.lookLater(state.readNumber, SilenceWatch(silence, clockNow()), until);
+        const auto [code, bytes] = co_await state.socket.async_read_some(
             asio::buffer(state.readBuffer.data() + state.readEnd,
                          state.readBuffer.size() - state.readEnd),
             Await);
-        if (code == beast::error::timeout)
+        ++state.readNumber;
+        state.lookTimer.cancel();
+        if (code && state.hasTimedOut)
             co_return Error{ErrorKind::Timeout, "the data channel is silent"};
         if (code)
             co_return broken(code.message());
@@ -128,7 +169,6 @@
                               static_cast<int>(wanted - 4)))
         co_return broken("a frame cannot be parsed");
     state.readPosition += wanted;
-    state.stream.expires_never();
     co_return frame;
 }
 
@@ -158,7 +198,7 @@
 {
     const std::string bytes = std::exchange(this->impl->queued, {});
     // Not on the stream's own timer: a concurrent receive has set it for the silence it accepts.
-    auto &socket = this->impl->stream.socket();
+    auto &socket = this->impl->socket;
     asio::steady_timer timer(socket.get_executor(), timeout);
     auto expired = std::make_shared<bool>(false);
     timer.async_wait([expired, &socket, alive = std::weak_ptr<bool>(expired)](auto code) {
@@ -179,7 +219,7 @@
 
 bool FrameChannel::isUsable()
 {
-    auto &socket = this->impl->stream.socket();
+    auto &socket = this->impl->socket;
     if (!socket.is_open() || this->impl->readEnd != this->impl->readPosition)
         return false;
     char byte;
@@ -190,12 +230,12 @@
 void FrameChannel::close()
 {
     beast::error_code ignored;
-    this->impl->stream.socket().close(ignored);
+    this->impl->socket.close(ignored);
 }
 
 asio::any_io_executor FrameChannel::executor()
 {
-    return this->impl->stream.get_executor();
+    return this->impl->socket.get_executor();
 }
 
 FrameServer::FrameServer(asio::io_context &context, Handler handler)
--- a/src/net/FrameChannel.h
+++ b/src/net/FrameChannel.h
@@ -38,9 +38,10 @@
     static std::unique_ptr<FrameChannel> rebind(std::unique_ptr<FrameChannel> channel,
                                                 boost::asio::any_io_executor executor);
 
-    /// Next frame. Fails with Timeout after the given silence, StreamBroken if the connection ends
-    /// or a frame is not valid.
-    boost::asio::awaitable<Result<proto::Frame>> receive(Duration silence);
+    /// Next frame. Fails with Timeout after the given silence, as measured by SilenceWatch, or at
+    /// the given time; StreamBroken if the connection ends or a frame is not valid.
+    boost::asio::awaitable<Result<proto::Frame>> receive(Duration silence,
+                                                         Instant until = Instant::max());
     /// Keeps a frame back for the next send(), which writes all of them in one piece.
     void queue(const proto::Frame &frame);
     /// Bytes of the frames that wait for the next send().
@@ -58,7 +59,7 @@
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> impl;
+    std::shared_ptr<Impl> impl;
 };
 
 /// Accepts frame channels until stopped; the handler runs on a strand of its own for each
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -6,6 +6,7 @@
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -14,6 +15,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <thread>
 
 using namespace tray;
 namespace asio = boost::asio;
@@ -462,6 +464,88 @@
     }());
 }
 
+TEST_CASE("A process that stood still does not take its peers for silent")
+{
+    constexpr auto Silence = milliseconds(200);
+    asio::io_context peers;
+    asio::io_context context;
+    std::vector<std::shared_ptr<FrameChannel>> accepted;
+    FrameServer server(peers, [&](std::shared_ptr<FrameChannel> channel) -> asio::awaitable<void> {
+        accepted.push_back(std::move(channel));
+        co_return;
+    });
+    const auto address = value(server.listen(AnyPort));
+    std::vector<std::unique_ptr<FrameChannel>> channels;
+    const auto connect = [&](size_t count) {
+        for (size_t i = 0; i < count; ++i) {
+            asio::ip::tcp::socket socket(context);
+            socket.connect({asio::ip::make_address(address.host), address.port});
+            channels.push_back(std::make_unique<FrameChannel>(std::move(socket)));
+        }
+        while (accepted.size() < count)
+            peers.run_one();
+    };
+    std::vector<Result<proto::Frame>> received;
+    const auto receiveAll = [&] {
+        for (auto &channel : channels) {
+            asio::co_spawn(context, channel->receive(Silence),
+                           [&](const std::exception_ptr &, Result<proto::Frame> frame) {
+                               received.push_back(std::move(frame));
+                           });
+        }
+        context.poll();
+    };
+    proto::Frame heartbeat;
+    heartbeat.mutable_heartbeat();
+    const auto sendAll = [&] {
+        for (auto &channel : accepted)
+            asio::co_spawn(peers, channel->send(heartbeat), asio::detached);
+        peers.poll();
+    };
+    const auto countWhole = [&] {
+        return std::count_if(received.begin(), received.end(),
+                             [](const auto &frame) { return isOk(frame); });
+    };
+    SUBCASE("when their frames arrived during the pause")
+    {
+        connect(300);
+        receiveAll();
+        sendAll();
+        std::this_thread::sleep_for(3 * Silence);
+        context.run_for(Silence);
+        CHECK(countWhole() == 300);
+    }
+    SUBCASE("when they stood still as well and their frames come a moment later")
+    {
+        connect(1);
+        receiveAll();
+        std::this_thread::sleep_for(3 * Silence);
+        context.run_for(Silence / 2);
+        sendAll();
+        context.run_for(Silence);
+        CHECK(countWhole() == 1);
+    }
+    SUBCASE("but one that sends nothing is found within the limit from then on")
+    {
+        connect(1);
+        receiveAll();
+        std::this_thread::sleep_for(3 * Silence);
+        context.run_for(Silence + Silence / 2);
+        REQUIRE(received.size() == 1);
+        CHECK(error(received.front()).kind == ErrorKind::Timeout);
+    }
+    SUBCASE("and one that goes silent while this process runs is found within the limit")
+    {
+        connect(1);
+        receiveAll();
+        context.run_for(Silence - Silence / 10);
+        CHECK(received.empty());
+        context.run_for(Silence / 2);
+        REQUIRE(received.size() == 1);
+        CHECK(error(received.front()).kind == ErrorKind::Timeout);
+    }
+}
+
 TEST_CASE("Control requests are answered, and silence ends in a timeout")
 {
     asio::io_context context;
