Wait longer for a slow upstream once its answer has begun

Callers saw streams break 1.5 s after the last frame of an agent that was slow, although nobody else could go on with them.

Cause: an attempt that may be repeated was given up after one quiet fresh connection, because another upstream can be tried. Once a part of the answer is with the caller that is not true any more, and to give up only breaks the stream. Such an attempt now has as many fresh connections as one that may not be repeated: 3.75 s. Attempts whose answer has not begun go elsewhere as soon as before.

--- a/src/entry/AnswerSink.h
+++ b/src/entry/AnswerSink.h
@@ -18,6 +18,8 @@
     virtual boost::asio::awaitable<bool> onData(std::string data) = 0;
     /// True once nobody waits for the answer; checks without waiting.
     virtual bool isAbandoned() = 0;
+    /// A part of the answer was sent to the caller.
+    virtual bool isStarted() const = 0;
 };
 
 } // namespace tray
--- a/src/entry/AttemptDriver.cpp
+++ b/src/entry/AttemptDriver.cpp
@@ -142,6 +142,8 @@
     }
     if (auto data = machine.takeData(); !data.empty() && isWanted)
         isWanted = co_await sink.onData(std::move(data));
+    if (sink.isStarted())
+        machine.onAnswerStarted();
     if (!isWanted && step != AttemptStep::Finish)
         co_return machine.onGivenUp(ErrorKind::Cancelled, "the caller has closed its connection");
     if (step == AttemptStep::Receive &&
--- a/src/entry/CallerAnswer.h
+++ b/src/entry/CallerAnswer.h
@@ -28,13 +28,12 @@
     boost::asio::awaitable<bool> onHead(proto::ResponseHead head) override;
     boost::asio::awaitable<bool> onData(std::string data) override;
     bool isAbandoned() override;
+    bool isStarted() const override { return this->started; }
 
     /// Sends what is held back and ends the answer. False if the caller has gone.
     boost::asio::awaitable<bool> complete();
     /// Drops what is held back, for another attempt. Only before anything was sent.
     void reset();
-    /// A part of the answer was sent to the caller.
-    bool isStarted() const { return this->started; }
 
     int status() const { return static_cast<int>(this->head.status()); }
     std::string contentType() const;
--- a/src/routing/AttemptMachine.h
+++ b/src/routing/AttemptMachine.h
@@ -80,6 +80,8 @@
     /// Takes the payload out of the frame. Frames of other requests or attempts are dropped and
     /// counted, as are bytes that were already received.
     AttemptStep onFrame(proto::Frame &frame);
+    /// A part of the answer is with the caller, so no other upstream can be tried any more.
+    void onAnswerStarted() { this->maxQuietResumes = QuietResumesOtherwise; }
 
     /// Head of the answer, once.
     std::optional<proto::ResponseHead> takeHead();
@@ -105,7 +107,7 @@
     const std::string requestId;
     const uint32_t attemptNumber;
     const uint64_t agentEpoch;
-    const unsigned maxQuietResumes;
+    unsigned maxQuietResumes;
     // Invariant: never goes back to false, so that the Attempt frame is sent at most once.
     bool sent = false;
     bool finished = false;
--- a/tests/routing/RequestMachineTest.cpp
+++ b/tests/routing/RequestMachineTest.cpp
@@ -51,6 +51,28 @@
         CHECK(machine.outcome().end == AttemptEnd::Lost);
         CHECK(machine.outcome().mayHaveRun);
     }
+    SUBCASE("an answer that no other upstream can take over waits longer for a slow one")
+    {
+        machine.onConnected();
+        frame.mutable_head()->set_status(200);
+        machine.onFrame(frame);
+        machine.onAnswerStarted();
+        for (unsigned i = 0; i < AttemptMachine::QuietResumesOtherwise; ++i) {
+            CHECK(machine.onChannelLost() == AttemptStep::Dial);
+            CHECK(machine.onConnected() == AttemptStep::SendResume);
+        }
+        SUBCASE("and goes on when it is heard again")
+        {
+            CHECK(machine.onFrame(frame) == AttemptStep::Receive);
+            CHECK(machine.onChannelLost() == AttemptStep::Dial);
+        }
+        SUBCASE("but not without end")
+        {
+            CHECK(machine.onChannelLost() == AttemptStep::Finish);
+            CHECK(machine.outcome().end == AttemptEnd::Lost);
+            CHECK(machine.outcome().unreachable);
+        }
+    }
     SUBCASE("a refusal carries kind and time for a retry")
     {
         machine.onConnected();
