Take an engine that streams for alive although its reports are late

Callers saw all streams of an engine break at once, with "engine_lost", while the engine was sending their answers.

Cause: an engine counted as lost 3 s after its last report. Any part of an answer shows that the engine lives, and now counts like a report. An engine that neither streams nor reports is lost after the same 3 s, and one whose connection is refused at once, as before.

--- a/src/agent/AttemptRunner.cpp
+++ b/src/agent/AttemptRunner.cpp
@@ -236,6 +236,8 @@
         }
         if (value(piece).empty())
             break;
+        if (this->ports.controller != nullptr)
+            this->ports.controller->noteHeard(clockNow());
         record->append(value(piece));
         while (record->unsentBytes() > AttemptRecord::UnsentLimit && !record->detachedSince()) {
             asio::steady_timer pause(this->context, milliseconds(2));
--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -28,7 +28,7 @@
                                    EngineTimes times, EngineHooks hooks, Metrics &metrics)
     : context(context), port(port), upstream(upstream), times(times), hooks(std::move(hooks)),
       metrics(metrics), reconciler(upstream, pool, this->memory), timer(context),
-      lastReport(std::chrono::steady_clock::now())
+      lastHeard(std::chrono::steady_clock::now())
 {}
 
 void EngineController::stop()
@@ -64,7 +64,7 @@
     const Instant now = std::chrono::steady_clock::now();
     if (!isOk(result)) {
         const bool closed = error(result).kind == ErrorKind::UpstreamUnreachable;
-        if (closed || now - this->lastReport > this->times.lostAfter)
+        if (closed || now - this->lastHeard > this->times.lostAfter)
             this->markLost();
         co_return false;
     }
@@ -73,7 +73,7 @@
         co_return false;
     // Two reads may cross; a report that was asked for before a newer one arrived tells nothing.
     const bool crossed = this->memory.lastSequence() != before;
-    this->lastReport = now;
+    this->noteHeard(now);
     if (this->lost)
         spdlog::info("event=engine_found upstream={}", this->upstream);
     this->lost = false;
--- a/src/agent/EngineController.h
+++ b/src/agent/EngineController.h
@@ -61,6 +61,8 @@
     bool isLost() const { return this->lost; }
     /// The engine cut a request and does not report; it gets no work until it reports again.
     void markLost();
+    /// Bytes of an answer came from the engine, which shows that it lives as a report does.
+    void noteHeard(Instant now) { this->lastHeard = now; }
     bool obeysFencing() const { return this->fencingObeyed; }
     /// Restarts of the engine process that were noticed.
     uint64_t restarts() const { return this->restartCount; }
@@ -96,7 +98,8 @@
     uint64_t epoch = 0;
     uint64_t restartCount = 0;
     std::string role;
-    Instant lastReport;
+    // Last report or part of an answer.
+    Instant lastHeard;
     Instant lostSince;
     // Loads that were ordered and are not ready, and the mean time of a load by kind.
     std::map<ItemKey, Instant> loadsSince;
--- a/tests/agent/DataServerTest.cpp
+++ b/tests/agent/DataServerTest.cpp
@@ -350,6 +350,32 @@
     }());
 }
 
+TEST_CASE("An engine that streams but is too busy to report is not taken for lost")
+{
+    // Guards against a busy machine on which late reports end all streams of an engine.
+    AgentBench bench;
+    bench.run([&]() -> asio::awaitable<void> {
+        co_await bench.untilReady();
+        auto channel = co_await bench.connect();
+        co_await channel->send(attemptFrame("request-10", "x", 5000));
+        co_await bench.next(*channel);
+        const json::object fault{{"silent", true}};
+        bench.engine->setFault(fault);
+        const Instant begin = clockNow();
+        for (int i = 0; i < 45; ++i) {
+            co_await bench.pause(milliseconds(100));
+            bench.runner->sweep();
+        }
+        CHECK(!bench.controller->isLost());
+        const auto last = co_await bench.finalFrame(*channel, nullptr);
+        CHECK(last.has_end());
+        // Longer than the silence after which an engine counts as lost, and a call's time.
+        CHECK(clockNow() - begin > std::chrono::seconds(4));
+        const json::object heard{{"silent", false}};
+        bench.engine->setFault(heard);
+    }());
+}
+
 TEST_CASE("An adapter is loaded for the attempt that waits for it")
 {
     AgentBench bench;
