Let model engines and stewards take part in the soak

The soak struck gateways, upstreams and the store. Stewards, the orders they give and the placement of models were only tested one by one.

Three model engines now stand beside real tray-steward processes, and two routes ask four models. An engine holds models in bounded memory and takes load and unload orders with holder, fencing token, expected sequence and instance. It answers 421 for what it lacks, and loses a part of its answers; some orders are decided up to 2 s later, after newer ones. The favourite model changes every 3 s. Stewards are killed, stopped and paused, engines crash and come back empty under an old or a new name, and their links are cut, delayed and silenced.

Checked: no order beyond an engine's memory, tokens that never fall and one holder over all lives of an engine, nothing run that nobody asked for, unsafe model requests at most once, true refusals, whole answers, and every model reached through every gateway after all faults.

--- /dev/null
+++ b/tests/soak/ModelEngine.cpp
@@ -0,0 +1,227 @@
+// Orders, reports and requests of a model engine.
+#include "soak/ModelEngine.h"
+
+#include "net/Pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <fmt/format.h>
+
+namespace tray::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration StoreLoadTime = milliseconds(900);
+constexpr Duration CopyLoadTime = milliseconds(300);
+constexpr Duration UnloadTime = milliseconds(50);
+
+json::array toArray(const std::set<std::string> &names)
+{
+    json::array array;
+    for (const auto &name : names)
+        array.emplace_back(name);
+    return array;
+}
+
+UpstreamReply bare(int status, std::string_view id)
+{
+    return {fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Not-Executed: 1\r\n"
+                        "Marjoramtray-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        status, id)};
+}
+
+} // namespace
+
+const std::map<std::string, int> &ModelEngine::models()
+{
+    static const std::map<std::string, int> Table{{"m1", 40}, {"m2", 45}, {"m3", 50}, {"m4", 48}};
+    return Table;
+}
+
+ModelEngine::ModelEngine(asio::io_context &context, Ports ports)
+    : context(context), ports(std::move(ports)),
+      server(context, [this](const HttpRequest &request) { return this->serve(request); })
+{}
+
+void ModelEngine::start(const std::string &id, const std::set<std::string> &models)
+{
+    this->name = id;
+    ++this->life;
+    this->bornMs = static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                             std::chrono::system_clock::now().time_since_epoch())
+                                             .count());
+    this->sequence = 0;
+    this->highestFence = 0;
+    this->held = models;
+    this->inMemory = models;
+    this->onDisk.insert(models.begin(), models.end());
+    this->underWay.reset();
+    this->runsUntil.clear();
+}
+
+json::object ModelEngine::describe() const
+{
+    json::array models;
+    for (const auto &model : this->held)
+        models.push_back({{"name", model}, {"version", 1}, {"adapters", json::array()}});
+    return {{"state", "ready"},
+            {"born", this->bornMs},
+            {"sequence", this->sequence},
+            {"models", std::move(models)}};
+}
+
+UpstreamReply ModelEngine::serve(const HttpRequest &request)
+{
+    if (request.target == "/v1/report")
+        return this->report();
+    if (request.target == "/v1/order")
+        return this->takeOrder(request);
+    const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
+    const std::string model(findHeader(request.headers, "Marjoramtray-Model"));
+    if (findHeader(request.headers, "Marjoramtray-Expect-Instance") != this->name ||
+        !this->held.contains(model))
+        return bare(421, id);
+    const bool isLeaving = this->underWay && this->underWay->model == model;
+    if (isLeaving || this->ports.pick(1, 40) == 1)
+        return bare(503, id);
+    auto reply = this->ports.run(request);
+    const Duration length =
+        reply.delay + reply.pause * static_cast<Duration::rep>(reply.pieces.size());
+    auto &until = this->runsUntil[model];
+    until = std::max(until, clockNow() + length);
+    return reply;
+}
+
+UpstreamReply ModelEngine::report() const
+{
+    auto fields = this->describe();
+    const Instant now = clockNow();
+    int running = 0;
+    for (const auto &[model, until] : this->runsUntil)
+        running += until > now ? 1 : 0;
+    fields["stage"] = "both";
+    fields["busy"] = this->underWay.has_value();
+    fields["queue_depth"] = 0;
+    fields["active_requests"] = running;
+    fields["kv_used"] = 0;
+    fields["kv_total"] = 100000;
+    fields["at_hand"] = {{"in_memory", toArray(this->inMemory)},
+                         {"on_disk", toArray(this->onDisk)}};
+    const std::string body = json::serialize(fields);
+    return {fmt::format("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                        "Content-Length: {}\r\n\r\n{}",
+                        body.size(), body)};
+}
+
+UpstreamReply ModelEngine::takeOrder(const HttpRequest &request)
+{
+    const auto body = json::parse(request.body).as_object();
+    const auto text = [&](std::string_view field) {
+        const auto *found = body.if_contains(field);
+        return found == nullptr ? std::string() : std::string(found->as_string());
+    };
+    Order order{text("op"), text("model"), text("holder"),
+                std::string(findHeader(request.headers, "Marjoramtray-Expect-Instance"))};
+    if (order.holder.empty() || !body.contains("fence") || !models().contains(order.model))
+        return bare(400, "");
+    order.fence = body.at("fence").to_number<uint64_t>();
+    if (const auto *expected = body.if_contains("expected"))
+        order.expected = expected->to_number<uint64_t>();
+    this->checkAuthority(order);
+    UpstreamReply reply;
+    const int fate = this->ports.pick(1, 10);
+    if (fate == 1) {
+        // The answer is lost, and the order is decided after newer ones.
+        asio::co_spawn(this->context,
+                       this->decideLater(order, milliseconds(this->ports.pick(200, 2000))),
+                       asio::detached);
+        reply.reset = true;
+        return reply;
+    }
+    reply = bare(this->decide(order, clockNow()), "");
+    if (fate == 2) {
+        reply.bytes.clear();
+        reply.reset = true;
+    }
+    return reply;
+}
+
+void ModelEngine::checkAuthority(const Order &order)
+{
+    if (this->onlyHolder.empty())
+        this->onlyHolder = order.holder;
+    if (order.holder != this->onlyHolder)
+        this->ports.violate(fmt::format("{} got orders of {} and of {}", this->name,
+                                        this->onlyHolder, order.holder));
+    if (order.fence < this->highestArrived)
+        this->ports.violate(fmt::format("{} got an order with token {} after one with token {}",
+                                        this->name, order.fence, this->highestArrived));
+    this->highestArrived = std::max(this->highestArrived, order.fence);
+}
+
+int ModelEngine::decide(const Order &order, Instant now)
+{
+    if (order.upstreamId != this->name)
+        return 421;
+    if (order.fence < this->highestFence)
+        return 412;
+    this->highestFence = order.fence;
+    if (this->underWay || (order.expected && *order.expected != this->sequence))
+        return 409;
+    const bool loads = order.verb == "load";
+    if (loads == this->held.contains(order.model))
+        return 200;
+    if (loads && this->usedMb() + models().at(order.model) > MemoryMb)
+        this->ports.violate(fmt::format("{} holds {} MB and was ordered to load {}", this->name,
+                                        this->usedMb(), order.model));
+    ++this->accepted;
+    ++this->sequence;
+    this->underWay = order;
+    Duration time = UnloadTime;
+    if (loads)
+        time = this->onDisk.contains(order.model) ? CopyLoadTime : StoreLoadTime;
+    else
+        time += std::max(Duration::zero(), this->runsUntil[order.model] - now);
+    asio::co_spawn(this->context, this->carryOut(order, time), asio::detached);
+    this->ports.changed();
+    return 202;
+}
+
+asio::awaitable<void> ModelEngine::carryOut(Order order, Duration time)
+{
+    const auto began = this->life;
+    co_await pauseFor(time);
+    if (this->life != began)
+        co_return;
+    if (order.verb == "load") {
+        this->held.insert(order.model);
+        this->inMemory.insert(order.model);
+        this->onDisk.insert(order.model);
+    } else {
+        this->held.erase(order.model);
+    }
+    this->underWay.reset();
+    this->ports.changed();
+}
+
+asio::awaitable<void> ModelEngine::decideLater(Order order, Duration delay)
+{
+    co_await pauseFor(delay);
+    (void)this->decide(order, clockNow());
+}
+
+int ModelEngine::usedMb() const
+{
+    int used = 0;
+    for (const auto &model : this->held)
+        used += models().at(model);
+    return used;
+}
+
+} // namespace tray::test
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -3,6 +3,7 @@
 
 #include "net/Pause.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -46,6 +47,10 @@
         return "tell";
     case Kind::Retell:
         return "retell";
+    case Kind::Ask:
+        return "ask";
+    case Kind::Reask:
+        return "reask";
     }
     return "";
 }
@@ -55,6 +60,26 @@
     return fmt::format("front-{}", index);
 }
 
+std::string Soak::stewardName(int index)
+{
+    return fmt::format("side-{}", index);
+}
+
+bool Soak::isModelKind(Kind kind)
+{
+    return kind == Kind::Ask || kind == Kind::Reask;
+}
+
+std::string Soak::newModel()
+{
+    const int count = static_cast<int>(ModelEngine::models().size());
+    if (this->pick(1, 4) == 1)
+        return fmt::format("m{}", this->pick(1, count));
+    const auto turn = (clockNow() - this->began) / FavouriteTime;
+    return fmt::format("m{}", 1 + (this->seed + static_cast<uint64_t>(turn)) %
+                                      static_cast<uint64_t>(count));
+}
+
 std::string Soak::expectedBody(const std::string &id, Kind kind)
 {
     if (kind == Kind::Look || kind == Kind::Take)
@@ -75,28 +100,42 @@
     this->writeConfig();
     for (int index = 0; index < Gateways; ++index)
         this->startGateway(index);
+    this->engines.resize(Engines);
+    for (int index = 0; index < Engines; ++index) {
+        this->startEngine(index);
+        this->startSteward(index);
+    }
 }
 
 void Soak::writeConfig()
 {
     std::string routes;
-    for (const auto kind : {Kind::Look, Kind::Take, Kind::Tell, Kind::Retell}) {
-        const bool isStream = kind == Kind::Tell || kind == Kind::Retell;
+    for (const auto kind :
+         {Kind::Look, Kind::Take, Kind::Tell, Kind::Retell, Kind::Ask, Kind::Reask}) {
+        const bool isStream = kind != Kind::Look && kind != Kind::Take;
+        const bool mayResume = kind == Kind::Retell || kind == Kind::Reask;
         const char *word = isStream ? "streaming" : kind == Kind::Look ? "safe" : "unsafe";
-        const bool mayRepeat = kind == Kind::Look || kind == Kind::Retell;
+        const bool mayRepeat = kind == Kind::Look || mayResume;
         routes +=
             fmt::format(R"({}{{"name":"{}","host":"a.example","path_prefix":"/{}/","kind":"{}",)"
-                        R"("timeout_ms":2500,"max_attempts":{},"resumable":{},"service":"shop"}})",
+                        R"("timeout_ms":2500,"max_attempts":{},"resumable":{},"service":"{}"}})",
                         routes.empty() ? "" : ",", nameOf(kind), nameOf(kind), word,
-                        mayRepeat ? 2 : 1, kind == Kind::Retell);
+                        mayRepeat ? 2 : 1, mayResume, isModelKind(kind) ? "brain" : "shop");
     }
+    std::string models;
+    for (const auto &[model, weightsMb] : ModelEngine::models())
+        models += fmt::format(R"({}{{"name":"{}","weights_mb":{},"load_s":0.9,"warm_s":0.3,)"
+                              R"("disk_s":0.3,"adapters":0,"adapter_mb":1}})",
+                              models.empty() ? "" : ",", model, weightsMb);
     this->store.put(
         "config", "main",
         fmt::format(
-            R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}}],)"
+            R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}},)"
+            R"({{"name":"brain","max_conns":200,"engine":{{"weights_mb":{},"adapter_slots":0,)"
+            R"("slots":4,"kv_cache_tokens":100000,"loads_per_s":2,"models":[{}]}}}}],)"
             R"("limits":{{"header_bytes":8192,"max_body_bytes":100000,)"
             R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}})",
-            this->version++, routes));
+            this->version++, routes, ModelEngine::MemoryMb, models));
 }
 
 void Soak::startUpstream(int index)
@@ -174,6 +213,14 @@
         }
         return reply;
     }
+    auto stream = this->streamFor(request);
+    stream.delay = reply.delay;
+    return stream;
+}
+
+UpstreamReply Soak::streamFor(const HttpRequest &request)
+{
+    UpstreamReply reply;
     const std::string last(findHeader(request.headers, "Last-Event-Id"));
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
     // A stream that broke after its last event only lacks its end.
@@ -191,17 +238,18 @@
     return reply;
 }
 
-asio::awaitable<void> Soak::callLoop(int gateway)
+asio::awaitable<void> Soak::callLoop(int gateway, bool onlyModels)
 {
     HttpClient client(this->context);
     while (this->calling) {
-        const auto kind = static_cast<Kind>(this->pick(0, 3));
+        const auto kind = static_cast<Kind>(
+            this->pick(static_cast<int>(onlyModels ? Kind::Ask : Kind::Look), Kinds - 1));
         co_await this->callOnce(client, gateway, kind);
         co_await pauseFor(milliseconds(this->pick(1, 25)));
     }
 }
 
-asio::awaitable<void> Soak::callOnce(HttpClient &client, int gateway, Kind kind)
+asio::awaitable<void> Soak::callOnce(HttpClient &client, int gateway, Kind kind, std::string model)
 {
     const std::string id = fmt::format("r{}", this->nextRequest++);
     HttpRequest request;
@@ -211,6 +259,12 @@
                        {"Marjoramtray-Request-Id", id},
                        {"Marjoramtray-Deadline-Ms", "3000"}};
     request.body = "ask " + id;
+    if (isModelKind(kind)) {
+        auto &wanted = this->asked[id];
+        wanted = model.empty() ? this->newModel() : model;
+        request.headers.emplace_back("Marjoramtray-Model", wanted);
+        request.headers.emplace_back("Marjoramtray-Token-Usage", "100,12");
+    }
     const Address address{this->rig.at(10 + gateway, 1).host, 8080};
     const auto answer = co_await client.request(address, std::move(request), RequestTimeout);
     if (isOk(answer))
@@ -221,6 +275,7 @@
 {
     if (response.status == 200) {
         ++this->served;
+        this->servedByModels += isModelKind(kind) ? 1 : 0;
         if (response.body != expectedBody(id, kind))
             this->violate(fmt::format("{} {} got a body of {} bytes that is not its own whole one",
                                       nameOf(kind), id, response.body.size()));
@@ -243,35 +298,70 @@
     std::vector<Fault> faults;
     for (Duration at{}; at < FaultTime;) {
         Fault fault;
-        fault.after = milliseconds(draw(150, 1200));
+        at += milliseconds(draw(150, 1200));
+        fault.at = at;
         fault.kind = EnumNames<FaultKind>::Table[static_cast<size_t>(draw(0, kinds - 1))].value;
         fault.gateway = draw(0, Gateways - 1);
         fault.upstream = draw(0, Upstreams - 1);
         fault.length = milliseconds(draw(100, 2500));
-        at += fault.after;
+        fault.engine = draw(0, Engines - 1);
+        fault.keepsName = draw(0, 1) == 1;
+        faults.push_back(fault);
+    }
+    // Engines get most orders after they have come back empty.
+    for (Duration at{}; at < FaultTime; at += milliseconds(draw(1000, 3000))) {
+        Fault fault;
+        fault.at = at;
+        fault.kind = FaultKind::CrashEngine;
+        fault.engine = draw(0, Engines - 1);
+        fault.keepsName = draw(0, 1) == 1;
+        fault.length = milliseconds(draw(100, 1000));
         faults.push_back(fault);
     }
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const Fault &left, const Fault &right) { return left.at < right.at; });
     return faults;
 }
 
 asio::awaitable<void> Soak::faultLoop()
 {
+    const Instant first = clockNow();
     for (const auto &fault : this->faults) {
-        co_await pauseFor(fault.after);
+        co_await pauseFor(first + fault.at - clockNow());
         asio::co_spawn(this->context, this->play(fault), asio::detached);
     }
 }
 
 asio::awaitable<void> Soak::play(Fault fault)
 {
-    this->note(fmt::format("{} gateway {} upstream {} for {} ms", enumName(fault.kind),
+    this->note(fmt::format("{} gateway {} upstream {} engine {} for {} ms", enumName(fault.kind),
                            fault.gateway, this->upstreams[static_cast<size_t>(fault.upstream)].id,
+                           this->engines[static_cast<size_t>(fault.engine)].server->id(),
                            toMs(fault.length)));
     switch (fault.kind) {
     case FaultKind::KillGateway:
+        co_await this->playOnProcess(gatewayName(fault.gateway), SIGKILL, fault.length);
+        break;
     case FaultKind::StopGateway:
+        co_await this->playOnProcess(gatewayName(fault.gateway), SIGTERM, fault.length);
+        break;
     case FaultKind::PauseGateway:
-        co_await this->playOnGateway(fault);
+        co_await this->playOnProcess(gatewayName(fault.gateway), SIGSTOP, fault.length);
+        break;
+    case FaultKind::KillSteward:
+        co_await this->playOnProcess(stewardName(fault.engine), SIGKILL, fault.length);
+        break;
+    case FaultKind::StopSteward:
+        co_await this->playOnProcess(stewardName(fault.engine), SIGTERM, fault.length);
+        break;
+    case FaultKind::PauseSteward:
+        co_await this->playOnProcess(stewardName(fault.engine), SIGSTOP, fault.length);
+        break;
+    case FaultKind::CrashEngine:
+    case FaultKind::CutEngine:
+    case FaultKind::SilenceEngine:
+    case FaultKind::DelayEngine:
+        co_await this->playOnEngine(fault);
         break;
     case FaultKind::CutUpstream:
     case FaultKind::SilenceUpstream:
@@ -292,16 +382,15 @@
     }
 }
 
-asio::awaitable<void> Soak::playOnGateway(Fault fault)
+asio::awaitable<void> Soak::playOnProcess(std::string name, int signal, Duration length)
 {
-    const std::string name = gatewayName(fault.gateway);
     if (!this->rig.isRunning(name))
         co_return;
-    if (fault.kind == FaultKind::StopGateway) {
-        co_await this->stopAndStart(fault.gateway);
-    } else if (fault.kind == FaultKind::PauseGateway) {
+    if (signal == SIGTERM) {
+        co_await this->stopAndStart(name);
+    } else if (signal == SIGSTOP) {
         this->rig.signal(name, SIGSTOP);
-        co_await pauseFor(fault.length);
+        co_await pauseFor(length);
         this->rig.signal(name, SIGCONT);
     } else {
         this->rig.signal(name, SIGKILL);
@@ -356,11 +445,10 @@
     }
 }
 
-asio::awaitable<void> Soak::stopAndStart(int gateway)
+asio::awaitable<void> Soak::stopAndStart(std::string name)
 {
-    const std::string name = gatewayName(gateway);
     // A second signal would end it at once.
-    if (!this->rig.isRunning(name) || !this->stopping.insert(gateway).second)
+    if (!this->rig.isRunning(name) || !this->stopping.insert(name).second)
         co_return;
     this->rig.signal(name, SIGTERM);
     const Instant limit = clockNow() + StopBound + std::chrono::seconds(4);
@@ -371,7 +459,7 @@
         this->violate(name + " did not end after SIGTERM");
     else
         this->rig.restart(name);
-    this->stopping.erase(gateway);
+    this->stopping.erase(name);
 }
 
 asio::awaitable<void> Soak::awaitReady(int gateway, std::string when)
@@ -399,8 +487,10 @@
             for (int gateway = 0; gateway < Gateways; ++gateway)
                 co_await this->awaitReady(gateway, "after its start");
             for (int gateway = 0; gateway < Gateways; ++gateway) {
-                for (int caller = 0; caller < CallersPerGateway; ++caller)
-                    asio::co_spawn(this->context, this->callLoop(gateway), asio::detached);
+                for (int caller = 0; caller < CallersPerGateway + ModelCallersPerGateway; ++caller)
+                    asio::co_spawn(this->context,
+                                   this->callLoop(gateway, caller >= CallersPerGateway),
+                                   asio::detached);
             }
             co_await this->faultLoop();
             // Stops, removals and outages that have begun end within this time.
@@ -421,6 +511,7 @@
                 if (this->served < before + 10)
                     this->violate(fmt::format("{} serves {} of 20 after all faults",
                                               gatewayName(gateway), this->served - before));
+                co_await this->checkModels(gateway);
             }
             this->context.stop();
         },
@@ -432,7 +523,9 @@
 void Soak::judgeAtEnd()
 {
     for (const auto &[id, executed] : this->executions) {
-        if (executed.count > 1 && (executed.kind == Kind::Take || executed.kind == Kind::Tell))
+        const bool runsOnce = executed.kind == Kind::Take || executed.kind == Kind::Tell ||
+                              executed.kind == Kind::Ask;
+        if (executed.count > 1 && runsOnce)
             this->violate(
                 fmt::format("{} {} ran {} times", nameOf(executed.kind), id, executed.count));
         if (executed.count > 2)
@@ -442,14 +535,20 @@
             this->violate(
                 fmt::format("{} {} ran and was refused as not run", nameOf(executed.kind), id));
     }
+    if (this->servedByModels < 50)
+        this->violate(fmt::format("only {} requests for models were served", this->servedByModels));
     if (this->served < 200)
         this->violate(fmt::format("only {} requests were served", this->served));
 }
 
 std::string Soak::history() const
 {
-    std::string text = fmt::format("seed {}, {} served, {} refused\n", this->seed, this->served,
-                                   this->refused.size());
+    std::string text =
+        fmt::format("seed {}, {} served ({} by models), {} refused, orders", this->seed,
+                    this->served, this->servedByModels, this->refused.size());
+    for (const auto &engine : this->engines)
+        text += fmt::format(" {}", engine.server->orders());
+    text += "\n";
     for (const auto &line : this->past)
         text += line + "\n";
     return text;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -1,9 +1,10 @@
 // Randomized soak: real gateways between callers and back ends, under faults that come in series
 // and overlap.
 //
-// Gateways run as processes of their own. The store, the upstreams and the callers live in the
-// test; everything between them and the gateways passes through loopback relays that delay, cut and
-// silence connections. What is checked is only what callers and upstreams see.
+// Gateways and stewards run as processes of their own. The store, the upstreams, the model engines
+// and the callers live in the test; everything between them and the processes passes through
+// loopback relays that delay, cut and silence connections. What is checked is only what callers,
+// upstreams and engines see.
 #pragma once
 
 #include "Relay.h"
@@ -12,6 +13,7 @@
 #include "base/EnumNames.h"
 #include "net/HttpClient.h"
 #include "process/ProcessRig.h"
+#include "soak/ModelEngine.h"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -34,6 +36,13 @@
     ChangeConfig,
     ForgetHistory,
     RemoveUpstream,
+    KillSteward,
+    StopSteward,
+    PauseSteward,
+    CrashEngine,
+    CutEngine,
+    SilenceEngine,
+    DelayEngine,
 };
 
 } // namespace tray::test
@@ -56,6 +65,13 @@
         {test::FaultKind::ChangeConfig, "change_config"},
         {test::FaultKind::ForgetHistory, "forget_history"},
         {test::FaultKind::RemoveUpstream, "remove_upstream"},
+        {test::FaultKind::KillSteward, "kill_steward"},
+        {test::FaultKind::StopSteward, "stop_steward"},
+        {test::FaultKind::PauseSteward, "pause_steward"},
+        {test::FaultKind::CrashEngine, "crash_engine"},
+        {test::FaultKind::CutEngine, "cut_engine"},
+        {test::FaultKind::SilenceEngine, "silence_engine"},
+        {test::FaultKind::DelayEngine, "delay_engine"},
     });
 };
 
@@ -83,18 +99,27 @@
 private:
     static constexpr int Gateways = 2;
     static constexpr int Upstreams = 3;
+    static constexpr int Engines = 3;
+    /// Callers that only ask models; most ask for the favourite, which changes.
+    static constexpr int ModelCallersPerGateway = 4;
+    static constexpr Duration FavouriteTime = std::chrono::seconds(3);
     static constexpr int CallersPerGateway = 4;
 
     /// What may be asked for; each is a route of the configuration.
-    enum class Kind : uint8_t { Look, Take, Tell, Retell };
+    enum class Kind : uint8_t { Look, Take, Tell, Retell, Ask, Reask };
+    static constexpr int Kinds = 6;
 
     /// One fault of the plan that follows from the seed.
     struct Fault
     {
-        Duration after{};
+        // Counted from the first one.
+        Duration at{};
         FaultKind kind = FaultKind::KillGateway;
         int gateway = 0;
         int upstream = 0;
+        int engine = 0;
+        // A crashed engine returns under its old name.
+        bool keepsName = false;
         Duration length{};
     };
 
@@ -117,21 +142,43 @@
         std::optional<Instant> forbiddenSince;
     };
 
+    /// An engine behind one relay for gateways and one for its steward.
+    struct Engine
+    {
+        std::unique_ptr<ModelEngine> server;
+        std::unique_ptr<Relay> relay;
+        std::unique_ptr<Relay> stewardRelay;
+        Address address;
+        Address stewardAddress;
+        bool crashed = false;
+    };
+
     void startUpstream(int index);
+    void startEngine(int index);
+    void startSteward(int index);
+    void list(const Engine &engine);
     void startGateway(int index);
     void list(const Upstream &upstream);
     void writeConfig();
-    boost::asio::awaitable<void> callLoop(int gateway);
-    boost::asio::awaitable<void> callOnce(HttpClient &client, int gateway, Kind kind);
+    boost::asio::awaitable<void> callLoop(int gateway, bool onlyModels);
+    boost::asio::awaitable<void> callOnce(HttpClient &client, int gateway, Kind kind,
+                                          std::string model = "");
     boost::asio::awaitable<void> faultLoop();
     boost::asio::awaitable<void> play(Fault fault);
-    boost::asio::awaitable<void> playOnGateway(Fault fault);
+    boost::asio::awaitable<void> playOnProcess(std::string name, int signal, Duration length);
     boost::asio::awaitable<void> playOnUpstream(Fault fault);
     boost::asio::awaitable<void> playOnStore(Fault fault);
+    boost::asio::awaitable<void> playOnEngine(Fault fault);
+    boost::asio::awaitable<void> crashEngine(Fault fault);
     static std::vector<Fault> planFaults(uint64_t seed);
-    boost::asio::awaitable<void> stopAndStart(int gateway);
+    boost::asio::awaitable<void> stopAndStart(std::string name);
     boost::asio::awaitable<void> awaitReady(int gateway, std::string when);
+    boost::asio::awaitable<void> checkModels(int gateway);
     UpstreamReply serve(size_t index, const HttpRequest &request);
+    /// Runs a request for a model.
+    UpstreamReply runModel(const HttpRequest &request);
+    /// A stream from after the last event that the caller has, which may break.
+    UpstreamReply streamFor(const HttpRequest &request);
 
     void judge(const std::string &id, Kind kind, const HttpResponse &response);
     void judgeAtEnd();
@@ -141,6 +188,9 @@
     static std::string nameOf(Kind kind);
     static std::string expectedBody(const std::string &id, Kind kind);
     static std::string gatewayName(int index);
+    static std::string stewardName(int index);
+    std::string newModel();
+    static bool isModelKind(Kind kind);
 
     const uint64_t seed;
     const std::vector<Fault> faults;
@@ -154,11 +204,12 @@
     std::unique_ptr<Relay> storeRelay;
     Address storeAddress;
     std::vector<Upstream> upstreams;
+    std::vector<Engine> engines;
     std::vector<std::string> past;
     std::vector<std::string> broken;
     std::map<std::string, Executions> executions;
-    // Gateways that were told to stop and have not ended.
-    std::set<int> stopping;
+    // Processes that were told to stop and have not ended.
+    std::set<std::string> stopping;
     // Requests that were told that they did not run.
     std::set<std::string> refused;
     // Last time at which the store may have been unheard.
@@ -166,8 +217,12 @@
     Instant began{};
     uint64_t nextRequest = 1;
     uint64_t nextUpstream = 1;
+    uint64_t nextEngine = 1;
     uint64_t version = 1;
     int served = 0;
+    int servedByModels = 0;
+    // Models that callers asked for, by request.
+    std::map<std::string, std::string> asked;
     bool calling = true;
 };
 
--- /dev/null
+++ b/tests/soak/SoakEngines.cpp
@@ -0,0 +1,145 @@
+// Engines and stewards of a soak, and what is done to them.
+#include "soak/Soak.h"
+
+#include "net/Pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+namespace tray::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Time within which each model is reachable after all faults, beyond the recovery time.
+constexpr Duration ModelBound = std::chrono::seconds(4);
+// Host of an engine's side machine in the rig.
+constexpr int FirstSide = 30;
+
+} // namespace
+
+void Soak::startEngine(int index)
+{
+    auto &engine = this->engines[static_cast<size_t>(index)];
+    ModelEngine::Ports ports;
+    ports.pick = [this](int low, int high) { return this->pick(low, high); };
+    ports.run = [this](const HttpRequest &request) { return this->runModel(request); };
+    ports.violate = [this](const std::string &text) { this->violate(text); };
+    ports.changed = [this, index] { this->list(this->engines[static_cast<size_t>(index)]); };
+    engine.server = std::make_unique<ModelEngine>(this->context, std::move(ports));
+    engine.relay = std::make_unique<Relay>(this->context, proto::RelaySection(), this->metrics);
+    engine.stewardRelay =
+        std::make_unique<Relay>(this->context, proto::RelaySection(), this->metrics);
+    const Address own = engine.server->listen();
+    engine.address =
+        value(engine.relay->forward({this->rig.at(FirstSide + index, 1).host, 0}, own));
+    engine.stewardAddress = value(engine.stewardRelay->forward({"127.0.0.1", 0}, own));
+    engine.server->start(fmt::format("e-{}", this->nextEngine++),
+                         index == 0 ? std::set<std::string>{"m1", "m2"}
+                                    : std::set<std::string>{fmt::format("m{}", index + 2)});
+    this->list(engine);
+}
+
+void Soak::list(const Engine &engine)
+{
+    if (engine.crashed)
+        return;
+    auto entry = engine.server->describe();
+    entry["service"] = "brain";
+    entry["address"] = toString(engine.address);
+    entry["zone"] = "z1";
+    entry["slots"] = 4;
+    this->store.put("servers", engine.server->id(), boost::json::serialize(entry));
+}
+
+void Soak::startSteward(int index)
+{
+    const auto &engine = this->engines[static_cast<size_t>(index)];
+    this->rig.start(stewardName(index), "tray-steward",
+                    fmt::format(R"({{"node_name":"{}","ip":"{}","zone":"z1","region":"r1",)"
+                                R"("zones":{{"z1":"r1"}},"inner_port_range":[7380,7395],)"
+                                R"("app":"{}","service":"brain","bounds":{{"grace_s":8}},)"
+                                R"("platform":{{"address":"{}"}}}})",
+                                stewardName(index), this->rig.at(FirstSide + index, 1).host,
+                                toString(engine.stewardAddress), toString(this->storeAddress)));
+}
+
+UpstreamReply Soak::runModel(const HttpRequest &request)
+{
+    const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
+    const std::string model(findHeader(request.headers, "Marjoramtray-Model"));
+    const auto asked = this->asked.find(id);
+    const bool isResumable = request.target == "/reask/" + id;
+    if (asked == this->asked.end() || asked->second != model || request.body != "ask " + id ||
+        (!isResumable && request.target != "/ask/" + id))
+        this->violate(fmt::format("an engine runs {} for {} as nobody asked it", id, model));
+    auto &executed = this->executions[id];
+    ++executed.count;
+    executed.kind = isResumable ? Kind::Reask : Kind::Ask;
+    auto reply = this->streamFor(request);
+    reply.delay = milliseconds(this->pick(20, 200));
+    return reply;
+}
+
+asio::awaitable<void> Soak::playOnEngine(Fault fault)
+{
+    auto &engine = this->engines[static_cast<size_t>(fault.engine)];
+    if (fault.kind == FaultKind::CrashEngine) {
+        co_await this->crashEngine(fault);
+    } else if (fault.kind == FaultKind::CutEngine) {
+        (void)engine.relay->applyFault(R"({"cut":true})");
+        co_await pauseFor(fault.length);
+        if (!engine.crashed)
+            (void)engine.relay->applyFault(R"({"cut":false})");
+    } else if (fault.kind == FaultKind::SilenceEngine) {
+        (void)engine.relay->applyFault(R"({"silence":true})");
+        (void)engine.stewardRelay->applyFault(R"({"silence":true})");
+    } else {
+        (void)engine.relay->applyFault(R"({"latency_ms":80})");
+        (void)engine.stewardRelay->applyFault(R"({"latency_ms":80})");
+        co_await pauseFor(fault.length);
+        (void)engine.relay->applyFault(R"({"latency_ms":0})");
+        (void)engine.stewardRelay->applyFault(R"({"latency_ms":0})");
+    }
+}
+
+asio::awaitable<void> Soak::crashEngine(Fault fault)
+{
+    auto &engine = this->engines[static_cast<size_t>(fault.engine)];
+    if (engine.crashed)
+        co_return;
+    engine.crashed = true;
+    const std::string last = engine.server->id();
+    // What it held and did is gone at once.
+    engine.server->start(fault.keepsName ? last : fmt::format("e-{}", this->nextEngine++), {});
+    (void)engine.relay->applyFault(R"({"cut":true})");
+    (void)engine.stewardRelay->applyFault(R"({"cut":true})");
+    co_await pauseFor(fault.length);
+    engine.crashed = false;
+    (void)engine.relay->applyFault(R"({"cut":false})");
+    (void)engine.stewardRelay->applyFault(R"({"cut":false})");
+    if (!fault.keepsName)
+        this->store.remove("servers", last);
+    this->list(engine);
+}
+
+asio::awaitable<void> Soak::checkModels(int gateway)
+{
+    HttpClient client(this->context);
+    for (const auto &[model, weightsMb] : ModelEngine::models()) {
+        const Instant limit = clockNow() + ModelBound;
+        const int before = this->servedByModels;
+        while (this->servedByModels == before && clockNow() < limit) {
+            co_await this->callOnce(client, gateway, Kind::Ask, model);
+            co_await pauseFor(milliseconds(100));
+        }
+        if (this->servedByModels == before)
+            this->violate(fmt::format("{} does not reach model {} after all faults",
+                                      gatewayName(gateway), model));
+    }
+}
+
+} // namespace tray::test
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -1,5 +1,5 @@
-// Promises under random faults, with real gateways. TRAY_SOAK_SEEDS names other seeds, separated by
-// spaces.
+// Promises under random faults, with real gateways and stewards. TRAY_SOAK_SEEDS names other seeds,
+// separated by spaces.
 #include "soak/Soak.h"
 
 #include <cstdlib>
@@ -25,7 +25,7 @@
 
 } // namespace
 
-TEST_CASE("Gateways keep their promises under random faults")
+TEST_CASE("Gateways and stewards keep their promises under random faults")
 {
     for (const auto seed : seeds()) {
         Soak soak(seed);
