Follow the instance list until a stop's final answers

While a gateway stopped it sent requests to upstreams that had left more than 3 s before.

Both loops now run until the final answers are due. A stopping reader still sends no periodic words, so that another instance takes over as before.

Seed 1 stays as a regression case.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -280,7 +280,8 @@
 asio::awaitable<void> Gateway::followUpstreams()
 {
     Duration retry = FirstRetry;
-    while (!this->stopWindow.isStopping()) {
+    // Requests are still sent during a stop.
+    while (!this->stopWindow.isOver(clockNow())) {
         if (!this->relay.mustRead(clockNow())) {
             co_await this->listWordArrived.wait(ListRelay::WordPeriod);
             continue;
@@ -428,7 +429,7 @@
 
 asio::awaitable<void> Gateway::subscribeLoop()
 {
-    while (!this->stopWindow.isStopping()) {
+    while (!this->stopWindow.isOver(clockNow())) {
         this->takeNotices(this->directory.expire(clockNow()));
         this->subscribeAll();
         co_await pauseFor(SubscribePeriod);
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
-std::vector<uint64_t> seeds()
+std::vector<uint64_t> seedsOf(SoakPlan plan)
 {
     // Short, for CI. A seed that ever failed is added here, with a line on its cause.
     std::vector<uint64_t> chosen{20261204};
+    // A stopping gateway sent requests to an upstream that had left since its stop began.
+    if (plan == SoakPlan::PlannedStops)
+        chosen.push_back(1);
     if (const char *named = std::getenv("TRAY_SOAK_SEEDS")) {
         chosen.clear();
         std::istringstream input(named);
@@ -25,7 +28,7 @@
 
 void play(SoakPlan plan)
 {
-    for (const auto seed : seeds()) {
+    for (const auto seed : seedsOf(plan)) {
         Soak soak(plan, seed);
         soak.run();
         INFO(soak.history());
