--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -56,7 +56,7 @@
         } catch (const std::exception &failure) {
             spdlog::error("event=engine_round_failed upstream={} error=\"{}\"", this->upstream,
                           failure.what());
-            if (std::chrono::steady_clock::now() - this->lastReport > this->times.lostAfter)
+            if (std::chrono::steady_clock::now() - this->lastHeard > this->times.lostAfter)
                 this->markLost();
         }
         this->timer.expires_after(this->times.reportInterval);
