Take no call from before the store's return for a second outage

Cause: an entry that vanishes while the store is disturbed stays in use until the store has been back for 2.3 s. The second loss was none: the watch of the configuration that began at 5.15 s, on the dead path, ran into its limit of 11.5 s. It began the time of all lapsed entries anew.

A failure counts now only if its call began after the last return that is known; others are logged as store_call_outdated. A store that fails anew is seen by the calls that began since, as before.

--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -5,9 +5,14 @@
 
 namespace tray {
 
-void UpstreamDirectory::storeFailed(Instant)
+bool UpstreamDirectory::storeFailed(Instant calledAt)
 {
+    // A call from before the store's return, such as a watch on a dead path, tells of the failure
+    // that is over.
+    if (!this->failing && this->returnedAt && calledAt < *this->returnedAt)
+        return false;
     this->failing = true;
+    return true;
 }
 
 void UpstreamDirectory::storeAnswered(Instant now)
--- a/src/fleet/UpstreamDirectory.h
+++ b/src/fleet/UpstreamDirectory.h
@@ -47,8 +47,9 @@
 
     using Notices = std::vector<UpstreamNotice>;
 
-    /// The store did not answer, or refused.
-    void storeFailed(Instant now);
+    /// A call to the store that began then was not answered, or refused. False if that tells
+    /// nothing new.
+    bool storeFailed(Instant calledAt);
     /// The store answered. Call before what the answer says is applied.
     void storeAnswered(Instant now);
     /// Takes over a whole list.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -186,21 +186,26 @@
     return this->config != nullptr && this->upstreamsKnown && !this->stopWindow.isStopping();
 }
 
-void Gateway::noteStore(bool reachable, const std::string &reason)
+void Gateway::noteStoreAnswered()
 {
     const Instant now = clockNow();
-    if (reachable)
-        this->directory.storeAnswered(now);
-    else
-        this->directory.storeFailed(now);
-    if (!reachable)
+    this->directory.storeAnswered(now);
+    if (!std::exchange(this->storeReachable, true))
+        logDecision(LogWeight::Notable, now, "event=store_regained");
+}
+
+void Gateway::noteStoreFailed(Instant calledAt, const std::string &reason)
+{
+    const Instant now = clockNow();
+    const bool isNews = this->directory.storeFailed(calledAt);
+    if (isNews)
         this->configSuspectUntil = now + ConfigSuspectTime;
-    if (reachable == this->storeReachable)
+    if (isNews && !std::exchange(this->storeReachable, false))
         return;
-    this->storeReachable = reachable;
     logDecision(LogWeight::Notable, now,
-                reachable ? std::string("event=store_regained")
-                          : fmt::format("event=store_lost reason=\"{}\"", reason));
+                fmt::format("event={} call_ms={} reason=\"{}\"",
+                            isNews ? "store_lost" : "store_call_outdated", toMs(now - calledAt),
+                            reason));
 }
 
 void Gateway::takeConfig(const ConfigReading &reading)
@@ -221,13 +226,14 @@
     Duration retry = FirstRetry;
     while (!this->stopWindow.isStopping()) {
         // Not one conditional expression: g++ 12 destroys its awaited temporaries twice.
+        const Instant calledAt = clockNow();
         Result<ConfigReading> reading;
         if (revision == 0)
             reading = co_await this->store.readConfig();
         else
             reading = co_await this->store.awaitConfig(revision, ConfigWatchTime);
         if (isOk(reading)) {
-            this->noteStore(true, "");
+            this->noteStoreAnswered();
             this->takeConfig(value(reading));
             revision = value(reading).revision;
             retry = FirstRetry;
@@ -241,7 +247,7 @@
             continue;
         }
         if (problem.kind != ErrorKind::NotFound)
-            this->noteStore(false, problem.message);
+            this->noteStoreFailed(calledAt, problem.message);
         co_await pauseFor(retry);
         retry = std::min(retry * 2, LongestRetry);
     }
@@ -251,11 +257,12 @@
 {
     if (clockNow() >= this->configSuspectUntil)
         co_return;
+    const Instant calledAt = clockNow();
     const auto reading = co_await this->store.readConfig();
     if (isOk(reading))
         this->takeConfig(value(reading));
     else if (error(reading).kind != ErrorKind::NotFound)
-        this->noteStore(false, error(reading).message);
+        this->noteStoreFailed(calledAt, error(reading).message);
 }
 
 asio::awaitable<Result<UpstreamDirectory::Notices>> Gateway::readUpstreams()
@@ -265,7 +272,7 @@
         if (!isOk(reading))
             co_return error(reading);
         const Instant now = clockNow();
-        this->noteStore(true, "");
+        this->noteStoreAnswered();
         this->relay.noteWholeRead(value(reading).revision, now);
         this->upstreamsKnown = true;
         co_return this->directory.replaceAll(value(reading).entries, now);
@@ -279,7 +286,7 @@
     if (!isOk(reading))
         co_return error(reading);
     const Instant now = clockNow();
-    this->noteStore(true, "");
+    this->noteStoreAnswered();
     // A reader can have told only what the store had by then. The word was wrong, or the store has
     // lost its last changes.
     if (value(reading).revision < heardBefore)
@@ -305,6 +312,7 @@
             co_await this->listWordArrived.wait(ListRelay::WordPeriod);
             continue;
         }
+        const Instant calledAt = clockNow();
         const auto notices = co_await this->readUpstreams();
         if (isOk(notices)) {
             this->takeNotices(value(notices));
@@ -326,7 +334,7 @@
             this->relay.forgetRevision();
             continue;
         }
-        this->noteStore(false, problem.message);
+        this->noteStoreFailed(calledAt, problem.message);
         if (auto word = this->relay.noteFailed(clockNow()))
             this->sendListWord(std::move(*word));
         co_await pauseFor(retry);
@@ -355,7 +363,7 @@
             if (isOk(reading))
                 this->takeConfig(value(reading));
             else
-                this->noteStore(false, error(reading).message);
+                this->noteStoreFailed(now, error(reading).message);
             this->peersConfigAt = clockNow();
         }
         co_await pauseFor(ListRelay::WordPeriod);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -83,7 +83,9 @@
     void subscribeAll();
     /// A request goes to an upstream; from now on its snapshots are wanted.
     void noteUse(const std::string &upstreamId);
-    void noteStore(bool reachable, const std::string &reason);
+    void noteStoreAnswered();
+    /// A call to the store that began then has failed.
+    void noteStoreFailed(Instant calledAt, const std::string &reason);
     void receive(const proto::Datagram &datagram, const Address &sender);
     void registerGauges();
     Address stewardOf(const UpstreamEntry &entry) const;
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -96,6 +96,12 @@
         CHECK(directory.expire(back + std::chrono::minutes(2) + UpstreamDirectory::RelistTime)
                   .size() == 1);
     }
+    SUBCASE("a call from before the return that fails late is no second outage")
+    {
+        CHECK_FALSE(directory.storeFailed(Start + std::chrono::seconds(1)));
+        directory.storeAnswered(back + std::chrono::seconds(2));
+        CHECK(directory.expire(back + UpstreamDirectory::RelistTime).size() == 1);
+    }
     SUBCASE("one that had announced its leave is gone whatever the store's condition")
     {
         auto leaving = engineNamed("b");
