--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -56,18 +56,11 @@
         // The first upstream is in the gateway's data centre and so gets the first attempt.
         this->addUpstream("i-1", "here", this->first.listen());
         this->addUpstream("i-2", "there", this->second.listen());
-        GatewaySettings settings;
-        settings.instance = "front-1";
-        settings.dataCentre = "here";
-        settings.region = "r";
-        settings.regionByDataCentre = {{"here", "r"}, {"there", "r"}};
-        settings.shutdownGracePeriod = stopGrace;
-        settings.callerAddress = freeAddress();
-        settings.readinessAddress = freeAddress();
         const auto stewardAddress = this->steward.listen({"127.0.0.1", 0});
         REQUIRE(isOk(stewardAddress));
-        settings.stewardPort = value(stewardAddress).port;
-        settings.datagramAddress = freeDatagramAddress();
+        this->stewardPort = value(stewardAddress).port;
+        GatewaySettings settings = this->makeSettings("front-1", "here");
+        settings.shutdownGracePeriod = stopGrace;
         this->datagrams = settings.datagramAddress;
         this->address = settings.callerAddress;
         this->readiness = settings.readinessAddress;
@@ -77,6 +70,19 @@
         REQUIRE(isOk(started));
     }
 
+    /// Starts another gateway that uses the same store. Requests of send() go to the gateway whose
+    /// addresses are in this->address and this->readiness.
+    std::unique_ptr<Gateway> startPeer(const std::string &instance, const std::string &dataCentre)
+    {
+        const GatewaySettings settings = this->makeSettings(instance, dataCentre);
+        auto peer = std::make_unique<Gateway>(this->context, settings, this->client, this->codec,
+                                              this->peerMetrics);
+        REQUIRE(isOk(peer->start()));
+        this->address = settings.callerAddress;
+        this->readiness = settings.readinessAddress;
+        return peer;
+    }
+
     /// Schedules a step to run after a delay, while the context runs.
     void runAfter(Duration delay, std::function<void()> step)
     {
@@ -185,6 +191,7 @@
     StoreClient client;
     HeaderCodec codec;
     Metrics metrics;
+    Metrics peerMetrics;
     StubUpstream first;
     StubUpstream second;
     /// Placements that the gateway has requested from the steward's engine.
@@ -197,9 +204,24 @@
     Address address;
     Address readiness;
     Address datagrams;
+    uint16_t stewardPort = 0;
     std::optional<Gateway> gateway;
 
 private:
+    GatewaySettings makeSettings(const std::string &instance, const std::string &dataCentre) const
+    {
+        GatewaySettings settings;
+        settings.instance = instance;
+        settings.dataCentre = dataCentre;
+        settings.region = "r";
+        settings.regionByDataCentre = {{"here", "r"}, {"there", "r"}};
+        settings.callerAddress = freeAddress();
+        settings.readinessAddress = freeAddress();
+        settings.stewardPort = this->stewardPort;
+        settings.datagramAddress = freeDatagramAddress();
+        return settings;
+    }
+
     static Address freeAddress()
     {
         asio::io_context context;
--- a/tests/platform/StubUpstream.cpp
+++ b/tests/platform/StubUpstream.cpp
@@ -35,12 +35,33 @@
 
 Address StubUpstream::listen()
 {
-    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
-    this->acceptor.open(any.protocol());
-    this->acceptor.bind(any);
+    this->open(0);
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+void StubUpstream::open(uint16_t port)
+{
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
+    this->acceptor.open(endpoint.protocol());
+    this->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->acceptor.bind(endpoint);
     this->acceptor.listen();
     asio::co_spawn(this->context, this->accept(), asio::detached);
-    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+}
+
+asio::awaitable<void> StubUpstream::crash(Duration downTime)
+{
+    const uint16_t port = this->acceptor.local_endpoint().port();
+    this->acceptor.close();
+    for (const auto &weak : std::exchange(this->connections, {})) {
+        const auto connection = weak.lock();
+        if (!connection || !connection->is_open())
+            continue;
+        connection->set_option(asio::socket_base::linger(true, 0));
+        connection->close();
+    }
+    co_await this->wait(downTime);
+    this->open(port);
 }
 
 asio::awaitable<void> StubUpstream::accept()
@@ -49,12 +70,16 @@
         auto [code, socket] = co_await this->acceptor.async_accept(Await);
         if (code)
             co_return;
-        asio::co_spawn(this->context, this->serve(std::move(socket)), asio::detached);
+        auto connection = std::make_shared<tcp::socket>(std::move(socket));
+        std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
+        this->connections.push_back(connection);
+        asio::co_spawn(this->context, this->serve(std::move(connection)), asio::detached);
     }
 }
 
-asio::awaitable<void> StubUpstream::serve(tcp::socket socket)
+asio::awaitable<void> StubUpstream::serve(std::shared_ptr<tcp::socket> connection)
 {
+    tcp::socket &socket = *connection;
     beast::flat_buffer buffer;
     while (true) {
         http::request<http::string_body> message;
@@ -71,6 +96,10 @@
         this->received.push_back(request);
         const StubReply reply = this->behaviour(request);
         co_await this->wait(reply.delay);
+        if (reply.crashFor) {
+            asio::co_spawn(this->context, this->crash(*reply.crashFor), asio::detached);
+            co_return;
+        }
         if (!reply.bytes.empty())
             co_await asio::async_write(socket, asio::buffer(reply.bytes), Await);
         for (const auto &piece : reply.pieces) {
--- a/tests/platform/StubUpstream.h
+++ b/tests/platform/StubUpstream.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -31,6 +32,9 @@
     std::vector<std::string> pieces;
     /// Time before each piece and before each repetition of the repeated bytes.
     Duration pieceDelay{};
+    /// Ends the upstream as a crash does, before any bytes are sent: all its connections are reset,
+    /// and new ones are refused until it has restarted after this time.
+    std::optional<Duration> crashFor;
 };
 
 class StubUpstream
@@ -60,12 +64,16 @@
 
 private:
     boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(std::shared_ptr<boost::asio::ip::tcp::socket> connection);
     boost::asio::awaitable<void> wait(Duration duration);
+    /// Resets all connections, closes the port, and opens it again after the time.
+    boost::asio::awaitable<void> crash(Duration downTime);
+    void open(uint16_t port);
 
     boost::asio::io_context &context;
     Behaviour behaviour;
     boost::asio::ip::tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> connections;
 };
 
 } // namespace tray::test
