Send requests that have crashed three upstreams to no further one

Callers' repeats of a request that crashes the engine that runs it reached engine after engine, each of which ended with everybody's requests on it.

Cause: a gateway kept no memory of the request that ran when an upstream ended; each attempt of the caller, at each gateway, began anew.

A broken connection alone is no crash. It opens a case, which a refused dial to the upstream, its restart or its removal from the list confirms and an accepted dial dismisses. One crash makes the content run alone, three get it refused with 503 (not run) for the rest of ten minutes; a whole answer clears it everywhere. Gateways share changes by datagram.

--- a/src/entry/EntryExchange.h
+++ b/src/entry/EntryExchange.h
@@ -7,7 +7,7 @@
 #include "entry/CallerAnswer.h"
 #include "entry/CallerRequest.h"
 #include "entry/OpenExchanges.h"
-#include "entry/SuspectGate.h"
+#include "routing/SuspectGate.h"
 #include "routing/RequestMachine.h"
 #include "routing/RetryBudget.h"
 #include "routing/Router.h"
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -53,6 +53,19 @@
 // first. The value of a stream that resumes is lower by this amount.
 constexpr int FirstRankPriority = 2;
 
+/// Returns a digest of what the caller sends again with each attempt; the request's id and its
+/// deadline differ between attempts.
+uint64_t makeContentDigest(const HttpRequest &request, const RequestProperties &properties)
+{
+    uint64_t digest = hash64(request.body);
+    for (const std::string_view part :
+         {std::string_view(request.method), std::string_view(request.target),
+          std::string_view(properties.host), std::string_view(properties.model),
+          std::string_view(properties.adapter), findHeader(request.headers, "Authorization")})
+        digest = hash64(part, digest);
+    return digest;
+}
+
 } // namespace
 
 Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
@@ -91,6 +104,7 @@
         this->gateway.snapshotArrived.notifyAll();
         this->gateway.capacityChanged.notifyAll();
     });
+    this->contentDigest = makeContentDigest(this->request, this->properties);
     if (!this->properties.model.empty())
         this->recordDemand();
     co_await this->dispatchWithRetries();
@@ -126,6 +140,16 @@
             last.reason = "the instance stops";
             break;
         }
+        auto &crashTracker = this->gateway.suspectExchange.crashTracker();
+        const auto verdict = crashTracker.verdict(this->contentDigest, clockNow());
+        if (verdict == SuspectVerdict::Refused) {
+            last.reason = "the request has crashed several upstreams";
+            if (this->possibleExecutions > 0 || last.upstreamError || this->hasStreamBegun)
+                break;
+            co_await this->finishWithError(ErrorKind::Quarantined, last.reason,
+                                           crashTracker.timeLeft(this->contentDigest, clockNow()));
+            co_return;
+        }
         this->phase = ExchangePhase::ChoosingUpstream;
         const DispatchQuery query = this->makeQuery();
         const DispatchDecision choice = this->gateway.dispatcher.choose(query, clockNow());
@@ -191,7 +215,17 @@
                 continue;
             }
         }
+        std::optional<SuspectGate::Pass> pass;
+        if (verdict == SuspectVerdict::RunAlone) {
+            pass = crashTracker.gate().tryPass(this->contentDigest);
+            if (!pass) {
+                last.reason = "the same request is running and is suspected of a crash";
+                break;
+            }
+        }
         last = co_await this->attempt(target);
+        pass.reset();
+        this->recordForSuspects(last, target.upstreamId);
         if (last.isFinal)
             co_return;
         this->triedUpstreams.insert(target.upstreamId);
@@ -205,6 +239,20 @@
     co_await this->finishAfterFailedAttempts(std::move(last));
 }
 
+void Exchange::recordForSuspects(const AttemptResult &result, const std::string &upstreamId)
+{
+    auto &suspects = this->gateway.suspectExchange;
+    const Instant now = clockNow();
+    if (result.isFinal || result.outcome == AttemptOutcome::ServerError) {
+        suspects.handleCompletion(this->contentDigest, now);
+        return;
+    }
+    const auto &entries = this->gateway.directory.entries();
+    const auto entry = entries.find(upstreamId);
+    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun && entry != entries.end())
+        suspects.handleBreak(this->contentDigest, this->properties.requestId, entry->second, now);
+}
+
 void Exchange::logWaitForLoad(Duration readyIn, Instant now)
 {
     if (!std::exchange(this->hasWaitedForLoad, true))
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -95,6 +95,8 @@
     /// serve while this one shuts down.
     boost::asio::awaitable<void> refuseForShutdown(std::string reason);
 
+    /// Records what the end of an attempt says about the request as a suspect.
+    void recordForSuspects(const AttemptResult &result, const std::string &upstreamId);
     DispatchQuery makeQuery() const;
     void recordDemand();
     void leavePrefillQueue();
@@ -117,6 +119,8 @@
     RequestProperties properties;
     std::string service;
     Instant deadline{};
+    // Identifies the request over all attempts of its caller.
+    uint64_t contentDigest = 0;
     std::set<std::string> triedUpstreams;
     // Number of attempts that the upstream may have executed, and number of attempts of any
     // outcome.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -123,7 +123,23 @@
            [this]() -> const std::map<std::string, UpstreamEntry> & {
                return this->directory.entries();
            },
-           [this] { this->subscribeAll(); }})
+           [this] { this->subscribeAll(); }}),
+      suspectExchange(context, client,
+                      {[this](const proto::Datagram &datagram) {
+                           this->plannerCoordinator.sendToDataCentrePeers(datagram);
+                       },
+                       [this](const proto::Datagram &datagram, uint64_t selector) {
+                           this->plannerCoordinator.sendToOtherDataCentres(datagram, selector);
+                       },
+                       [this](const proto::Datagram &datagram, uint64_t selector) {
+                           this->plannerCoordinator.sendToDataCentrePeer(datagram, selector);
+                       },
+                       [this](const proto::Datagram &datagram, const std::string &peer) {
+                           this->plannerCoordinator.sendTo(peer, datagram);
+                       },
+                       [this](const std::string &peer) {
+                           return this->plannerCoordinator.isDataCentrePeer(peer);
+                       }})
 {}
 
 Gateway::~Gateway() = default;
@@ -434,6 +450,8 @@
     // subscription, which contains it, is sent immediately for a new engine.
     for (const auto &notice : notices) {
         const auto entry = this->directory.entries().find(notice.id);
+        if (notice.event == UpstreamEvent::Restarted || notice.event == UpstreamEvent::Removed)
+            this->suspectExchange.handleUpstreamEnd(notice.id, clockNow());
         if (notice.event == UpstreamEvent::Added)
             this->plannerCoordinator.recordListGrowth(clockNow());
         if ((notice.event == UpstreamEvent::Added || notice.event == UpstreamEvent::Restarted) &&
@@ -481,6 +499,7 @@
     while (!this->shutdownSchedule.isDrainOver(clockNow())) {
         this->applyUpstreamNotices(this->directory.removeExpired(clockNow()));
         this->subscribeAll();
+        this->suspectExchange.runPeriodic(clockNow());
         co_await pauseFor(SubscribePeriod);
     }
 }
@@ -493,6 +512,8 @@
         this->snapshotArrived.notifyAll();
     } else if (datagram.has_list_word()) {
         this->handleListUpdate(datagram.list_word());
+    } else if (datagram.has_suspects()) {
+        this->suspectExchange.handleReport(datagram.sender(), datagram.suspects(), clockNow());
     } else if (datagram.has_demand()) {
         this->plannerCoordinator.handleDemandReport(datagram.sender(), datagram.demand(),
                                                     clockNow());
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/PlannerCoordinator.h"
 #include "gateway/RequestCodec.h"
 #include "gateway/ShutdownSchedule.h"
+#include "gateway/SuspectExchange.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 #include "observe/Metrics.h"
@@ -129,6 +130,7 @@
         std::make_shared<std::set<Exchange *>>();
     std::map<std::string, SharedRetryBudget> retryBudgets;
     PlannerCoordinator plannerCoordinator;
+    SuspectExchange suspectExchange;
     bool upstreamsKnown = false;
     bool storeReachable = true;
     // Until this time, the watch of the configuration may hang unnoticed.
--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -222,6 +222,49 @@
     }
 }
 
+std::map<std::string, const PlannerCoordinator::Peer *>
+PlannerCoordinator::selectPeers(uint64_t selector) const
+{
+    std::map<std::string, const Peer *> selected;
+    std::map<std::string, uint64_t> highestWeights;
+    for (const auto &[name, peer] : this->peers) {
+        const uint64_t weight = hash64(this->instance + name, selector);
+        auto &highest = highestWeights[peer.dataCentre];
+        if (weight < highest)
+            continue;
+        highest = weight;
+        selected[peer.dataCentre] = &peer;
+    }
+    return selected;
+}
+
+void PlannerCoordinator::sendToDataCentrePeer(const proto::Datagram &datagram, uint64_t selector)
+{
+    const auto selected = this->selectPeers(selector);
+    if (const auto found = selected.find(this->dataCentre); found != selected.end())
+        this->dependencies.datagrams.send(found->second->address, datagram);
+}
+
+void PlannerCoordinator::sendToOtherDataCentres(const proto::Datagram &datagram, uint64_t selector)
+{
+    for (const auto &[dataCentre, peer] : this->selectPeers(selector)) {
+        if (dataCentre != this->dataCentre)
+            this->dependencies.datagrams.send(peer->address, datagram);
+    }
+}
+
+void PlannerCoordinator::sendTo(const std::string &peer, const proto::Datagram &datagram)
+{
+    if (const auto found = this->peers.find(peer); found != this->peers.end())
+        this->dependencies.datagrams.send(found->second.address, datagram);
+}
+
+bool PlannerCoordinator::isDataCentrePeer(const std::string &peer) const
+{
+    const auto found = this->peers.find(peer);
+    return found != this->peers.end() && found->second.dataCentre == this->dataCentre;
+}
+
 size_t PlannerCoordinator::countGateways(Instant now) const
 {
     size_t count = 1;
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -53,6 +53,12 @@
     size_t countGateways(Instant now) const;
     /// Sends a datagram to all peers in this instance's data centre.
     void sendToDataCentrePeers(const proto::Datagram &datagram);
+    /// Sends a datagram to one peer of this instance's data centre, which the selector chooses.
+    void sendToDataCentrePeer(const proto::Datagram &datagram, uint64_t selector);
+    /// Sends a datagram to one peer of each other data centre, which the selector chooses.
+    void sendToOtherDataCentres(const proto::Datagram &datagram, uint64_t selector);
+    void sendTo(const std::string &peer, const proto::Datagram &datagram);
+    bool isDataCentrePeer(const std::string &peer) const;
     bool isPlanner() const { return this->election.isPlanner(); }
 
 private:
@@ -73,6 +79,8 @@
         Instant sentAt{};
     };
 
+    /// Returns the peer that the selector chooses in each data centre, by data centre.
+    std::map<std::string, const Peer *> selectPeers(uint64_t selector) const;
     boost::asio::awaitable<void> registerLoop();
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> tryAcquireLeadership();
--- /dev/null
+++ b/src/gateway/SuspectExchange.cpp
@@ -0,0 +1,136 @@
+// Probes of upstreams, and the spread of suspects between gateways.
+#include "gateway/SuspectExchange.h"
+
+#include "net/KeepRunning.h"
+#include "observe/DecisionLog.h"
+
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Time within which a host refuses a connection to a process that has ended. It covers a round trip
+// between regions.
+constexpr Duration ProbeTimeout = milliseconds(600);
+
+void logSuspects(const std::vector<proto::Suspect> &suspects, std::string_view source, Instant now)
+{
+    for (const auto &suspect : suspects)
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event={} digest={:016x} crashes={} source={} remaining_ms={}",
+                                suspect.cleared() ? "suspect_cleared" : "suspect",
+                                suspect.content_digest(), suspect.crashes(), source,
+                                suspect.remaining_ms()));
+}
+
+} // namespace
+
+void SuspectExchange::handleBreak(uint64_t contentDigest, const std::string &requestId,
+                                  const UpstreamEntry &upstream, Instant now)
+{
+    // An upstream that leaves closes its connections as planned.
+    if (upstream.phase == UpstreamPhase::Draining)
+        return;
+    this->tracker.recordBreak(contentDigest, upstream.id,
+                              fmt::format("{}@{}", upstream.id, upstream.startedAtMs), now);
+    logDecision(LogPriority::Notable, now,
+                fmt::format("event=break id={} digest={:016x} upstream={} crashes={}", requestId,
+                            contentDigest, upstream.id,
+                            this->tracker.crashCount(contentDigest, now)));
+    if (this->probed.insert(upstream.id).second)
+        keepRunning(this->context, "probe_upstream",
+                    [this, id = upstream.id, address = upstream.address] {
+                        return this->probe(id, address);
+                    });
+}
+
+asio::awaitable<void> SuspectExchange::probe(std::string upstream, Address address)
+{
+    const Instant began = clockNow();
+    const ProbeResult result = co_await this->client.probe(address, ProbeTimeout);
+    this->probed.erase(upstream);
+    logDecision(LogPriority::Notable, clockNow(),
+                fmt::format("event=probe upstream={} result={} ms={}", upstream, enumName(result),
+                            toMs(clockNow() - began)));
+    if (result == ProbeResult::Refused)
+        this->handleUpstreamEnd(upstream, clockNow());
+    else if (result == ProbeResult::Accepted)
+        this->tracker.recordAlive(upstream, began);
+}
+
+void SuspectExchange::handleUpstreamEnd(const std::string &upstream, Instant now)
+{
+    this->announce(this->tracker.recordEnd(upstream, now), now);
+}
+
+void SuspectExchange::handleCompletion(uint64_t contentDigest, Instant now)
+{
+    this->announce(this->tracker.recordCompletion(contentDigest, now), now);
+}
+
+void SuspectExchange::announce(const std::vector<proto::Suspect> &changes, Instant now)
+{
+    logSuspects(changes, "own", now);
+    this->forEachDatagram(changes, [this](const proto::Datagram &datagram) {
+        this->peers.sendToDataCentre(datagram);
+        this->peers.sendToOthers(datagram, this->periodicRuns);
+    });
+}
+
+void SuspectExchange::handleReport(const std::string &sender, const proto::SuspectReport &report,
+                                   Instant now)
+{
+    if (report.wants_all()) {
+        proto::Datagram empty;
+        empty.mutable_suspects();
+        // The answer is sent even if there are no suspects, so that the peer stops asking.
+        this->peers.sendTo(empty, sender);
+        this->forEachDatagram(
+            this->tracker.recentChanges(now, true),
+            [&](const proto::Datagram &datagram) { this->peers.sendTo(datagram, sender); });
+    } else {
+        this->hasPeerAnswer = true;
+    }
+    const auto changes = this->tracker.merge(report, now);
+    logSuspects(changes, sender, now);
+    // The sender has told its own data centre itself.
+    if (!this->peers.isInDataCentre(sender))
+        this->forEachDatagram(changes, [this](const proto::Datagram &datagram) {
+            this->peers.sendToDataCentre(datagram);
+        });
+}
+
+void SuspectExchange::runPeriodic(Instant now)
+{
+    this->tracker.expire(now);
+    ++this->periodicRuns;
+    if (!this->hasPeerAnswer) {
+        proto::Datagram question;
+        question.mutable_suspects()->set_wants_all(true);
+        this->peers.sendToOne(question, this->periodicRuns);
+        this->peers.sendToOthers(question, this->periodicRuns);
+    }
+    this->forEachDatagram(this->tracker.recentChanges(now, false),
+                          [this](const proto::Datagram &datagram) {
+                              this->peers.sendToOne(datagram, this->periodicRuns);
+                              this->peers.sendToOthers(datagram, this->periodicRuns);
+                          });
+}
+
+void SuspectExchange::forEachDatagram(
+    const std::vector<proto::Suspect> &suspects,
+    const std::function<void(const proto::Datagram &datagram)> &send)
+{
+    for (size_t first = 0; first < suspects.size(); first += MaxSuspectsPerDatagram) {
+        proto::Datagram datagram;
+        const size_t end = std::min(suspects.size(), first + MaxSuspectsPerDatagram);
+        for (size_t i = first; i < end; ++i)
+            *datagram.mutable_suspects()->add_suspects() = suspects[i];
+        send(datagram);
+    }
+}
+
+} // namespace tray
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -115,21 +115,33 @@
             this->attach(options, pooled);
             co_return pooled;
         }
-        auto connection = std::make_shared<Connection>(this->context.get_executor());
+        const Duration timeout =
+            std::min<Duration>(deadline - std::chrono::steady_clock::now(), options.connectTimeout);
         beast::error_code code;
+        auto connection = co_await this->dial(address, timeout, options, code);
+        if (code)
+            co_return Error{ErrorKind::UpstreamUnreachable,
+                            toString(address) + ": " + code.message()};
+        co_return connection;
+    }
+
+    /// Opens a new connection. The code is set if that fails.
+    asio::awaitable<std::shared_ptr<Connection>>
+    dial(Address address, Duration timeout, HttpCallOptions options, beast::error_code &code)
+    {
+        auto connection = std::make_shared<Connection>(this->context.get_executor());
         const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
-        connection->stream.expires_at(
-            std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
+        connection->stream.expires_after(timeout);
         this->attach(options, connection);
         ++this->dialled;
         if (!code)
             std::tie(code) = co_await connection->stream.async_connect(endpoint, Await);
         if (code)
-            co_return Error{ErrorKind::UpstreamUnreachable,
-                            toString(address) + ": " + code.message()};
+            co_return connection;
         setUpSocket(connection->stream.socket());
         // A close drops the bytes that the peer has not received by then, however the call ends.
-        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), code);
+        beast::error_code ignored;
+        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         co_return connection;
     }
 
@@ -297,6 +309,20 @@
 
 HttpClient::~HttpClient() = default;
 
+asio::awaitable<ProbeResult> HttpClient::probe(Address address, Duration timeout)
+{
+    const auto self = this->impl;
+    beast::error_code code;
+    const auto connection = co_await self->dial(address, timeout, {}, code);
+    if (!code)
+        self->returnToPool(toString(address), connection);
+    const bool isRefused =
+        code == asio::error::connection_refused || code == asio::error::connection_reset;
+    co_return !code ? ProbeResult::Accepted
+    : isRefused     ? ProbeResult::Refused
+                    : ProbeResult::Silent;
+}
+
 asio::awaitable<Result<std::unique_ptr<HttpStream>>>
 HttpClient::open(Address address, HttpRequest request, Duration timeout, HttpCallOptions options)
 {
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Address.h"
+#include "base/EnumNames.h"
 #include "base/Time.h"
 #include "net/HttpMessage.h"
 
@@ -12,6 +13,25 @@
 
 namespace tray {
 
+/// Result of an attempt to open a connection.
+enum class ProbeResult : uint8_t {
+    Accepted,
+    /// The host answered that nothing listens at the port.
+    Refused,
+    /// The host did not answer in time, or is unreachable.
+    Silent
+};
+
+template <>
+struct EnumNames<ProbeResult>
+{
+    static constexpr auto Table = std::to_array<EnumName<ProbeResult>>({
+        {ProbeResult::Accepted, "accepted"},
+        {ProbeResult::Refused, "refused"},
+        {ProbeResult::Silent, "silent"},
+    });
+};
+
 /// Response whose body is read in parts. Destroying it before the end closes the connection, which
 /// tells the peer to cancel the request.
 class HttpStream
@@ -84,6 +104,10 @@
     boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>>
     open(Address address, HttpRequest request, Duration timeout, HttpCallOptions options = {});
 
+    /// Opens a new connection to find out whether a process listens there, and keeps it for later
+    /// calls.
+    boost::asio::awaitable<ProbeResult> probe(Address address, Duration timeout);
+
     /// Closes the idle connections to an address.
     void forget(const Address &address);
     /// Number of connection attempts since the client was created.
--- a/tests/platform/CrashingRequestTest.cpp
+++ b/tests/platform/CrashingRequestTest.cpp
@@ -84,3 +84,28 @@
     fixture.repeat("/take/1", 4);
     CHECK(fixture.countReceived(CrashingBody) - before <= MaxRetriesAfterwards);
 }
+
+TEST_CASE("A request whose connections are reset by running upstreams is not refused")
+{
+    const auto reset = [](const HttpRequest &) {
+        StubReply reply;
+        reply.reset = true;
+        return reply;
+    };
+    GatewayFixture fixture(reset, reset);
+    for (int i = 0; i < 6; ++i)
+        CHECK(fixture.statusOf("/take/1", "order") == 502);
+    CHECK(fixture.first.received.size() + fixture.second.received.size() == 6);
+}
+
+TEST_CASE("A caller learns at once that a request is refused as a suspect, and others are served")
+{
+    CrashFixture fixture;
+    fixture.repeat("/take/1", 4);
+    const auto answer = fixture.send("/take/1", {}, CrashingBody, milliseconds(300));
+    REQUIRE(isOk(answer));
+    CHECK(value(answer).status == 503);
+    CHECK(std::stod(std::string(findHeader(value(answer).headers, "Retry-After"))) > 60);
+    CHECK(fixture.statusOf("/take/1", "order") == 200);
+    CHECK(fixture.statusOf("/take/2", "other order") == 200);
+}
