--- a/tests/platform/StubUpstream.cpp
+++ b/tests/platform/StubUpstream.cpp
@@ -149,6 +149,14 @@
                        status, idOf(request), body.size(), body);
 }
 
+std::string StubUpstream::sealedAnswer(const HttpRequest &request, int status,
+                                       const std::string &body, const std::string &headerLine)
+{
+    std::string answer = sealedAnswer(request, status, body);
+    answer.insert(answer.find("\r\n") + 2, headerLine + "\r\n");
+    return answer;
+}
+
 std::string StubUpstream::sealedStreamHead(const HttpRequest &request)
 {
     return fmt::format("HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: {}\r\n"
--- a/tests/platform/StubUpstream.h
+++ b/tests/platform/StubUpstream.h
@@ -58,6 +58,9 @@
     /// Returns a sealed answer to a request, with its Content-Length.
     static std::string sealedAnswer(const HttpRequest &request, int status,
                                     const std::string &body);
+    /// As sealedAnswer(), with one more header.
+    static std::string sealedAnswer(const HttpRequest &request, int status, const std::string &body,
+                                    const std::string &headerLine);
     /// Returns the head of a sealed event stream in chunked encoding.
     static std::string sealedStreamHead(const HttpRequest &request);
     static std::string encodeChunk(const std::string &data);
