Keep to the requests per second that upstreams name

Engines in need named a limit in their answers and got far more from the gateways that they had told, on top of their need.

Class: what an upstream asks for in an answer had no place where it was kept and decided.

HeaderCodec decodes the directives of an answer, UpstreamDirectives keeps them by incarnation, also while the upstream is missing from the list, and the dispatcher asks it for each choice. A limit is divided among the gateways that are known to run: only as many have a share as can spend their one saved request at once without exceeding the limit, the nearest first. Requests wait for the next one that is allowed if half of their latency goal is left then; otherwise 429 with that time.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -59,6 +59,9 @@
 // Time from the end of a load until the gateways know of it.
 constexpr Duration LoadVisibilityDelay = milliseconds(300);
 
+// Shortest Retry-After of a request that the directives of all upstreams forbid.
+constexpr Duration MinDirectiveRetryDelay = milliseconds(500);
+
 uint64_t affinityHash(const std::string &upstreamId, uint64_t key)
 {
     return hash64(upstreamId, key);
@@ -301,7 +304,8 @@
     double bestCostMs = std::numeric_limits<double>::infinity();
     size_t candidates = 0;
     for (const auto &[id, upstream] : this->upstreams) {
-        if (!this->isEligible(upstream, query, now))
+        if (!this->isEligible(upstream, query, now) ||
+            !this->directiveVerdict(upstream, now).isAllowed())
             continue;
         ++candidates;
         const double cost = this->costMs(upstream, query, now);
@@ -325,8 +329,30 @@
     return target;
 }
 
+DirectiveVerdict Dispatcher::directiveVerdict(const Upstream &upstream, Instant now) const
+{
+    return this->upstreamDirectives.verdict(upstream.entry.id, upstream.entry.startedAtMs, now);
+}
+
+DirectiveVerdict Dispatcher::soonestAllowed(const DispatchQuery &query, Instant now) const
+{
+    DirectiveVerdict soonest;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (!this->isEligible(upstream, query, now))
+            continue;
+        const auto verdict = this->directiveVerdict(upstream, now);
+        if (verdict.allowedIn && (!soonest.allowedIn || *verdict.allowedIn < *soonest.allowedIn))
+            soonest = verdict;
+    }
+    return soonest;
+}
+
 DispatchRefusal Dispatcher::makeRefusal(const DispatchQuery &query, Instant now) const
 {
+    if (const auto soonest = this->soonestAllowed(query, now); soonest.allowedIn)
+        return {ErrorKind::Overloaded, "the upstreams take no more requests now",
+                std::max<Duration>(*soonest.allowedIn, MinDirectiveRetryDelay), soonest.allowedIn,
+                soonest.forbiddenBy};
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used",
                 MissingModelRetryDelay};
@@ -369,6 +395,7 @@
     }
     ++upstream.inFlight;
     ++upstream.attemptsSinceReport;
+    this->upstreamDirectives.noteSent(upstreamId, now);
     upstream.pendingAttempts.emplace(ticket, PendingAttempt{now, query.promptTokens, now + due});
     return ticket;
 }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "base/Result.h"
 #include "dispatch/PrefillTimeEstimator.h"
+#include "dispatch/UpstreamDirectives.h"
 #include "dispatch/UpstreamHealth.h"
 #include "fleet/Upstream.h"
 
@@ -50,9 +51,11 @@
     ErrorKind kind = ErrorKind::NoReplica;
     std::string reason;
     Duration retryAfter{};
-    /// Expected time until requests can be sent to an engine that is loading the model; not set if
-    /// no engine loads it.
+    /// Expected time until requests can be sent to an engine that is loading the model, or to an
+    /// upstream that takes none now; not set if there is no such upstream.
     std::optional<Duration> readyIn;
+    /// Directive of the upstreams that could serve the request otherwise.
+    DirectiveKind forbiddenBy = DirectiveKind::None;
 };
 
 /// Decision to queue the request: the best upstream is still prefilling other prompts of this
@@ -99,7 +102,10 @@
 
     using ProximityLookup = std::function<Proximity(const std::string &dataCentre)>;
 
-    explicit Dispatcher(ProximityLookup proximityOf) : proximityOf(std::move(proximityOf)) {}
+    explicit Dispatcher(ProximityLookup proximityOf,
+                        UpstreamDirectives::ShareLookup limitShareOf = {})
+        : proximityOf(std::move(proximityOf)), upstreamDirectives(std::move(limitShareOf))
+    {}
 
     /// Replaces the instance list.
     void setUpstreams(const std::map<std::string, UpstreamEntry> &entries);
@@ -123,6 +129,8 @@
     /// Records the end of an attempt, with or without a first answer.
     void endAttempt(const std::string &upstreamId, AttemptTicket ticket, AttemptOutcome outcome,
                     Instant now);
+    /// What the upstreams have asked for in their answers.
+    UpstreamDirectives &directives() { return this->upstreamDirectives; }
     /// Records the load that an upstream reported in an answer.
     void noteLoad(const std::string &upstreamId, uint32_t running, uint32_t waiting, Instant now);
     /// Records an upstream's answer that it lacks the model or adapter of a request: the view of
@@ -176,6 +184,9 @@
     bool wantsSnapshots(const Upstream &upstream, Instant now) const;
     const std::vector<HeldModel> &currentModels(const Upstream &upstream, Instant now) const;
     bool isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
+    DirectiveVerdict directiveVerdict(const Upstream &upstream, Instant now) const;
+    /// Soonest time at which the directives allow a request to an eligible upstream.
+    DirectiveVerdict soonestAllowed(const DispatchQuery &query, Instant now) const;
     double costMs(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
     double engineCostMs(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
     double serviceCostMs(const Upstream &upstream, Instant now) const;
@@ -189,6 +200,7 @@
     std::map<std::string, Upstream> upstreams;
     size_t remoteUpstreamCount = 0;
     PrefillTimeEstimator prefillTimeEstimator;
+    UpstreamDirectives upstreamDirectives;
     AttemptTicket nextTicket = 1;
 };
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -160,19 +160,24 @@
                 break;
             if (last.outcome == AttemptOutcome::Full)
                 break;
-            // The model is still being loaded, but the response will meet the latency goal.
+            // The model is still being loaded, or the upstreams take no requests now, but the
+            // response will meet the latency goal.
             const Instant now = clockNow();
+            // Several requests wait for the same upstream, and each needs time to be served.
+            const int factor = refusal->forbiddenBy == DirectiveKind::None ? 1 : 2;
             const bool isOnTime =
-                refusal->readyIn && *refusal->readyIn <= this->timeUntilLatencyLimit(now);
+                refusal->readyIn && factor * *refusal->readyIn <= this->timeUntilLatencyLimit(now);
             if (isOnTime && !this->gateway.shutdownSchedule.canFinish(this->route->name,
                                                                       *refusal->readyIn, now)) {
                 co_await this->refuseForShutdown(
-                    fmt::format("the model is ready in {} ms", toMs(*refusal->readyIn)));
+                    fmt::format("an upstream is ready in {} ms", toMs(*refusal->readyIn)));
                 co_return;
             }
             if (isOnTime) {
-                this->phase = ExchangePhase::LoadingModel;
-                this->logWaitForLoad(*refusal->readyIn, now);
+                this->phase = refusal->forbiddenBy == DirectiveKind::None
+                                  ? ExchangePhase::LoadingModel
+                                  : ExchangePhase::Queued;
+                this->logWait(*refusal, now);
                 co_await this->gateway.capacityChanged.waitFor(QueueRecheckInterval,
                                                                this->priority());
                 continue;
@@ -253,13 +258,39 @@
         suspects.handleBreak(this->contentDigest, this->properties.requestId, entry->second, now);
 }
 
-void Exchange::logWaitForLoad(Duration readyIn, Instant now)
+void Exchange::logWait(const DispatchRefusal &refusal, Instant now)
 {
-    if (!std::exchange(this->hasWaitedForLoad, true))
+    if (!std::exchange(this->hasWaited, true))
         logDecision(LogPriority::Routine, now,
-                    fmt::format("event=wait_for_load id={} model={} ready_in_ms={} goal_left_ms={}",
-                                this->properties.requestId, this->properties.model, toMs(readyIn),
-                                toMs(this->timeUntilLatencyLimit(now))));
+                    fmt::format("event={} id={} model={} ready_in_ms={} goal_left_ms={}",
+                                refusal.forbiddenBy == DirectiveKind::None ? "wait_for_load"
+                                                                           : "wait_for_upstream",
+                                this->properties.requestId, this->properties.model,
+                                toMs(*refusal.readyIn), toMs(this->timeUntilLatencyLimit(now))));
+}
+
+void Exchange::noteDirectives(const std::string &upstreamId, uint64_t startedAtMs,
+                              const ResponseProperties &answer, int status)
+{
+    const Instant now = clockNow();
+    const bool isGenuine = answer.requestId == this->properties.requestId &&
+                           (answer.hasSeal || (answer.isNotExecuted && !answer.isMisdirected));
+    auto &directives = this->gateway.dispatcher.directives();
+    const DirectiveKind news =
+        directives.noteAnswer(upstreamId, startedAtMs, answer.directives, isGenuine, now);
+    if (news != DirectiveKind::None)
+        logDecision(
+            LogPriority::Notable, now,
+            fmt::format("event=directive id={} upstream={} kind={} status={} limit_per_s={} "
+                        "share_per_s={:.3f} retry_after_ms={}",
+                        this->properties.requestId, upstreamId, enumName(news), status,
+                        answer.directives.limitPerSecond.value_or(-1),
+                        directives.shareOfLimit(upstreamId),
+                        answer.directives.retryAfter ? toMs(*answer.directives.retryAfter) : -1));
+    if (!answer.malformedDirective.empty())
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=malformed_directive id={} upstream={} header=\"{}\"",
+                                this->properties.requestId, upstreamId, answer.malformedDirective));
 }
 
 Duration Exchange::timeUntilCallerTimeout(Instant now) const
@@ -422,6 +453,9 @@
     ++this->possibleExecutions;
     if (this->sendCount++ == 0)
         this->gateway.retryBudgetOf(this->service).noteFirstAttempt(began);
+    const auto &entries = this->gateway.directory.entries();
+    const auto entry = entries.find(target.upstreamId);
+    const uint64_t startedAtMs = entry == entries.end() ? 0 : entry->second.startedAtMs;
     const AttemptTicket ticket =
         dispatcher.beginAttempt(target.upstreamId, this->makeQuery(), began);
     if (!this->properties.model.empty())
@@ -464,7 +498,7 @@
             this->gateway.prefillQueue.noteFirstAnswer(
                 this->properties.model, *this->firstByteAt - began, *this->firstByteAt);
         const auto stream = std::move(value(opened));
-        result = co_await this->handleResponse(target.upstreamId, *stream);
+        result = co_await this->handleResponse(target.upstreamId, startedAtMs, *stream);
     }
     if (this->isCallerGone)
         result.outcome = AttemptOutcome::Abandoned;
@@ -493,11 +527,12 @@
         std::chrono::duration<double, std::milli>(timeToFirstResponse).count());
 }
 
-asio::awaitable<Exchange::AttemptResult> Exchange::handleResponse(std::string upstreamId,
-                                                                  HttpStream &stream)
+asio::awaitable<Exchange::AttemptResult>
+Exchange::handleResponse(std::string upstreamId, uint64_t startedAtMs, HttpStream &stream)
 {
     const ResponseProperties answer =
         this->gateway.codec.decodeResponse(stream.status(), stream.headers());
+    this->noteDirectives(upstreamId, startedAtMs, answer, stream.status());
     if (answer.load)
         this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
                                           clockNow());
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -71,14 +71,17 @@
     /// request has then been refused; but if mayHaveRun is set, no response was sent and the
     /// outcome of the earlier attempt determines it.
     boost::asio::awaitable<bool> waitInPrefillQueue(DispatchWait wait, bool mayHaveRun);
-    void logWaitForLoad(Duration readyIn, Instant now);
+    void logWait(const DispatchRefusal &refusal, Instant now);
+    /// Records what an upstream asks for in an answer.
+    void noteDirectives(const std::string &upstreamId, uint64_t startedAtMs,
+                        const ResponseProperties &answer, int status);
     Duration timeUntilCallerTimeout(Instant now) const;
     /// Time until the latency goal of the route or the expected timeout of the caller, whichever is
     /// earlier.
     Duration timeUntilLatencyLimit(Instant now) const;
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
     boost::asio::awaitable<AttemptResult> handleResponse(std::string upstreamId,
-                                                         HttpStream &stream);
+                                                         uint64_t startedAtMs, HttpStream &stream);
     boost::asio::awaitable<AttemptResult> relayEventStream(HttpStream &stream);
     boost::asio::awaitable<AttemptResult> relayBufferedResponse(HttpStream &stream, bool success);
     boost::asio::awaitable<bool> ensureAdapterLoaded(DispatchTarget target);
@@ -132,8 +135,9 @@
     // Position in the prefill queue; set while the request waits for engines to finish the prefill
     // of other prompts.
     std::optional<PrefillQueue::Ticket> queueTicket;
-    // Whether the request has waited for an engine to load its model.
-    bool hasWaitedForLoad = false;
+    // Whether the request has waited for an engine to load its model, or for an upstream that took
+    // no requests.
+    bool hasWaited = false;
     // Whether the head of the response was sent; only events of the same stream may follow.
     bool hasStreamBegun = false;
     // Time at which the last complete event of the stream, or its head, was passed on to the
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 // Follows the store, the stewards and the peer gateways, and runs the graceful shutdown.
 #include "gateway/Gateway.h"
 
+#include "dispatch/LimitShare.h"
 #include "gateway/Exchange.h"
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
@@ -71,6 +72,15 @@
     return "";
 }
 
+Proximity findProximity(const GatewaySettings &settings, const std::string &one,
+                        const std::string &other)
+{
+    if (one == other)
+        return Proximity::SameDataCentre;
+    return findRegion(settings, one) == findRegion(settings, other) ? Proximity::SameRegion
+                                                                    : Proximity::OtherRegion;
+}
+
 /// Returns the error response to a request that was not read completely.
 HttpResponse makeRefusal(const RequestCodec &codec, const Error &reason)
 {
@@ -106,13 +116,13 @@
                     this->handleDatagram(datagram, sender);
                 }),
       listRelay(this->settings.instance, this->settings.cpuCores), listUpdateArrived(context),
-      dispatcher([this](const std::string &dataCentre) {
-          if (dataCentre == this->settings.dataCentre)
-              return Proximity::SameDataCentre;
-          return findRegion(this->settings, dataCentre) == this->settings.region
-                     ? Proximity::SameRegion
-                     : Proximity::OtherRegion;
-      }),
+      dispatcher(
+          [this](const std::string &dataCentre) {
+              return findProximity(this->settings, this->settings.dataCentre, dataCentre);
+          },
+          [this](const std::string &upstreamId, double limitPerSecond) {
+              return this->computeShareOfLimit(upstreamId, limitPerSecond);
+          }),
       snapshotArrived(context), capacityChanged(context),
       plannerCoordinator(
           context, this->settings.instance, this->settings.dataCentre, this->settings.cpuCores,
@@ -500,6 +510,7 @@
         this->applyUpstreamNotices(this->directory.removeExpired(clockNow()));
         this->subscribeAll();
         this->suspectExchange.runPeriodic(clockNow());
+        this->dispatcher.directives().refresh(clockNow());
         co_await pauseFor(SubscribePeriod);
     }
 }
@@ -530,6 +541,23 @@
     return std::max(this->plannerCoordinator.countGateways(clockNow()), MinGatewayCount);
 }
 
+double Gateway::computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const
+{
+    const auto entry = this->directory.entries().find(upstreamId);
+    if (entry == this->directory.entries().end())
+        return 0;
+    const auto &upstreamDataCentre = entry->second.dataCentre;
+    std::vector<LimitSharer> sharers;
+    const auto add = [&](const std::string &instance, const std::string &dataCentre) {
+        const auto proximity = findProximity(this->settings, dataCentre, upstreamDataCentre);
+        sharers.push_back({instance, static_cast<int>(proximity)});
+    };
+    add(this->settings.instance, this->settings.dataCentre);
+    for (const auto &[instance, dataCentre] : this->plannerCoordinator.livePeers(clockNow()))
+        add(instance, dataCentre);
+    return computeLimitShare(this->settings.instance, upstreamId, sharers, limitPerSecond);
+}
+
 SharedRetryBudget &Gateway::retryBudgetOf(const std::string &service)
 {
     return this->retryBudgets.try_emplace(service, this->settings.retryLimits).first->second;
--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -85,6 +85,7 @@
                         continue;
                     auto &peer = this->peers[record.name];
                     peer.address = value(parsed);
+                    peer.listedAt = clockNow();
                     if (separator != std::string::npos)
                         peer.dataCentre = record.text.substr(separator + 1);
                 }
@@ -222,6 +223,16 @@
     }
 }
 
+std::vector<std::pair<std::string, std::string>> PlannerCoordinator::livePeers(Instant now) const
+{
+    std::vector<std::pair<std::string, std::string>> live;
+    for (const auto &[name, peer] : this->peers) {
+        if (now < peer.receivedAt.value_or(peer.listedAt) + PeerExpiry)
+            live.emplace_back(name, peer.dataCentre);
+    }
+    return live;
+}
+
 std::map<std::string, const PlannerCoordinator::Peer *>
 PlannerCoordinator::selectPeers(uint64_t selector) const
 {
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -51,6 +51,10 @@
                             Instant now);
     /// Returns the number of gateways that have sent a report recently, including this one.
     size_t countGateways(Instant now) const;
+    /// Returns the names and data centres of the peers that are most likely running: those that
+    /// have sent a report recently, and those that the store lists and that may not have reported
+    /// yet.
+    std::vector<std::pair<std::string, std::string>> livePeers(Instant now) const;
     /// Sends a datagram to all peers in this instance's data centre.
     void sendToDataCentrePeers(const proto::Datagram &datagram);
     /// Sends a datagram to one peer of this instance's data centre, which the selector chooses.
@@ -68,6 +72,8 @@
         std::string dataCentre;
         // Time of the last report; empty for peers that are only known from the store.
         std::optional<Instant> receivedAt;
+        // Time at which the store's record of the peer was read.
+        Instant listedAt{};
         proto::DemandReport report;
         Instant reportAt{};
     };
--- a/src/gateway/RequestCodec.h
+++ b/src/gateway/RequestCodec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "dispatch/UpstreamDirectives.h"
 #include "net/HttpMessage.h"
 
 #include "base/Time.h"
@@ -71,6 +72,9 @@
     /// Whether the body has a content encoding, so that it is not the upstream's plain bytes.
     bool isEncoded = false;
     std::optional<ReportedLoad> load;
+    AnswerDirectives directives;
+    /// Describes directives that cannot be read and are ignored; empty if there are none.
+    std::string malformedDirective;
 };
 
 /// Translates between HTTP messages and their properties. Makes no routing decisions.
