Send no new requests to an upstream whose answers say that it is leaving

Nothing read the header.

It holds for the incarnation that gave it, also if the upstream vanishes from the list and is listed again as ready. If no other upstream is left, requests are refused at once.

--- a/tests/platform/AnswerDirectivesTest.cpp
+++ b/tests/platform/AnswerDirectivesTest.cpp
@@ -93,3 +93,36 @@
     CHECK(static_cast<double>(fixture.first.times.size() + fixture.second.times.size()) >=
           LimitPerSecond * 4);
 }
+
+TEST_CASE("An upstream that says that it is leaving gets no new requests")
+{
+    DirectivesFixture fixture;
+    CHECK(fixture.request() == 200);
+    REQUIRE(fixture.first.times.size() == 1);
+    fixture.first.headerLine = "Server-Leaving: 1";
+    CHECK(fixture.request() == 200);
+    const size_t told = fixture.first.times.size();
+    REQUIRE(told == 2);
+    SUBCASE("while the instance list shows it as ready")
+    {
+        for (int i = 0; i < 10; ++i)
+            CHECK(fixture.request() == 200);
+    }
+    SUBCASE("when it has vanished from the list and is listed again")
+    {
+        fixture.gateway.store.remove("servers", "i-1");
+        fixture.gateway.runFor(milliseconds(1500));
+        fixture.gateway.addUpstream("i-1", "here", fixture.gateway.firstAddress);
+        fixture.gateway.runFor(milliseconds(1500));
+        CHECK(fixture.request() == 200);
+    }
+    SUBCASE("and its requests are refused at once if no other is left")
+    {
+        fixture.gateway.store.remove("servers", "i-2");
+        fixture.gateway.runFor(milliseconds(1500));
+        const Instant before = clockNow();
+        CHECK(fixture.request() == 503);
+        CHECK(clockNow() - before < milliseconds(500));
+    }
+    CHECK(fixture.first.times.size() == told);
+}
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -54,7 +54,8 @@
     {
         this->store.put("config", "main", Config);
         // The first upstream is in the gateway's data centre and so gets the first attempt.
-        this->addUpstream("i-1", "here", this->first.listen());
+        this->firstAddress = this->first.listen();
+        this->addUpstream("i-1", "here", this->firstAddress);
         this->addUpstream("i-2", "there", this->second.listen());
         const auto stewardAddress = this->steward.listen({"127.0.0.1", 0});
         REQUIRE(isOk(stewardAddress));
@@ -204,6 +205,7 @@
     Address address;
     Address readiness;
     Address datagrams;
+    Address firstAddress;
     uint16_t stewardPort = 0;
     std::optional<Gateway> gateway;
 
