--- a/src/entry/EntryExchange.h
+++ b/src/entry/EntryExchange.h
@@ -7,10 +7,10 @@
 #include "entry/CallerAnswer.h"
 #include "entry/CallerRequest.h"
 #include "entry/OpenExchanges.h"
-#include "routing/SuspectGate.h"
 #include "routing/RequestMachine.h"
 #include "routing/RetryBudget.h"
 #include "routing/Router.h"
+#include "routing/SuspectGate.h"
 
 namespace tray {
 
--- a/tests/platform/AnswerDirectivesTest.cpp
+++ b/tests/platform/AnswerDirectivesTest.cpp
@@ -126,3 +126,62 @@
     }
     CHECK(fixture.first.times.size() == told);
 }
+
+TEST_CASE("An upstream that answers 503 with Retry-After is left alone for that time")
+{
+    const auto refuse = [](const HttpRequest &request, const std::string &retryAfter) {
+        return StubReply{StubUpstream::sealedAnswer(
+            request, 503, "",
+            "Marjoramtray-Not-Executed: 1" +
+                (retryAfter.empty() ? "" : "\r\nRetry-After: " + retryAfter))};
+    };
+    std::string retryAfter = "1.5";
+    std::vector<Instant> times;
+    bool isRefusing = true;
+    const auto answer = [&](const HttpRequest &request) -> StubReply {
+        times.push_back(clockNow());
+        return isRefusing ? refuse(request, retryAfter)
+                          : StubReply{StubUpstream::sealedAnswer(request, 200, "fine")};
+    };
+    SUBCASE("and others serve its requests")
+    {
+        GatewayFixture fixture(answer);
+        CHECK(fixture.statusOf("/look/1") == 200);
+        const Instant told = clockNow();
+        while (clockNow() < told + milliseconds(1300))
+            CHECK(fixture.statusOf("/look/1") == 200);
+        CHECK(times.size() == 1);
+        isRefusing = false;
+        fixture.store.remove("servers", "i-2");
+        fixture.runFor(milliseconds(2500));
+        CHECK(fixture.statusOf("/look/1") == 200);
+        CHECK(times.size() == 2);
+    }
+    SUBCASE("and callers are told when it takes requests again if there is no other")
+    {
+        GatewayFixture fixture(answer, answer);
+        fixture.statusOf("/look/1");
+        const Instant told = clockNow();
+        const auto refused = fixture.send("/take/1");
+        REQUIRE(isOk(refused));
+        CHECK(value(refused).status == 429);
+        CHECK(clockNow() - told < milliseconds(500));
+        const auto wait = std::stod(std::string(findHeader(value(refused).headers, "Retry-After")));
+        CHECK(wait > 1.0);
+        CHECK(wait <= 1.5);
+        CHECK(times.size() == 2);
+    }
+    SUBCASE("unless the time cannot be read")
+    {
+        for (const std::string odd :
+             {"soon", "-3", "nan", "1e400", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+            CAPTURE(odd);
+            retryAfter = odd;
+            GatewayFixture fixture(answer, answer);
+            const size_t before = times.size();
+            fixture.statusOf("/take/1");
+            fixture.statusOf("/take/1");
+            CHECK(times.size() > before + 1);
+        }
+    }
+}
