Take no answer without an id on a reused connection for that of the present request

A faulty engine wrote an earlier refusal once more on a kept connection. Without an id it was taken as the answer to the next request: that one went to a second engine, or its caller was told that it had not run, while the first engine ran it.

Engines echo the id of the request. An answer with another id was dropped before; one without an id is now dropped as well on a connection that has been in the pool. On a new connection there is no earlier request whose answer it could be.

GatewayRequestTest, "A refusal that an upstream repeats*": the request ran at both upstreams before (503 and 421 without an id).

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -474,9 +474,11 @@
     options.connectTimeout = ConnectTimeout;
     options.maxIdle =
         this->route->isRepeatable() ? MaxIdleTimeIdempotent : MaxIdleTimeNonIdempotent;
-    options.matchesCall = [this](const HttpHeaders &headers) {
+    options.matchesCall = [this](const HttpHeaders &headers, bool isReusedConnection) {
+        // An answer without an id that arrives on a reused connection may be a repeated answer to
+        // an earlier request.
         const auto id = this->gateway.codec.decodeResponse(0, headers).requestId;
-        return id.empty() || id == this->properties.requestId;
+        return id == this->properties.requestId || (id.empty() && !isReusedConnection);
     };
     auto opened = co_await this->gateway.client.open(target.address, std::move(message),
                                                      forwardOptions.timeLeft, options);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -43,6 +43,8 @@
     beast::flat_buffer buffer{HttpClient::MaxHeadBytes};
     // Incremented when a call takes the connection and when it returns it to the pool.
     uint64_t useCount = 0;
+    // Whether the connection has been in the pool.
+    bool isReused = false;
     Instant idleSince;
     // Idle timeout of the peer, from its Keep-Alive header.
     Duration peerIdleTimeout = std::chrono::hours(1);
@@ -101,6 +103,7 @@
     {
         connection->stream.expires_never();
         ++connection->useCount;
+        connection->isReused = true;
         connection->idleSince = std::chrono::steady_clock::now();
         const std::lock_guard lock(this->mutex);
         auto &list = this->idle[key];
@@ -207,7 +210,7 @@
     }
 
     asio::awaitable<beast::error_code>
-    readHeader(Instant deadline, std::function<bool(const HttpHeaders &)> matchesCall)
+    readHeader(Instant deadline, std::function<bool(const HttpHeaders &, bool)> matchesCall)
     {
         for (int unrelated = 0; unrelated <= MaxUnrelatedResponses; ++unrelated) {
             this->connection->stream.expires_at(deadline);
@@ -217,7 +220,7 @@
                 co_return code;
             this->fields = toHeaders(this->parser->get());
             this->isComplete = this->parser->is_done();
-            if (!matchesCall || matchesCall(this->fields)) {
+            if (!matchesCall || matchesCall(this->fields, this->connection->isReused)) {
                 readKeepAliveTimeout(*this->connection,
                                      this->parser->get()[http::field::keep_alive]);
                 co_return code;
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -73,9 +73,9 @@
     /// Cancels the call; may be null.
     std::shared_ptr<HttpCancel> cancel;
     /// Returns whether a response with these headers belongs to this call. Other responses, which
-    /// the peer sent late for earlier calls, are read and dropped. If empty, every response is
-    /// accepted.
-    std::function<bool(const HttpHeaders &)> matchesCall;
+    /// the peer sent late for earlier calls, are read and dropped. There are no earlier calls on a
+    /// connection that is not reused. If empty, every response is accepted.
+    std::function<bool(const HttpHeaders &headers, bool isReusedConnection)> matchesCall;
 };
 
 /// Sends requests. Safe to use from any thread; each call runs on the caller's executor.
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -130,7 +130,7 @@
         HttpRequest request;
         request.method = body.empty() ? "GET" : "POST";
         request.target = target;
-        request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+        request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", this->requestId}};
         request.headers.insert(request.headers.end(), headers.begin(), headers.end());
         request.body = std::move(body);
         std::optional<Result<HttpResponse>> answer;
@@ -204,6 +204,8 @@
                          }};
     Address address;
     Address readiness;
+    /// Id of the requests that send() sends.
+    std::string requestId = "r1";
     Address datagrams;
     Address firstAddress;
     uint16_t stewardPort = 0;
--- a/tests/platform/GatewayRequestTest.cpp
+++ b/tests/platform/GatewayRequestTest.cpp
@@ -644,6 +644,43 @@
     CHECK(fixture.second.received.empty());
 }
 
+TEST_CASE("A refusal that an upstream repeats on a kept connection is no answer to a later request")
+{
+    std::string strayRefusal;
+    int served = 0;
+    GatewayFixture fixture([&](const HttpRequest &request) -> StubReply {
+        if (++served == 1)
+            return {StubUpstream::sealedAnswer(request, 200, "before")};
+        StubReply reply;
+        reply.bytes = strayRefusal;
+        reply.pieces = {StubUpstream::sealedAnswer(request, 200, "first")};
+        reply.pieceDelay = milliseconds(100);
+        return reply;
+    });
+    CHECK(fixture.statusOf("/take/1") == 200);
+    fixture.requestId = "r2";
+    SUBCASE("with the id of the earlier request")
+    {
+        strayRefusal = "HTTP/1.1 503 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                       "Marjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+    SUBCASE("without an id")
+    {
+        strayRefusal = "HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n";
+    }
+    SUBCASE("without an id, as from an upstream that lacks the model")
+    {
+        strayRefusal = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n";
+    }
+    const auto answer = fixture.send("/take/1");
+    REQUIRE(isOk(answer));
+    CHECK(value(answer).status == 200);
+    CHECK(value(answer).body == "first");
+    CHECK(fixture.first.received.size() == 2);
+    CHECK(fixture.second.received.empty());
+}
+
 TEST_CASE("A gateway without a configuration answers a request as not executed")
 {
     GatewayFixture fixture(sendSealedAnswer);
