--- a/tests/platform/FleetJsonTest.cpp
+++ b/tests/platform/FleetJsonTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace tray;
 using namespace tray::platform;
@@ -114,6 +115,14 @@
     CHECK_FALSE(decodeUpstreamEntry("i-1", replaced("10.128.0.9:8080", "nowhere")).has_value());
     CHECK_FALSE(
         decodeUpstreamEntry("i-1", replaced("\"slots\":64", "\"slots\":\"64\"")).has_value());
+    for (const auto *slots : {"0", "4294967296", "-1", "1e300", "18446744073709551616"})
+        CHECK_FALSE(
+            decodeUpstreamEntry("i-1", replaced("\"slots\":64", fmt::format("\"slots\":{}", slots)))
+                .has_value());
+    for (const auto *port : {"0", "65536", "-1", "99999999999999999999", ""})
+        CHECK_FALSE(decodeUpstreamEntry(
+                        "i-1", replaced("10.128.0.9:8080", fmt::format("10.128.0.9:{}", port)))
+                        .has_value());
     CHECK_FALSE(decodeUpstreamEntry("i-1", replaced("1790000000000", "1.5")).has_value());
     CHECK_FALSE(
         decodeUpstreamEntry("i-1", replaced("[{\"name\":\"m1\"", "[{\"nam\":\"m1\"")).has_value());
@@ -139,6 +148,11 @@
     CHECK(value(report).sequence == 2);
     CHECK(isHeld(value(report).adaptersInTransit, "m1", "a7"));
     CHECK(value(report).modelsOnDisk.size() == 2);
+    const auto odd = decodeEngineReport(parseOrFail(
+        R"({"models":[],"sequence":1,"queue_depth":1e300,"active_requests":-5,"kv_used":"x"})"));
+    REQUIRE(isOk(odd));
+    CHECK(value(odd).waiting == 4294967295);
+    CHECK(value(odd).running == 0);
     CHECK_FALSE(isOk(decodeEngineReport(parseOrFail(R"({"models":[]})"))));
     CHECK_FALSE(isOk(decodeEngineReport(parseOrFail(R"({"models":5,"sequence":1})"))));
 }
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -85,6 +85,48 @@
         REQUIRE(isOk(quiet));
         CHECK(value(quiet).changes.empty());
     }
+    SUBCASE("an entry that cannot be parsed hides no other, in a list or a watch")
+    {
+        std::string odd;
+        const std::string deep = std::string(40, '[') + std::string(40, ']');
+        SUBCASE("nested too deeply")
+        {
+            odd = deep;
+        }
+        SUBCASE("nested very deeply")
+        {
+            odd = std::string(100000, '[') + std::string(100000, ']');
+        }
+        SUBCASE("with a number too large")
+        {
+            odd = R"({"service":"s1","slots":1e400000000000})";
+        }
+        SUBCASE("with brackets in its texts")
+        {
+            odd = R"({"service":"]}\"[{","models":)" + deep + "}";
+        }
+        SUBCASE("with bytes that are no text")
+        {
+            odd = "{\"service\":\"\xff\xfe\"}";
+        }
+        store.placeholders["odd"] = odd;
+        store.put("servers", "i-1", entryText());
+        store.put("servers", "i-2", R"("odd")");
+        store.put("servers", "i-3", entryText());
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE(isOk(reading));
+        CHECK(value(reading).entries.size() == 2);
+        store.put("servers", "i-1", R"("odd")");
+        store.put("servers", "i-4", entryText());
+        const auto changes =
+            runCall(context, client.awaitUpstreams(value(reading).revision, milliseconds(1000)));
+        REQUIRE(isOk(changes));
+        REQUIRE(value(changes).changes.size() == 2);
+        CHECK(value(changes).changes[0].removed);
+        CHECK(value(changes).changes[0].entry.id == "i-1");
+        CHECK(value(changes).changes[1].entry.id == "i-4");
+        CHECK(!value(changes).changes[1].removed);
+    }
     SUBCASE("an entry that becomes malformed is reported as removed")
     {
         store.put("servers", "i-1", entryText());
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -18,6 +18,16 @@
     return makeResponse(status, "application/json", json::serialize(body));
 }
 
+/// Replaces each placeholder, which stands for a JSON string, by its text.
+void replacePlaceholders(std::string &body, const std::map<std::string, std::string> &texts)
+{
+    for (const auto &[placeholder, text] : texts) {
+        const std::string quoted = "\"" + placeholder + "\"";
+        for (auto at = body.find(quoted); at != std::string::npos; at = body.find(quoted, at))
+            body.replace(at, quoted.size(), text);
+    }
+}
+
 uint64_t revisionOf(const json::value &object)
 {
     return object.at("metadata").at("revision").to_number<uint64_t>();
@@ -76,7 +86,10 @@
             items.push_back(it->second);
         }
     }
-    return answer(200, {{"items", items}, {"more", more}, {"current_rev", this->revision}});
+    auto response =
+        answer(200, {{"items", items}, {"more", more}, {"current_rev", this->revision}});
+    replacePlaceholders(response.body, this->placeholders);
+    return response;
 }
 
 HttpResponse StubStore::write(const std::string &kind, const std::string &name,
@@ -129,6 +142,7 @@
         if (!events.empty() || std::chrono::steady_clock::now() >= end) {
             HttpResponse changed =
                 answer(200, {{"events", events}, {"current_rev", this->revision}});
+            replacePlaceholders(changed.body, this->placeholders);
             co_await responder.respond(std::move(changed));
             co_return;
         }
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -32,6 +32,9 @@
         this->changes.clear();
         this->oldestRevision = this->revision;
     }
+    /// JSON strings in objects that are replaced by other text in lists and watches, which need not
+    /// be valid JSON.
+    std::map<std::string, std::string> placeholders;
     int requestCount = 0;
 
 private:
