Let gateways without a share of a limit look for its end one after the other

A gateway that has no share of an upstream's limit forgot the limit after 30 s, sent a request and was told again. With some 60 such gateways these requests took 1.8 a second, more than a limit of 1 with its shares leaves room for (computed, not run).

--- a/src/dispatch/UpstreamDirectives.cpp
+++ b/src/dispatch/UpstreamDirectives.cpp
@@ -14,6 +14,14 @@
 
 } // namespace
 
+void UpstreamDirectives::Limit::setShare(const LimitShare &lookedUp)
+{
+    this->share = lookedUp.perSecond;
+    const Duration lifetime =
+        this->share > 0 ? LimitLifetime : std::max(LimitLifetime, lookedUp.recheckAfter);
+    this->expiresAt = this->namedAt + lifetime;
+}
+
 double UpstreamDirectives::Limit::tokensAt(Instant now) const
 {
     const double seconds = std::chrono::duration<double>(now - this->filledAt).count();
@@ -84,12 +92,10 @@
         row.limit->filledAt = now;
     }
     auto &limit = *row.limit;
-    limit.expiresAt = now + LimitLifetime;
-    if (limit.perSecond == perSecond)
-        return;
+    limit.namedAt = now;
     limit.fill(now);
     limit.perSecond = perSecond;
-    limit.share = this->shareOf ? this->shareOf(upstream, perSecond) : perSecond;
+    limit.setShare(this->shareOf ? this->shareOf(upstream, perSecond) : LimitShare{perSecond, {}});
 }
 
 void UpstreamDirectives::noteSent(const std::string &upstream, Instant now)
@@ -147,7 +153,7 @@
         if (!row.limit)
             continue;
         row.limit->fill(now);
-        row.limit->share = this->shareOf(upstream, row.limit->perSecond);
+        row.limit->setShare(this->shareOf(upstream, row.limit->perSecond));
     }
 }
 
--- a/src/dispatch/UpstreamDirectives.h
+++ b/src/dispatch/UpstreamDirectives.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/EnumNames.h"
-#include "base/Time.h"
+#include "dispatch/LimitShare.h"
 
 #include <functional>
 #include <map>
@@ -52,8 +52,8 @@
 class UpstreamDirectives
 {
 public:
-    /// Time after the last answer or report of a peer that named a limit until the limit is
-    /// forgotten: an instance that may send nothing would never learn that it was withdrawn.
+    /// Shortest time after the last answer that named a limit until the limit is forgotten: an
+    /// instance that may send nothing would never learn that it was withdrawn.
     static constexpr Duration LimitLifetime = std::chrono::seconds(30);
     /// Time for which an upstream counts as leaving. It covers the time for which upstreams go on
     /// after their announcement.
@@ -61,8 +61,9 @@
     /// Above this number of upstreams, the directives of the one that expires first are dropped.
     static constexpr size_t MaxUpstreams = 4000;
 
-    /// Returns the part of an upstream's limit that this instance may use, in requests per second.
-    using ShareLookup = std::function<double(const std::string &upstream, double limitPerSecond)>;
+    /// Returns the part of an upstream's limit that this instance may use.
+    using ShareLookup =
+        std::function<LimitShare(const std::string &upstream, double limitPerSecond)>;
 
     explicit UpstreamDirectives(ShareLookup shareOf = {}) : shareOf(std::move(shareOf)) {}
 
@@ -89,8 +90,10 @@
         // Number of requests that may be sent; below 1 none may.
         double tokens = 0;
         Instant filledAt{};
+        Instant namedAt{};
         Instant expiresAt{};
 
+        void setShare(const LimitShare &lookedUp);
         double tokensAt(Instant now) const;
         void fill(Instant now);
     };
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,7 +1,6 @@
 // Follows the store, the stewards and the peer gateways, and runs the graceful shutdown.
 #include "gateway/Gateway.h"
 
-#include "dispatch/LimitShare.h"
 #include "gateway/Exchange.h"
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
@@ -541,11 +540,11 @@
     return std::max(this->plannerCoordinator.countGateways(clockNow()), MinGatewayCount);
 }
 
-double Gateway::computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const
+LimitShare Gateway::computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const
 {
     const auto entry = this->directory.entries().find(upstreamId);
     if (entry == this->directory.entries().end())
-        return 0;
+        return {};
     const auto &upstreamDataCentre = entry->second.dataCentre;
     std::vector<LimitSharer> sharers;
     const auto add = [&](const std::string &instance, const std::string &dataCentre) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -97,9 +97,8 @@
     void registerGauges();
     Address stewardAddress(const UpstreamEntry &entry) const;
     size_t countGateways() const;
-    /// Returns the part of an upstream's request limit that this gateway may use, in requests per
-    /// second.
-    double computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const;
+    /// Returns the part of an upstream's request limit that this gateway may use.
+    LimitShare computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const;
     SharedRetryBudget &retryBudgetOf(const std::string &service);
 
     boost::asio::io_context &context;
--- a/tests/dispatch/UpstreamDirectivesTest.cpp
+++ b/tests/dispatch/UpstreamDirectivesTest.cpp
@@ -39,7 +39,10 @@
 {
     const Instant start{std::chrono::hours(1)};
     double part = 0.5;
-    UpstreamDirectives directives([&](const std::string &, double limit) { return part * limit; });
+    Duration recheckAfter{};
+    UpstreamDirectives directives([&](const std::string &, double limit) {
+        return LimitShare{part * limit, recheckAfter};
+    });
     CHECK(directives.noteAnswer("a", Born, limitOf(2), true, start) == DirectiveKind::Limit);
     SUBCASE("from the answer on that names it, and no faster after a pause")
     {
@@ -72,6 +75,11 @@
         const Instant end = start + UpstreamDirectives::LimitLifetime;
         CHECK(!directives.verdict("a", Born, end - milliseconds(1)).isAllowed());
         CHECK(directives.verdict("a", Born, end).isAllowed());
+        // With many instances, each one looks less often.
+        recheckAfter = std::chrono::seconds(200);
+        directives.noteAnswer("a", Born, limitOf(2), true, start);
+        CHECK(!directives.verdict("a", Born, end).isAllowed());
+        CHECK(directives.verdict("a", Born, start + recheckAfter).isAllowed());
     }
     SUBCASE("not after a restart, and an old answer changes nothing then")
     {
@@ -115,18 +123,24 @@
                 sharers.push_back({fmt::format("front-{}", i), static_cast<int>(i % 3)});
             double sum = 0;
             double count = 0;
+            double rechecks = 0;
             for (const auto &sharer : sharers) {
-                const double share = computeLimitShare(sharer.instance, "a", sharers, limit);
-                sum += share;
-                count += share > 0 ? 1 : 0;
+                const auto share = computeLimitShare(sharer.instance, "a", sharers, limit);
+                sum += share.perSecond;
+                count += share.perSecond > 0 ? 1 : 0;
+                rechecks += share.perSecond > 0
+                                ? 0
+                                : 4 / std::chrono::duration<double>(share.recheckAfter).count();
             }
             CHECK(sum == doctest::Approx(limit));
             // In 4 s, the savings of all and the limit itself stay within the platform's bound.
             CHECK(count + 4 * limit <= 6 * limit + 5);
+            if (limit > 0)
+                CHECK(count + 4 * limit + rechecks <= 6 * limit + 5);
             const auto nearest =
                 computeLimitShare("front-0", "a", {{"front-0", 0}, {"front-1", 2}}, 1);
-            CHECK(nearest > 0);
+            CHECK(nearest.perSecond > 0);
         }
     }
-    CHECK(computeLimitShare("unknown", "a", {{"front-0", 0}}, 1) == 0);
+    CHECK(computeLimitShare("unknown", "a", {{"front-0", 0}}, 1).perSecond == 0);
 }
