Prefer a load that ends sooner to an upstream's next allowed request

A request whose engine had named a limit was told to come back after the limit's lifetime (30 s or more), although another engine was about to have loaded the model, or another gateway had a share. Found by reading; DispatcherTest, "an engine that takes none now*", failed before (30 s).

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -349,15 +349,22 @@
 
 DispatchRefusal Dispatcher::makeRefusal(const DispatchQuery &query, Instant now) const
 {
-    if (const auto soonest = this->soonestAllowed(query, now); soonest.allowedIn)
-        return {ErrorKind::Overloaded, "the upstreams take no more requests now",
-                std::max<Duration>(*soonest.allowedIn, MinDirectiveRetryDelay), soonest.allowedIn,
-                soonest.forbiddenBy};
+    const auto soonest = this->soonestAllowed(query, now);
+    const auto loadedIn =
+        query.model.empty() ? std::nullopt : this->timeUntilLoaded(query.model, now);
+    if (soonest.allowedIn && (!loadedIn || *soonest.allowedIn < *loadedIn)) {
+        Duration retryAfter = std::max<Duration>(*soonest.allowedIn, MinDirectiveRetryDelay);
+        // Another instance may have a larger share of the limit.
+        if (soonest.forbiddenBy == DirectiveKind::Limit)
+            retryAfter = std::min<Duration>(retryAfter, MissingModelRetryDelay);
+        return {ErrorKind::Overloaded, "the upstreams take no more requests now", retryAfter,
+                soonest.allowedIn, soonest.forbiddenBy};
+    }
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used",
                 MissingModelRetryDelay};
     const Duration retryAfter = this->retryForMissing(query.model, now);
-    if (this->timeUntilLoaded(query.model, now))
+    if (loadedIn)
         return {ErrorKind::NoReplica, "the model is being loaded", retryAfter, retryAfter};
     return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter};
 }
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -67,6 +67,27 @@
     dispatcher.setUpstreams({{"a", engineNamed("a")}, {"other", other}});
     CHECK(chosen(dispatcher, queryOf(), Start) == "a");
 
+    SUBCASE("an engine that takes none now delays a request no longer than a load elsewhere")
+    {
+        AnswerDirectives directives;
+        directives.limitPerSecond = 0;
+        dispatcher.directives().noteAnswer("a", 1, directives, true, Start);
+        auto choice = dispatcher.choose(queryOf(), Start);
+        REQUIRE(std::holds_alternative<DispatchRefusal>(choice));
+        // Other instances may have a share of the limit.
+        CHECK(std::get<DispatchRefusal>(choice).retryAfter <= std::chrono::seconds(3));
+        proto::EngineSnapshot snapshot = snapshotOf("other");
+        snapshot.clear_models();
+        snapshot.set_loading("m1");
+        snapshot.set_loading_left_ms(1700);
+        dispatcher.noteSnapshot(snapshot, Start);
+        choice = dispatcher.choose(queryOf(), Start);
+        REQUIRE(std::holds_alternative<DispatchRefusal>(choice));
+        const auto &refusal = std::get<DispatchRefusal>(choice);
+        CHECK(refusal.forbiddenBy == DirectiveKind::None);
+        REQUIRE(refusal.readyIn);
+        CHECK(*refusal.readyIn <= std::chrono::seconds(2));
+    }
     SUBCASE("a draining engine gets no requests, whether the list or its snapshot says so")
     {
         auto leaving = engineNamed("a");
