--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -315,15 +315,16 @@
 asio::awaitable<ProbeResult> HttpClient::probe(Address address, Duration timeout)
 {
     const auto self = this->impl;
+    const HttpCallOptions options;
     beast::error_code code;
-    const auto connection = co_await self->dial(address, timeout, {}, code);
-    if (!code)
+    const auto connection = co_await self->dial(address, timeout, options, code);
+    if (!code) {
         self->returnToPool(toString(address), connection);
+        co_return ProbeResult::Accepted;
+    }
     const bool isRefused =
         code == asio::error::connection_refused || code == asio::error::connection_reset;
-    co_return !code ? ProbeResult::Accepted
-    : isRefused     ? ProbeResult::Refused
-                    : ProbeResult::Silent;
+    co_return isRefused ? ProbeResult::Refused : ProbeResult::Silent;
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>>
