Check an upstream's directives again after the wait for an adapter

Requests that chose an engine while its limit allowed one, and then waited up to 350 ms for an adapter, were all sent: the limit counts a request when it is sent. They now choose again if others have used what was allowed, or if the engine has said meanwhile that it is leaving or wants nothing.

AnswerDirectivesTest, "Requests that wait for an adapter*": 8 instead of 1 request before.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -334,6 +334,12 @@
     return this->upstreamDirectives.verdict(upstream.entry.id, upstream.entry.startedAtMs, now);
 }
 
+bool Dispatcher::takesRequests(const std::string &upstreamId, Instant now) const
+{
+    const auto found = this->upstreams.find(upstreamId);
+    return found != this->upstreams.end() && this->directiveVerdict(found->second, now).isAllowed();
+}
+
 DirectiveVerdict Dispatcher::soonestAllowed(const DispatchQuery &query, Instant now) const
 {
     DirectiveVerdict soonest;
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -114,6 +114,8 @@
     bool noteSnapshot(const proto::EngineSnapshot &snapshot, Instant now);
 
     DispatchDecision choose(const DispatchQuery &query, Instant now) const;
+    /// Whether the directives of an upstream that was chosen earlier still allow a request.
+    bool takesRequests(const std::string &upstreamId, Instant now) const;
     /// Records that the upstream was chosen for a request.
     void noteChosen(const std::string &upstreamId, Instant now);
     /// Whether this instance is to receive the snapshots of the upstream's engine.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -219,6 +219,9 @@
                     break;
                 continue;
             }
+            // Others that waited for the adapter may have used what the upstream allows.
+            if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()))
+                continue;
         }
         std::optional<SuspectGate::Pass> pass;
         if (verdict == SuspectVerdict::RunAlone) {
--- a/tests/platform/AnswerDirectivesTest.cpp
+++ b/tests/platform/AnswerDirectivesTest.cpp
@@ -185,3 +185,59 @@
         }
     }
 }
+
+TEST_CASE("Requests that wait for an adapter of an engine with a limit share what the limit allows")
+{
+    DirectivesFixture fixture;
+    auto &gateway = fixture.gateway;
+    gateway.store.put("config", "main", R"({"version":2,"routes":[
+        {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"safe","timeout_ms":4000,
+         "goal_ms":1500,"max_attempts":1,"service":"llm"}],
+        "services":[{"name":"llm","max_conns":50,"engine":{"slots":64,"kv_cache_tokens":100000,
+         "models":[{"name":"m1","weights_mb":60000,"load_s":8,"adapters":4,"adapter_mb":12}],
+         "weights_mb":220000,"adapter_slots":8,"loads_per_s":1}}],
+        "limits":{"header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,
+         "idle_timeout_ms":5000}})");
+    TimedUpstream limited;
+    limited.headerLine = "Server-Limit: 1.2";
+    StubUpstream engine(gateway.context,
+                        [&](const HttpRequest &request) { return limited.answer(request); });
+    gateway.addUpstream("e-1", "here", engine.listen(), "llm");
+    gateway.runFor(milliseconds(900));
+    const auto sendSnapshot = [&](bool hasAdapter) {
+        proto::Datagram datagram;
+        auto *snapshot = datagram.mutable_snapshot();
+        snapshot->set_upstream_id("e-1");
+        snapshot->set_can_order(true);
+        auto *model = snapshot->add_models();
+        model->set_name("m1");
+        if (hasAdapter)
+            model->add_adapters("a1");
+        gateway.steward.send(gateway.datagrams, std::move(datagram));
+    };
+    sendSnapshot(false);
+    gateway.runFor(milliseconds(50));
+    CHECK(isOk(gateway.send("/ask/1", {{"Marjoramtray-Model", "m1"}})));
+    REQUIRE(limited.times.size() == 1);
+    // The share saves up one request.
+    gateway.runFor(milliseconds(1000));
+    sendSnapshot(false);
+    gateway.runFor(milliseconds(50));
+    gateway.runAfter(milliseconds(150), [&] { sendSnapshot(true); });
+    for (int i = 0; i < 8; ++i) {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/ask/1";
+        request.headers = {{"Host", "a.example"},
+                           {"Marjoramtray-Request-Id", fmt::format("q{}", i)},
+                           {"Marjoramtray-Model", "m1/a1"}};
+        asio::co_spawn(
+            gateway.context,
+            [&gateway, request]() -> asio::awaitable<void> {
+                co_await gateway.caller.request(gateway.address, request, std::chrono::seconds(5));
+            },
+            asio::detached);
+    }
+    gateway.runFor(milliseconds(500));
+    CHECK(limited.times.size() == 2);
+}
