--- a/src/dispatch/UpstreamDirectives.cpp
+++ b/src/dispatch/UpstreamDirectives.cpp
@@ -88,7 +88,7 @@
                                    Instant now)
 {
     if (!row.limit || now >= row.limit->expiresAt) {
-        row.limit.emplace();
+        row.limit = Limit();
         row.limit->filledAt = now;
     }
     auto &limit = *row.limit;
