--- a/src/edge/HttpInstanceSource.cpp
+++ b/src/edge/HttpInstanceSource.cpp
@@ -1,6 +1,8 @@
 // Calls the platform's instance list, and parses and formats its entries.
 #include "edge/HttpInstanceSource.h"
 
+#include "net/JsonParts.h"
+
 #include <boost/json.hpp>
 
 namespace tray {
@@ -18,15 +20,15 @@
 
 Result<proto::InstanceList> parseList(const std::string &body)
 {
-    boost::system::error_code failure;
-    const auto parsed = json::parse(body, failure);
-    const auto *object = failure ? nullptr : parsed.if_object();
+    const auto parsed = parseJsonParts(body);
+    const auto *object = isOk(parsed) ? value(parsed).if_object() : nullptr;
     const auto *rows = object == nullptr ? nullptr : object->if_contains("instances");
     const auto *revision = object == nullptr ? nullptr : object->if_contains("revision");
     if (rows == nullptr || !rows->is_array() || revision == nullptr || !revision->is_number())
         return Error{ErrorKind::PlatformUnavailable, "instance list: answer is not valid"};
     proto::InstanceList list;
-    list.set_revision(revision->to_number<uint64_t>(failure));
+    boost::system::error_code ignored;
+    list.set_revision(revision->to_number<uint64_t>(ignored));
     for (const auto &row : rows->as_array()) {
         if (!row.is_object())
             continue;
--- a/src/edge/HttpObjectApi.cpp
+++ b/src/edge/HttpObjectApi.cpp
@@ -1,6 +1,8 @@
 // Sends the requests of the object API and maps HTTP statuses and failures to error kinds.
 #include "edge/HttpObjectApi.h"
 
+#include "net/JsonParts.h"
+
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -95,11 +97,10 @@
 
 Result<ObjectChanges> parseChanges(const std::string &body, std::string_view field)
 {
-    boost::system::error_code failure;
-    const auto parsed = json::parse(body, failure);
-    if (failure || !parsed.is_object())
+    const auto parsed = parseJsonParts(body);
+    if (!isOk(parsed) || !value(parsed).is_object())
         return Error{ErrorKind::PlatformUnavailable, "object API: answer is not JSON"};
-    const auto &object = parsed.as_object();
+    const auto &object = value(parsed).as_object();
     ObjectChanges out;
     out.revision = numberField(object, "revision");
     const auto *rows = object.if_contains(field);
