Withdraw a limit only when an executed request's answer names none

A refusal without the header withdrew the limit, and the next requests were sent freely until an answer named it again.

AnswerDirectivesTest, "A refusal that names no limit*": 4 requests instead of 2 before.

--- a/src/dispatch/UpstreamDirectives.h
+++ b/src/dispatch/UpstreamDirectives.h
@@ -68,7 +68,8 @@
     explicit UpstreamDirectives(ShareLookup shareOf = {}) : shareOf(std::move(shareOf)) {}
 
     /// Records the directives of an answer. An answer without a limit withdraws the limit only if
-    /// it is certain that the upstream itself has sent it. Returns the directive that is new.
+    /// it is genuine: the upstream's own answer to a request that it has executed. Returns the
+    /// directive that is new.
     DirectiveKind noteAnswer(const std::string &upstream, uint64_t startedAtMs,
                              const AnswerDirectives &directives, bool isGenuine, Instant now);
     /// Records a request that is sent to the upstream.
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -276,8 +276,8 @@
                               const ResponseProperties &answer, int status)
 {
     const Instant now = clockNow();
-    const bool isGenuine = answer.requestId == this->properties.requestId &&
-                           (answer.hasSeal || (answer.isNotExecuted && !answer.isMisdirected));
+    const bool isGenuine =
+        answer.requestId == this->properties.requestId && answer.hasSeal && !answer.isNotExecuted;
     auto &directives = this->gateway.dispatcher.directives();
     const DirectiveKind news =
         directives.noteAnswer(upstreamId, startedAtMs, answer.directives, isGenuine, now);
--- a/tests/platform/AnswerDirectivesTest.cpp
+++ b/tests/platform/AnswerDirectivesTest.cpp
@@ -94,6 +94,23 @@
           LimitPerSecond * 4);
 }
 
+TEST_CASE("A refusal that names no limit does not withdraw the limit")
+{
+    size_t received = 0;
+    GatewayFixture fixture([&](const HttpRequest &request) -> StubReply {
+        if (++received == 1)
+            return {StubUpstream::sealedAnswer(request, 200, "fine", "Server-Limit: 1.2")};
+        return {StubUpstream::sealedAnswer(request, 503, "", "Marjoramtray-Not-Executed: 1")};
+    });
+    fixture.statusOf("/look/1");
+    fixture.store.remove("servers", "i-2");
+    fixture.runFor(milliseconds(1500));
+    // The second one is refused, and the third one exceeds the share.
+    for (int i = 0; i < 3; ++i)
+        fixture.statusOf("/take/1");
+    CHECK(received == 2);
+}
+
 TEST_CASE("An upstream that says that it is leaving gets no new requests")
 {
     DirectivesFixture fixture;
