Probe an upstream again if a connection broke during the probe

A probe that was under way answered for breaks before it only, but a break during it started no probe of its own, so that a crash right then was counted only once the list showed the end. CrashTracker tells now whether a break is left, and the probe is repeated; CrashTrackerTest covers the tracker's part, the repetition itself has no test. The log line of a break is named connection_broke.

--- a/src/gateway/SuspectExchange.cpp
+++ b/src/gateway/SuspectExchange.cpp
@@ -37,8 +37,8 @@
     this->tracker.recordBreak(contentDigest, upstream.id,
                               fmt::format("{}@{}", upstream.id, upstream.startedAtMs), now);
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=break id={} digest={:016x} upstream={} crashes={}", requestId,
-                            contentDigest, upstream.id,
+                fmt::format("event=connection_broke id={} digest={:016x} upstream={} crashes={}",
+                            requestId, contentDigest, upstream.id,
                             this->tracker.crashCount(contentDigest, now)));
     if (this->probed.insert(upstream.id).second)
         keepRunning(this->context, "probe_upstream",
@@ -49,16 +49,19 @@
 
 asio::awaitable<void> SuspectExchange::probe(std::string upstream, Address address)
 {
-    const Instant began = clockNow();
-    const ProbeResult result = co_await this->client.probe(address, ProbeTimeout);
+    // A connection may break while a probe is under way, which then says nothing about that break.
+    bool isOpen = true;
+    while (isOpen) {
+        const Instant began = clockNow();
+        const ProbeResult result = co_await this->client.probe(address, ProbeTimeout);
+        logDecision(LogPriority::Notable, clockNow(),
+                    fmt::format("event=probe upstream={} result={} ms={}", upstream,
+                                enumName(result), toMs(clockNow() - began)));
+        if (result == ProbeResult::Refused)
+            this->handleUpstreamEnd(upstream, clockNow());
+        isOpen = result == ProbeResult::Accepted && this->tracker.recordAlive(upstream, began);
+    }
     this->probed.erase(upstream);
-    logDecision(LogPriority::Notable, clockNow(),
-                fmt::format("event=probe upstream={} result={} ms={}", upstream, enumName(result),
-                            toMs(clockNow() - began)));
-    if (result == ProbeResult::Refused)
-        this->handleUpstreamEnd(upstream, clockNow());
-    else if (result == ProbeResult::Accepted)
-        this->tracker.recordAlive(upstream, began);
 }
 
 void SuspectExchange::handleUpstreamEnd(const std::string &upstream, Instant now)
--- a/src/routing/CrashTracker.cpp
+++ b/src/routing/CrashTracker.cpp
@@ -1,6 +1,8 @@
 // Opens, confirms and dismisses cases of broken connections.
 #include "routing/CrashTracker.h"
 
+#include <algorithm>
+
 namespace tray {
 
 SuspectVerdict CrashTracker::verdict(uint64_t contentDigest, Instant now) const
@@ -32,11 +34,13 @@
     return changes;
 }
 
-void CrashTracker::recordAlive(const std::string &upstream, Instant since)
+bool CrashTracker::recordAlive(const std::string &upstream, Instant since)
 {
     std::erase_if(this->openCases, [&](const OpenCase &open) {
         return open.upstream == upstream && open.brokeAt <= since;
     });
+    return std::any_of(this->openCases.begin(), this->openCases.end(),
+                       [&](const OpenCase &open) { return open.upstream == upstream; });
 }
 
 std::vector<proto::Suspect> CrashTracker::recordCompletion(uint64_t contentDigest, Instant now)
--- a/src/routing/CrashTracker.h
+++ b/src/routing/CrashTracker.h
@@ -63,8 +63,8 @@
     /// suspects that changed.
     std::vector<proto::Suspect> recordEnd(const std::string &upstream, Instant now);
     /// Records that an upstream accepted a connection that was opened at the given time: breaks
-    /// before had other causes than a crash.
-    void recordAlive(const std::string &upstream, Instant since);
+    /// before had other causes than a crash. Returns whether a connection has broken since.
+    bool recordAlive(const std::string &upstream, Instant since);
     /// Records that an upstream has completed the request. Returns the suspect if it was cleared.
     std::vector<proto::Suspect> recordCompletion(uint64_t contentDigest, Instant now);
     /// Merges a peer's suspects. Returns those that are new here.
--- a/tests/routing/CrashTrackerTest.cpp
+++ b/tests/routing/CrashTrackerTest.cpp
@@ -38,6 +38,13 @@
         CHECK(tracker.recordEnd("a", start + std::chrono::seconds(10)).empty());
         CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::Unsuspected);
     }
+    SUBCASE("a connection that breaks while a probe is under way needs another probe")
+    {
+        tracker.recordBreak(Crashing, "a", "a@1", start);
+        tracker.recordBreak(Innocent, "a", "a@1", start + milliseconds(2));
+        CHECK(tracker.recordAlive("a", start + milliseconds(1)));
+        CHECK(!tracker.recordAlive("a", start + milliseconds(3)));
+    }
     SUBCASE("the news of the end may come seconds after the break, but not much later")
     {
         tracker.recordBreak(Crashing, "a", "a@1", start);
