--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -39,7 +39,7 @@
     {ErrorKind::Stale, 503, "server_error", true, Ran::No, 1000},
     {ErrorKind::Internal, 500, "server_error", false, Ran::Unknown, 0},
     {ErrorKind::OutOfMemory, 503, "overloaded_error", true, Ran::No, 2000},
-    {ErrorKind::Quarantined, 503, "server_error", false, Ran::No, 0},
+    {ErrorKind::SuspectQuarantined, 503, "server_error", false, Ran::No, 0},
 });
 
 constexpr bool isTableComplete()
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -39,7 +39,7 @@
     Stale = 27,
     Internal = 28,
     OutOfMemory = 29,
-    Quarantined = 30,
+    SuspectQuarantined = 30,
 };
 
 /// Whether a request that ended with an error was executed by an upstream.
@@ -96,7 +96,7 @@
         {ErrorKind::Stale, "stale"},
         {ErrorKind::Internal, "internal"},
         {ErrorKind::OutOfMemory, "out_of_memory"},
-        {ErrorKind::Quarantined, "quarantined"},
+        {ErrorKind::SuspectQuarantined, "suspect_quarantined"},
     });
 };
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -146,7 +146,7 @@
             last.reason = "the request has crashed several upstreams";
             if (this->possibleExecutions > 0 || last.upstreamError || this->hasStreamBegun)
                 break;
-            co_await this->finishWithError(ErrorKind::Quarantined, last.reason,
+            co_await this->finishWithError(ErrorKind::SuspectQuarantined, last.reason,
                                            crashTracker.timeLeft(this->contentDigest, clockNow()));
             co_return;
         }
