--- /dev/null
+++ b/src/gateway/ExchangeResponse.cpp
@@ -0,0 +1,287 @@
+// Relays the responses of upstreams, and ends requests with their final response.
+#include "gateway/Exchange.h"
+
+#include "observe/DecisionLog.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Maximum body size, in bytes, of a response that is not an event stream.
+constexpr size_t MaxBufferedBodyBytes = 8u << 20;
+// Retry-After of a refusal for lack of capacity.
+constexpr Duration OverloadRetryAfter = milliseconds(500);
+
+} // namespace
+
+asio::awaitable<Exchange::AttemptResult>
+Exchange::handleResponse(std::string upstreamId, uint64_t startedAtMs, HttpStream &stream)
+{
+    const ResponseProperties answer =
+        this->gateway.codec.decodeResponse(stream.status(), stream.headers());
+    this->noteDirectives(upstreamId, startedAtMs, answer, stream.status());
+    if (answer.load)
+        this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
+                                          clockNow());
+    AttemptResult result;
+    if (answer.isNotExecuted) {
+        result.outcome = answer.isMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
+        result.reason = fmt::format("refused with {}", stream.status());
+        if (answer.isMisdirected &&
+            this->gateway.dispatcher.noteModelMissing(upstreamId, this->properties.model,
+                                                      this->properties.adapter, clockNow()))
+            logDecision(LogPriority::Notable, clockNow(),
+                        fmt::format("event=holdings_refuted id={} upstream={} model={} adapter={}",
+                                    this->properties.requestId, upstreamId, this->properties.model,
+                                    this->properties.adapter));
+        // Reads the rest of the body so that the connection can be reused.
+        const Duration timeout =
+            std::min<Duration>(OverloadRetryAfter, this->deadline - clockNow());
+        const auto rest = co_await stream.read(timeout);
+        co_return result;
+    }
+    result.mayHaveRun = true;
+    const bool success = stream.status() / 100 == 2;
+    const bool genuine =
+        answer.hasSeal && !answer.isEncoded && answer.requestId == this->properties.requestId;
+    if (answer.isEncoded || (success && !genuine)) {
+        result.outcome = AttemptOutcome::Broken;
+        result.reason = "the answer is not the upstream's own";
+        co_return result;
+    }
+    if (success && this->route->kind == RouteKind::Streaming)
+        result = co_await this->relayEventStream(stream);
+    else
+        result = co_await this->relayBufferedResponse(stream, success);
+    co_return result;
+}
+
+void Exchange::noteDirectives(const std::string &upstreamId, uint64_t startedAtMs,
+                              const ResponseProperties &answer, int status)
+{
+    const Instant now = clockNow();
+    const bool isGenuine =
+        answer.requestId == this->properties.requestId && answer.hasSeal && !answer.isNotExecuted;
+    auto &directives = this->gateway.dispatcher.directives();
+    const DirectiveKind news =
+        directives.noteAnswer(upstreamId, startedAtMs, answer.directives, isGenuine, now);
+    if (news != DirectiveKind::None)
+        logDecision(
+            LogPriority::Notable, now,
+            fmt::format("event=directive id={} upstream={} kind={} status={} limit_per_s={} "
+                        "share_per_s={:.3f} retry_after_ms={}",
+                        this->properties.requestId, upstreamId, enumName(news), status,
+                        answer.directives.limitPerSecond.value_or(-1),
+                        directives.shareOfLimit(upstreamId),
+                        answer.directives.retryAfter ? toMs(*answer.directives.retryAfter) : -1));
+    if (!answer.malformedDirective.empty())
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=malformed_directive id={} upstream={} header=\"{}\"",
+                                this->properties.requestId, upstreamId, answer.malformedDirective));
+}
+
+asio::awaitable<Exchange::AttemptResult> Exchange::relayEventStream(HttpStream &stream)
+{
+    AttemptResult result;
+    result.mayHaveRun = true;
+    if (!this->hasStreamBegun) {
+        HttpHeaders headers = this->gateway.codec.makeCallerHeaders(stream.headers());
+        this->hasStreamBegun = true;
+        this->lastEventAt = clockNow();
+        if (!co_await this->responder.start(stream.status(), std::move(headers)))
+            this->isCallerGone = true;
+    }
+    this->eventSplitter.discardIncompleteEvent();
+    while (!this->isCallerGone) {
+        const Instant waitedSince = clockNow();
+        // The timeout of a read does not expire while the upstream has bytes ready, so the deadline
+        // is checked explicitly.
+        if (this->isPastDeadline(waitedSince)) {
+            result.outcome = AttemptOutcome::TimedOut;
+            result.reason = "the deadline passed";
+            co_return result;
+        }
+        auto piece = co_await stream.read(this->deadline - waitedSince);
+        this->longestReadWait = std::max(this->longestReadWait, clockNow() - waitedSince);
+        if (!isOk(piece)) {
+            result.outcome = this->isPastDeadline(clockNow()) ? AttemptOutcome::TimedOut
+                                                              : AttemptOutcome::Broken;
+            result.reason = error(piece).message;
+            co_return result;
+        }
+        const bool ended = value(piece).empty();
+        std::string whole = ended ? this->eventSplitter.takeIncompleteEvent()
+                                  : this->eventSplitter.feed(value(piece));
+        if (this->eventSplitter.isEventTooLarge()) {
+            this->eventSplitter.discardIncompleteEvent();
+            result.outcome = AttemptOutcome::Broken;
+            result.reason = "an event does not end";
+            co_return result;
+        }
+        if (!whole.empty())
+            this->lastEventAt = clockNow();
+        if (!whole.empty() && !co_await this->responder.write(std::move(whole))) {
+            this->isCallerGone = true;
+            result.reason = "the caller left or did not read in time";
+        }
+        if (ended && !this->isCallerGone) {
+            co_await this->responder.finish();
+            if (this->firstByteAt)
+                this->gateway.shutdownSchedule.recordBodyDuration(this->route->name,
+                                                                  clockNow() - *this->firstByteAt);
+            result.isFinal = true;
+            this->log(stream.status(), "served", "");
+            co_return result;
+        }
+    }
+    co_return result;
+}
+
+asio::awaitable<Exchange::AttemptResult> Exchange::relayBufferedResponse(HttpStream &stream,
+                                                                         bool success)
+{
+    AttemptResult result;
+    result.mayHaveRun = true;
+    HttpResponse response;
+    response.status = stream.status();
+    response.headers = this->gateway.codec.makeCallerHeaders(stream.headers());
+    while (true) {
+        auto piece = co_await stream.read(this->deadline - clockNow());
+        if (!isOk(piece)) {
+            result.outcome = this->isPastDeadline(clockNow()) ? AttemptOutcome::TimedOut
+                                                              : AttemptOutcome::Broken;
+            result.reason = error(piece).message;
+            co_return result;
+        }
+        if (value(piece).empty())
+            break;
+        response.body += value(piece);
+        if (response.body.size() > MaxBufferedBodyBytes) {
+            result.outcome = AttemptOutcome::Broken;
+            result.reason = "the answer is too large";
+            co_return result;
+        }
+    }
+    if (!success) {
+        result.outcome =
+            response.status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Answered;
+        result.reason = fmt::format("the upstream answered {}", response.status);
+        result.upstreamError = std::move(response);
+        // Only a server error is retried: an error of the request itself would fail at every
+        // upstream.
+        if (result.outcome == AttemptOutcome::ServerError)
+            co_return result;
+        response = *result.upstreamError;
+    }
+    result.isFinal = true;
+    if (this->hasStreamBegun) {
+        this->abortStream(result.reason);
+        co_return result;
+    }
+    const int status = response.status;
+    co_await this->responder.respond(std::move(response));
+    this->log(status, success ? "served" : "upstream_failed", result.reason);
+    co_return result;
+}
+
+asio::awaitable<void> Exchange::finishAfterFailedAttempts(AttemptResult result)
+{
+    if (result.upstreamError && !this->hasStreamBegun) {
+        const int status = result.upstreamError->status;
+        co_await this->responder.respond(std::move(*result.upstreamError));
+        this->log(status, "upstream_failed", result.reason);
+        co_return;
+    }
+    if (this->possibleExecutions == 0 && this->gateway.shutdownSchedule.isDrainOver(clockNow())) {
+        co_await this->refuseForShutdown(result.reason);
+        co_return;
+    }
+    if (this->possibleExecutions == 0) {
+        // If the upstream lacked the model, an engine must load it before the caller retries.
+        const bool missing =
+            result.outcome == AttemptOutcome::Misdirected && !this->properties.model.empty();
+        Duration retryAfter = OverloadRetryAfter;
+        if (missing)
+            retryAfter =
+                this->gateway.dispatcher.retryForMissing(this->properties.model, clockNow());
+        co_await this->finishWithError(missing ? ErrorKind::NoReplica : ErrorKind::Overloaded,
+                                       result.reason, retryAfter);
+        co_return;
+    }
+    co_await this->finishWithError(
+        result.outcome == AttemptOutcome::TimedOut ? ErrorKind::Timeout : ErrorKind::OutcomeUnknown,
+        result.reason);
+}
+
+asio::awaitable<void> Exchange::finishWithError(ErrorKind kind, std::string reason,
+                                                std::optional<Duration> retryAfter)
+{
+    if (this->hasStreamBegun) {
+        this->abortStream(reason);
+        co_return;
+    }
+    const auto &answer = errorAnswer(kind);
+    if (!retryAfter && answer.retryAfterMs > 0 && answer.ran == Ran::No)
+        retryAfter = milliseconds(answer.retryAfterMs);
+    this->log(answer.httpStatus, std::string(enumName(kind)), reason);
+    std::string type(answer.type);
+    HttpResponse response = this->gateway.codec.makeErrorResponse(
+        this->properties.requestId, answer.httpStatus, type, reason, retryAfter);
+    co_await this->responder.respond(std::move(response));
+}
+
+void Exchange::abortStream(const std::string &reason)
+{
+    this->log(0, "stream_cut", reason);
+    this->responder.abort();
+}
+
+void Exchange::abortForShutdown(Instant now)
+{
+    logDecision(
+        LogPriority::Notable, now,
+        fmt::format("event=unanswered id={} route={} model={} phase={} begun={} upstream={} "
+                    "sends={} runs={} age_ms={} deadline_left_ms={}",
+                    this->properties.requestId, this->route == nullptr ? "none" : this->route->name,
+                    this->properties.model, enumName(this->phase), this->hasStreamBegun,
+                    this->lastUpstream, this->sendCount, this->possibleExecutions,
+                    toMs(now - this->arrived), toMs(this->deadline - now)));
+    if (this->attemptCancel)
+        this->attemptCancel->cancel();
+}
+
+asio::awaitable<void> Exchange::refuseForShutdown(std::string reason)
+{
+    co_await this->finishWithError(ErrorKind::Draining, "the instance stops: " + reason,
+                                   ShutdownSchedule::DrainRetryAfter);
+}
+
+void Exchange::log(int status, const std::string &outcome, const std::string &reason) const
+{
+    const Instant now = clockNow();
+    const bool served = outcome == "served";
+    auto &metrics = this->gateway.metrics;
+    const std::string routeName = this->route == nullptr ? "none" : this->route->name;
+    metrics.counter("tray_gateway_requests_total", "outcome=\"" + outcome + "\"").add();
+    if (served && this->firstByteAt)
+        metrics.histogram("tray_gateway_first_answer_ms").add(*this->firstByteAt - this->arrived);
+    logDecision(
+        served ? LogPriority::Routine : LogPriority::Notable, now,
+        fmt::format("event=request id={} route={} model={} adapter={} outcome={} status={} "
+                    "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
+                    "first_ms={} longest_pause_ms={} ms={} reason=\"{}\"",
+                    this->properties.requestId, routeName, this->properties.model,
+                    this->properties.adapter, outcome, status, this->lastUpstream, this->sendCount,
+                    this->possibleExecutions, this->config ? this->config->version : 0,
+                    this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
+                    this->lastCostMs,
+                    this->firstByteAt ? toMs(*this->firstByteAt - this->arrived) : -1,
+                    toMs(this->longestReadWait), toMs(now - this->arrived), reason));
+}
+
+} // namespace tray
