Name the shared parts of a prompt in the lines of broken runs and of requests

The gateways' logs named suspects by the digest of their whole content only, so that requests with a common part could not be told from unrelated ones.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -43,6 +43,8 @@
 constexpr int CallerTimeoutGapFactor = 7;
 // Engine time of one output token in a full batch, as a number of prompt tokens.
 constexpr double PromptTokensPerOutputToken = 1.5;
+// Most parts of a prompt that a log line names.
+constexpr size_t MaxLoggedParts = 8;
 // Requests with a latency goal of at least this time have a lower priority
 // than others of their rank.
 constexpr Duration RelaxedGoalThreshold = std::chrono::seconds(5);
@@ -256,6 +258,21 @@
     const auto entry = entries.find(upstreamId);
     if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun && entry != entries.end())
         suspects.handleBreak(this->contentDigest, this->properties.requestId, entry->second, now);
+    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun)
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=broken_run id={} upstream={} begun_ms={} parts={}",
+                                this->properties.requestId, upstreamId,
+                                this->firstByteAt ? toMs(now - *this->firstByteAt) : -1,
+                                this->describeSharedParts()));
+}
+
+std::string Exchange::describeSharedParts() const
+{
+    std::string text;
+    const auto &parts = this->properties.promptParts;
+    for (size_t i = 0; i + 1 < parts.size() && i < MaxLoggedParts; ++i)
+        text += fmt::format("{}{:x}", i == 0 ? "" : ",", parts[i].id);
+    return text;
 }
 
 void Exchange::logWait(const DispatchRefusal &refusal, Instant now)
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -100,6 +100,9 @@
 
     /// Records what the end of an attempt says about the request as a suspect.
     void recordForSuspects(const AttemptResult &result, const std::string &upstreamId);
+    /// Ids of the first parts of the prompt, for the log, without the last part, which belongs to
+    /// this request or its session.
+    std::string describeSharedParts() const;
     DispatchQuery makeQuery() const;
     void recordDemand();
     void leavePrefillQueue();
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -274,14 +274,15 @@
         served ? LogPriority::Routine : LogPriority::Notable, now,
         fmt::format("event=request id={} route={} model={} adapter={} outcome={} status={} "
                     "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
-                    "first_ms={} longest_pause_ms={} ms={} reason=\"{}\"",
+                    "first_ms={} longest_pause_ms={} ms={} parts={} reason=\"{}\"",
                     this->properties.requestId, routeName, this->properties.model,
                     this->properties.adapter, outcome, status, this->lastUpstream, this->sendCount,
                     this->possibleExecutions, this->config ? this->config->version : 0,
                     this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
                     this->lastCostMs,
                     this->firstByteAt ? toMs(*this->firstByteAt - this->arrived) : -1,
-                    toMs(this->longestReadWait), toMs(now - this->arrived), reason));
+                    toMs(this->longestReadWait), toMs(now - this->arrived),
+                    this->describeSharedParts(), reason));
 }
 
 } // namespace tray
