--- a/tests/platform/StubUpstream.cpp
+++ b/tests/platform/StubUpstream.cpp
@@ -97,6 +97,9 @@
         const StubReply reply = this->behaviour(request);
         co_await this->wait(reply.delay);
         if (reply.crashFor) {
+            if (!reply.bytes.empty())
+                co_await asio::async_write(socket, asio::buffer(reply.bytes), Await);
+            co_await this->wait(reply.crashDelay);
             asio::co_spawn(this->context, this->crash(*reply.crashFor), asio::detached);
             co_return;
         }
--- a/tests/platform/StubUpstream.h
+++ b/tests/platform/StubUpstream.h
@@ -32,9 +32,10 @@
     std::vector<std::string> pieces;
     /// Time before each piece and before each repetition of the repeated bytes.
     Duration pieceDelay{};
-    /// Ends the upstream as a crash does, before any bytes are sent: all its connections are reset,
-    /// and new ones are refused until it has restarted after this time.
+    /// Ends the upstream as a crash does, after the bytes and the crash delay: all its connections
+    /// are reset, and new ones are refused until it has restarted after this time.
     std::optional<Duration> crashFor;
+    Duration crashDelay{};
 };
 
 class StubUpstream
