Recognise parts of prompts that crash upstreams, and clear those that do not

Callers saw: while one request in twenty of a route bore one part on which each engine crashes, a third of the route's sound requests were cut and most others found no engine with their model: 36 to 49 engines ended in 22 s, each came back empty. Cause: a suspect was the digest of a request's whole content; requests that share only a part of their prompts were new each time, and the count of none passed one. Class: the identity under which evidence is gathered is finer than what causes the failure.

Change: SuspectTable counts crashes per suspect, which is now a content or a prompt part other than the last; CrashTracker decides over all suspects of a request. Each crash suspects the parts of all requests on that engine whose answers had not been arriving for a second (the deadly answer begins before the crash); a complete answer, or one that has arrived for a second, clears its parts, here and at the peers. A part is refused after three rounds of crashes, each under requests sent after the last one, or four crashes at once; a part that had sound answers only after six rounds, so that engines that end together condemn no common part. Until then one request with it runs at a time at each gateway, others wait as long as their goal allows. A request that separates suspects that only occurred together is let through at once; else a suspicion is probed after 15 s, then 30 s and so on, by one gateway, which tells the others. Confirmed suspects are repeated to the peers for as long as they last, in turn, and are the last to be evicted. An attempt after a broken one waits up to 150 ms for the news whether the upstream ended.

CrashTrackerTest: calls follow the new signatures; what they check is unchanged.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -43,6 +43,9 @@
 constexpr int CallerTimeoutGapFactor = 7;
 // Engine time of one output token in a full batch, as a number of prompt tokens.
 constexpr double PromptTokensPerOutputToken = 1.5;
+// Maximum time to wait for the news whether the upstream of a broken attempt has ended. It covers
+// two round trips between regions.
+constexpr Duration CrashVerdictTimeout = milliseconds(150);
 // Most parts of a prompt that a log line names.
 constexpr size_t MaxLoggedParts = 8;
 // Requests with a latency goal of at least this time have a lower priority
@@ -65,6 +68,20 @@
     return digest;
 }
 
+SuspectIdentity makeSuspectIdentity(const HttpRequest &request, const RequestProperties &properties)
+{
+    SuspectIdentity identity;
+    identity.contentDigest = makeContentDigest(request, properties);
+    // The last part belongs to this request or its session.
+    const auto &parts = properties.promptParts;
+    for (size_t i = 0; i + 1 < parts.size(); ++i)
+        identity.partDigests.push_back(hash64(fmt::format("part {:x}", parts[i].id)));
+    auto &digests = identity.partDigests;
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return identity;
+}
+
 } // namespace
 
 Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
@@ -103,7 +120,7 @@
         this->gateway.snapshotArrived.notifyAll();
         this->gateway.capacityChanged.notifyAll();
     });
-    this->contentDigest = makeContentDigest(this->request, this->properties);
+    this->suspectIdentity = makeSuspectIdentity(this->request, this->properties);
     if (!this->properties.model.empty())
         this->recordDemand();
     co_await this->dispatchWithRetries();
@@ -139,14 +156,15 @@
             last.reason = "the instance stops";
             break;
         }
-        auto &crashTracker = this->gateway.suspectExchange.crashTracker();
-        const auto verdict = crashTracker.verdict(this->contentDigest, clockNow());
-        if (verdict == SuspectVerdict::Refused) {
-            last.reason = "the request has crashed several upstreams";
+        const auto suspicion =
+            this->gateway.suspectExchange.crashTracker().decide(this->suspectIdentity, clockNow());
+        if (suspicion.verdict == SuspectVerdict::Refused) {
+            last.reason =
+                fmt::format("suspect {:016x} has crashed several upstreams", suspicion.digest);
             if (this->possibleExecutions > 0 || last.upstreamError || this->hasStreamBegun)
                 break;
             co_await this->finishWithError(ErrorKind::SuspectQuarantined, last.reason,
-                                           crashTracker.timeLeft(this->contentDigest, clockNow()));
+                                           suspicion.retryAfter);
             co_return;
         }
         this->phase = ExchangePhase::ChoosingUpstream;
@@ -222,22 +240,23 @@
             if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()))
                 continue;
         }
-        std::optional<SuspectGate::Pass> pass;
-        if (verdict == SuspectVerdict::RunAlone) {
-            pass = crashTracker.gate().tryPass(this->contentDigest);
-            if (!pass) {
-                last.reason = "the same request is running and is suspected of a crash";
+        if (!this->enterSuspectGates(clockNow())) {
+            last.reason = "a request with the same suspect is running";
+            if (this->timeUntilLatencyLimit(clockNow()) <= Duration::zero())
                 break;
-            }
+            co_await this->gateway.capacityChanged.waitFor(QueueRecheckInterval, this->priority());
+            continue;
         }
         last = co_await this->attempt(target);
-        pass.reset();
+        this->leaveSuspectGates();
         this->recordForSuspects(last, target.upstreamId);
         if (last.isFinal)
             co_return;
         this->triedUpstreams.insert(target.upstreamId);
         if (!this->tryConsumeRetry(last, clockNow()))
             break;
+        if (last.outcome == AttemptOutcome::Broken)
+            co_await this->awaitCrashVerdict(target.upstreamId);
     }
     if (this->isCallerGone) {
         this->log(0, "caller_left", last.reason);
@@ -250,14 +269,21 @@
 {
     auto &suspects = this->gateway.suspectExchange;
     const Instant now = clockNow();
+    if (result.isSound)
+        suspects.handleSoundAnswer(this->suspectIdentity.partDigests, now);
     if (result.isFinal || result.outcome == AttemptOutcome::ServerError) {
-        suspects.handleCompletion(this->contentDigest, now);
+        suspects.handleCompletion(this->suspectIdentity.contentDigest, now);
         return;
     }
     const auto &entries = this->gateway.directory.entries();
     const auto entry = entries.find(upstreamId);
-    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun && entry != entries.end())
-        suspects.handleBreak(this->contentDigest, this->properties.requestId, entry->second, now);
+    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun && entry != entries.end()) {
+        SuspectIdentity identity = this->suspectIdentity;
+        if (this->hasSoundAnswer)
+            identity.partDigests.clear();
+        suspects.handleBreak(identity, this->properties.requestId, entry->second, this->sentAt,
+                             now);
+    }
     if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun)
         logDecision(LogPriority::Notable, now,
                     fmt::format("event=broken_run id={} upstream={} begun_ms={} parts={}",
@@ -266,6 +292,45 @@
                                 this->describeSharedParts()));
 }
 
+void Exchange::recordAnswerProgress(Instant now)
+{
+    if (this->hasSoundAnswer || !this->firstByteAt ||
+        now - *this->firstByteAt < CrashTracker::SoundAnswerTime)
+        return;
+    this->hasSoundAnswer = true;
+    this->gateway.suspectExchange.handleSoundAnswer(this->suspectIdentity.partDigests, now);
+}
+
+bool Exchange::enterSuspectGates(Instant now)
+{
+    auto &suspects = this->gateway.suspectExchange;
+    const SuspectDecision decision = suspects.crashTracker().decide(this->suspectIdentity, now);
+    if (decision.verdict == SuspectVerdict::Refused)
+        return false;
+    for (const uint64_t digest : decision.runAlone) {
+        auto pass = suspects.crashTracker().gate().tryPass(digest);
+        if (!pass) {
+            this->leaveSuspectGates();
+            return false;
+        }
+        this->suspectPasses.push_back(std::move(*pass));
+    }
+    this->suspectIdentity.probes = decision.probes;
+    suspects.handleProbe(decision.probes, this->properties.requestId, now);
+    return true;
+}
+
+asio::awaitable<void> Exchange::awaitCrashVerdict(std::string upstreamId)
+{
+    const Instant limit = std::min(this->deadline, clockNow() + CrashVerdictTimeout);
+    while (!this->isCallerGone && this->gateway.suspectExchange.isProbing(upstreamId)) {
+        const Instant now = clockNow();
+        if (now >= limit)
+            co_return;
+        co_await this->gateway.capacityChanged.waitFor(limit - now, this->priority());
+    }
+}
+
 std::string Exchange::describeSharedParts() const
 {
     std::string text;
@@ -443,6 +508,9 @@
     this->lastUpstream = target.upstreamId;
     this->lastSnapshotAge = target.snapshotAge;
     this->lastCostMs = target.costMs;
+    this->sentAt = began;
+    this->firstByteAt.reset();
+    this->hasSoundAnswer = false;
     ++this->possibleExecutions;
     if (this->sendCount++ == 0)
         this->gateway.retryBudgetOf(this->service).noteFirstAttempt(began);
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -59,6 +59,8 @@
         bool isFinal = false;
         /// Whether the upstream may have executed the request.
         bool mayHaveRun = false;
+        /// Whether the complete, successful answer of an upstream has been passed on.
+        bool isSound = false;
         /// The upstream's error response, which the caller gets if no later attempt succeeds.
         std::optional<HttpResponse> upstreamError;
         std::string reason;
@@ -100,6 +102,16 @@
 
     /// Records what the end of an attempt says about the request as a suspect.
     void recordForSuspects(const AttemptResult &result, const std::string &upstreamId);
+    /// Records that the prompt's parts have crashed no upstream once the answer has been arriving
+    /// for long enough.
+    void recordAnswerProgress(Instant now);
+    /// Passes the gates of all suspects of a request that must run alone, and records it as a probe
+    /// if it is one. Returns false if another request runs or the request is refused by now.
+    bool enterSuspectGates(Instant now);
+    void leaveSuspectGates() { this->suspectPasses.clear(); }
+    /// Waits until it is known whether the upstream of a broken attempt has ended, so that the next
+    /// attempt is decided with that knowledge.
+    boost::asio::awaitable<void> awaitCrashVerdict(std::string upstreamId);
     /// Ids of the first parts of the prompt, for the log, without the last part, which belongs to
     /// this request or its session.
     std::string describeSharedParts() const;
@@ -125,8 +137,13 @@
     RequestProperties properties;
     std::string service;
     Instant deadline{};
-    // Identifies the request over all attempts of its caller.
-    uint64_t contentDigest = 0;
+    // What identifies the request over all attempts of its caller, and in part other requests.
+    SuspectIdentity suspectIdentity;
+    // Gates of suspects that this request has passed in the present attempt.
+    std::vector<SuspectGate::Pass> suspectPasses;
+    Instant sentAt{};
+    // Whether the present attempt has shown that upstreams can answer the prompt's parts.
+    bool hasSoundAnswer = false;
     std::set<std::string> triedUpstreams;
     // Number of attempts that the upstream may have executed, and number of attempts of any
     // outcome.
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -123,8 +123,10 @@
             result.reason = "an event does not end";
             co_return result;
         }
-        if (!whole.empty())
+        if (!whole.empty()) {
             this->lastEventAt = clockNow();
+            this->recordAnswerProgress(this->lastEventAt);
+        }
         if (!whole.empty() && !co_await this->responder.write(std::move(whole))) {
             this->isCallerGone = true;
             result.reason = "the caller left or did not read in time";
@@ -135,6 +137,7 @@
                 this->gateway.shutdownSchedule.recordBodyDuration(this->route->name,
                                                                   clockNow() - *this->firstByteAt);
             result.isFinal = true;
+            result.isSound = true;
             this->log(stream.status(), "served", "");
             co_return result;
         }
@@ -183,6 +186,7 @@
         this->abortStream(result.reason);
         co_return result;
     }
+    result.isSound = success;
     const int status = response.status;
     co_await this->responder.respond(std::move(response));
     this->log(status, success ? "served" : "upstream_failed", result.reason);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 // Follows the store, the stewards and the peer gateways, and runs the graceful shutdown.
 #include "gateway/Gateway.h"
 
+#include "base/Hash.h"
 #include "gateway/Exchange.h"
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
@@ -148,7 +149,9 @@
                        },
                        [this](const std::string &peer) {
                            return this->plannerCoordinator.isDataCentrePeer(peer);
-                       }})
+                       },
+                       [this](uint64_t digest) { return this->countBeforeInProbes(digest); },
+                       [this] { this->capacityChanged.notifyAll(); }})
 {}
 
 Gateway::~Gateway() = default;
@@ -557,6 +560,16 @@
     return computeLimitShare(this->settings.instance, upstreamId, sharers, limitPerSecond);
 }
 
+size_t Gateway::countBeforeInProbes(uint64_t suspectDigest) const
+{
+    const std::string key = toHex(suspectDigest);
+    const uint64_t ownWeight = rendezvousWeight(key, this->settings.instance);
+    const auto peers = this->plannerCoordinator.livePeers(clockNow());
+    return static_cast<size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto &peer) {
+        return rendezvousWeight(key, peer.first) > ownWeight;
+    }));
+}
+
 SharedRetryBudget &Gateway::retryBudgetOf(const std::string &service)
 {
     return this->retryBudgets.try_emplace(service, this->settings.retryLimits).first->second;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -99,6 +99,8 @@
     size_t countGateways() const;
     /// Returns the part of an upstream's request limit that this gateway may use.
     LimitShare computeShareOfLimit(const std::string &upstreamId, double limitPerSecond) const;
+    /// Returns the number of gateways that should probe a suspect before this one.
+    size_t countBeforeInProbes(uint64_t suspectDigest) const;
     SharedRetryBudget &retryBudgetOf(const std::string &service);
 
     boost::asio::io_context &context;
--- a/src/gateway/SuspectExchange.cpp
+++ b/src/gateway/SuspectExchange.cpp
@@ -19,27 +19,32 @@
 void logSuspects(const std::vector<proto::Suspect> &suspects, std::string_view source, Instant now)
 {
     for (const auto &suspect : suspects)
-        logDecision(LogPriority::Notable, now,
-                    fmt::format("event={} digest={:016x} crashes={} source={} remaining_ms={}",
-                                suspect.cleared() ? "suspect_cleared" : "suspect",
-                                suspect.content_digest(), suspect.crashes(), source,
-                                suspect.remaining_ms()));
+        logDecision(
+            LogPriority::Notable, now,
+            fmt::format(
+                "event={} digest={:016x} crashes={} rounds={} isolated={} probes={} source={} "
+                "remaining_ms={}",
+                suspect.cleared() ? "suspect_cleared" : "suspect", suspect.digest(),
+                suspect.crashes(), suspect.rounds(), suspect.isolated(), suspect.probes(), source,
+                suspect.remaining_ms()));
 }
 
 } // namespace
 
-void SuspectExchange::handleBreak(uint64_t contentDigest, const std::string &requestId,
-                                  const UpstreamEntry &upstream, Instant now)
+void SuspectExchange::handleBreak(const SuspectIdentity &request, const std::string &requestId,
+                                  const UpstreamEntry &upstream, Instant sentAt, Instant now)
 {
     // An upstream that leaves closes its connections as planned.
     if (upstream.phase == UpstreamPhase::Draining)
         return;
-    this->tracker.recordBreak(contentDigest, upstream.id,
-                              fmt::format("{}@{}", upstream.id, upstream.startedAtMs), now);
+    this->tracker.recordBreak(request, upstream.id,
+                              fmt::format("{}@{}", upstream.id, upstream.startedAtMs), sentAt, now);
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=connection_broke id={} digest={:016x} upstream={} crashes={}",
-                            requestId, contentDigest, upstream.id,
-                            this->tracker.crashCount(contentDigest, now)));
+                fmt::format("event=connection_broke id={} digest={:016x} upstream={} crashes={} "
+                            "suspect_parts={}",
+                            requestId, request.contentDigest, upstream.id,
+                            this->tracker.crashCount(request.contentDigest, now),
+                            request.partDigests.size()));
     if (this->probed.insert(upstream.id).second)
         keepRunning(this->context, "probe_upstream",
                     [this, id = upstream.id, address = upstream.address] {
@@ -62,6 +67,7 @@
         isOpen = result == ProbeResult::Accepted && this->tracker.recordAlive(upstream, began);
     }
     this->probed.erase(upstream);
+    this->peers.upstreamProbed();
 }
 
 void SuspectExchange::handleUpstreamEnd(const std::string &upstream, Instant now)
@@ -74,6 +80,20 @@
     this->announce(this->tracker.recordCompletion(contentDigest, now), now);
 }
 
+void SuspectExchange::handleSoundAnswer(const std::vector<uint64_t> &partDigests, Instant now)
+{
+    this->announce(this->tracker.recordSoundAnswer(partDigests, now), now);
+}
+
+void SuspectExchange::handleProbe(const std::vector<uint64_t> &digests,
+                                  const std::string &requestId, Instant now)
+{
+    for (const uint64_t digest : digests)
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=suspect_probe id={} digest={:016x}", requestId, digest));
+    this->announce(this->tracker.recordProbes(digests, now), now);
+}
+
 void SuspectExchange::announce(const std::vector<proto::Suspect> &changes, Instant now)
 {
     logSuspects(changes, "own", now);
@@ -121,6 +141,11 @@
                               this->peers.sendToOne(datagram, this->periodicRuns);
                               this->peers.sendToOthers(datagram, this->periodicRuns);
                           });
+    this->forEachDatagram(this->tracker.takeNextConfirmed(MaxSuspectsPerDatagram, now),
+                          [this](const proto::Datagram &datagram) {
+                              this->peers.sendToOne(datagram, this->periodicRuns + 1);
+                              this->peers.sendToOthers(datagram, this->periodicRuns + 1);
+                          });
 }
 
 void SuspectExchange::forEachDatagram(
--- a/src/gateway/SuspectExchange.h
+++ b/src/gateway/SuspectExchange.h
@@ -1,5 +1,6 @@
-// Recognises requests that crash upstreams, over all gateways: probes an upstream whose connection
-// broke under a request, counts confirmed crashes and shares them with the other gateways.
+// Recognises requests and prompt parts that crash upstreams, over all gateways: probes an upstream
+// whose connection broke under a request, counts confirmed crashes and shares them with the other
+// gateways.
 #pragma once
 
 #include "fleet/Upstream.h"
@@ -18,7 +19,7 @@
 class SuspectExchange
 {
 public:
-    /// Ways to reach the other gateways.
+    /// Ways to reach the other gateways, and what the own gateway provides.
     struct Peers
     {
         std::function<void(const proto::Datagram &datagram)> sendToDataCentre;
@@ -28,25 +29,38 @@
         std::function<void(const proto::Datagram &datagram, uint64_t selector)> sendToOne;
         std::function<void(const proto::Datagram &datagram, const std::string &peer)> sendTo;
         std::function<bool(const std::string &peer)> isInDataCentre;
+        /// Number of gateways that should send a request that probes a suspect before this one.
+        CrashTracker::ProbeOrder probeOrder;
+        /// Called after an upstream was probed.
+        std::function<void()> upstreamProbed;
     };
 
     SuspectExchange(boost::asio::io_context &context, HttpClient &client, Peers peers)
-        : context(context), client(client), peers(std::move(peers))
+        : context(context), client(client), peers(std::move(peers)), tracker(this->peers.probeOrder)
     {}
 
     /// Suspects and their gate, for the decisions on a request.
     CrashTracker &crashTracker() { return this->tracker; }
 
-    /// Investigates a connection that broke while the upstream may have been executing a request.
-    void handleBreak(uint64_t contentDigest, const std::string &requestId,
-                     const UpstreamEntry &upstream, Instant now);
+    /// Investigates a connection that broke while the upstream may have been executing a request,
+    /// which was sent at the given time.
+    void handleBreak(const SuspectIdentity &request, const std::string &requestId,
+                     const UpstreamEntry &upstream, Instant sentAt, Instant now);
+    /// Returns whether it is not yet known whether an upstream whose connection broke has ended.
+    bool isProbing(const std::string &upstream) const { return this->probed.contains(upstream); }
     /// Records that an upstream has restarted, or was removed from the list without an
     /// announcement.
     void handleUpstreamEnd(const std::string &upstream, Instant now);
     void handleCompletion(uint64_t contentDigest, Instant now);
+    /// Records that an upstream has answered a request with these prompt parts.
+    void handleSoundAnswer(const std::vector<uint64_t> &partDigests, Instant now);
+    /// Records that a request is sent that probes these suspects.
+    void handleProbe(const std::vector<uint64_t> &digests, const std::string &requestId,
+                     Instant now);
     void handleReport(const std::string &sender, const proto::SuspectReport &report, Instant now);
-    /// Repeats recent changes, since datagrams may be lost, and asks for all suspects until a peer
-    /// has answered. Called about once a second.
+    /// Repeats recent changes, since datagrams may be lost, and confirmed suspects for as long as
+    /// they last, for gateways that were out of reach. Asks for all suspects until a peer has
+    /// answered. Called about once a second.
     void runPeriodic(Instant now);
 
 private:
--- a/src/node/ControlNodeImpl.cpp
+++ b/src/node/ControlNodeImpl.cpp
@@ -117,7 +117,7 @@
             for (const auto &suspect : request.suspects().suspects()) {
                 if (this->state.suspects().merge(suspect, this->now()))
                     newSuspects.push_back(
-                        this->state.suspects().find(suspect.content_digest(), this->now()));
+                        this->state.suspects().find(suspect.digest(), this->now()));
             }
         }
         this->propagateSuspects(newSuspects, request.suspects().sender());
--- a/src/routing/SuspectTable.cpp
+++ b/src/routing/SuspectTable.cpp
@@ -2,12 +2,21 @@
 #include "routing/SuspectTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace tray {
 
-bool SuspectTable::recordCrash(uint64_t contentDigest, const std::string &upstream, Instant now)
+namespace {
+
+// Bounds the delay between two probes to less than the lifetime of a suspect.
+constexpr uint32_t MaxProbeDoublings = 5;
+
+} // namespace
+
+bool SuspectTable::recordCrash(uint64_t digest, const std::string &upstream, Instant now,
+                               const CrashEvidence &evidence)
 {
-    auto &row = this->rows[contentDigest];
+    auto &row = this->rows[digest];
     if (row.expiresAt <= now || row.clearedAt)
         row = {};
     if (row.upstreams.size() >= MaxListedUpstreams && !row.upstreams.contains(upstream))
@@ -16,25 +25,38 @@
     if (!first && now - known->second < CrashDedupWindow)
         return false;
     known->second = now;
+    if (row.crashes == 0 || (evidence.sentAt && *evidence.sentAt > row.lastCrashAt()))
+        ++row.rounds;
+    row.isIsolated = row.isIsolated || evidence.isIsolated;
     ++row.crashes;
     row.expiresAt = now + SuspectLifetime;
     row.changedAt = now;
-    this->evictExcess();
+    this->evictExcess(digest);
     return true;
 }
 
-bool SuspectTable::recordCompletion(uint64_t contentDigest, Instant now)
+bool SuspectTable::recordCompletion(uint64_t digest, Instant now)
 {
-    const auto found = this->rows.find(contentDigest);
+    const auto found = this->rows.find(digest);
     if (found == this->rows.end() || found->second.expiresAt <= now)
         return false;
     return mergeCompletion(found->second, now, now);
 }
 
+bool SuspectTable::recordProbe(uint64_t digest, Instant now)
+{
+    const auto found = this->rows.find(digest);
+    if (found == this->rows.end() || found->second.expiresAt <= now || found->second.crashes == 0)
+        return false;
+    ++found->second.probes;
+    found->second.probedAt = now;
+    found->second.changedAt = now;
+    return true;
+}
+
 bool SuspectTable::mergeCompletion(Row &row, Instant clearedAt, Instant now)
 {
-    const Instant lastCrashAt = row.expiresAt - SuspectLifetime;
-    if (row.clearedAt || row.crashes == 0 || clearedAt < lastCrashAt)
+    if (row.clearedAt || row.crashes == 0 || clearedAt < row.lastCrashAt())
         return false;
     row = {};
     row.clearedAt = clearedAt;
@@ -51,11 +73,11 @@
         return false;
     const Instant lastChangeAt = expiresAt - lifetime;
     if (suspect.cleared()) {
-        const auto found = this->rows.find(suspect.content_digest());
+        const auto found = this->rows.find(suspect.digest());
         return found != this->rows.end() && found->second.expiresAt > now &&
                mergeCompletion(found->second, lastChangeAt, now);
     }
-    auto &row = this->rows[suspect.content_digest()];
+    auto &row = this->rows[suspect.digest()];
     if (row.clearedAt && row.expiresAt > now && lastChangeAt <= *row.clearedAt)
         return false;
     if (row.expiresAt <= now || row.clearedAt)
@@ -67,27 +89,44 @@
     }
     const auto crashes =
         std::max({row.crashes, suspect.crashes(), static_cast<uint32_t>(row.upstreams.size())});
-    const bool isNew = crashes != row.crashes || row.upstreams.size() != before;
+    const auto rounds = std::max(row.rounds, std::min(suspect.rounds(), crashes));
+    const bool isNew = crashes != row.crashes || rounds != row.rounds ||
+                       row.upstreams.size() != before || suspect.probes() > row.probes ||
+                       (suspect.isolated() && !row.isIsolated);
     if (isNew)
         row.changedAt = now;
+    if (suspect.probes() > row.probes) {
+        row.probes = suspect.probes();
+        row.probedAt = now;
+    }
     row.crashes = crashes;
+    row.rounds = rounds;
+    row.isIsolated = row.isIsolated || suspect.isolated();
     row.expiresAt = std::max(row.expiresAt, expiresAt);
-    this->evictExcess();
+    this->evictExcess(suspect.digest());
     return isNew;
 }
 
-proto::Suspect SuspectTable::find(uint64_t contentDigest, Instant now) const
+const SuspectTable::Row *SuspectTable::findRow(uint64_t digest, Instant now) const
 {
-    const auto found = this->rows.find(contentDigest);
-    return found == this->rows.end() ? proto::Suspect()
-                                     : toMessage(contentDigest, found->second, now);
+    const auto found = this->rows.find(digest);
+    return found == this->rows.end() || found->second.expiresAt <= now ? nullptr : &found->second;
 }
 
-proto::Suspect SuspectTable::toMessage(uint64_t contentDigest, const Row &row, Instant now)
+proto::Suspect SuspectTable::find(uint64_t digest, Instant now) const
+{
+    const auto found = this->rows.find(digest);
+    return found == this->rows.end() ? proto::Suspect() : toMessage(digest, found->second, now);
+}
+
+proto::Suspect SuspectTable::toMessage(uint64_t digest, const Row &row, Instant now)
 {
     proto::Suspect suspect;
-    suspect.set_content_digest(contentDigest);
+    suspect.set_digest(digest);
     suspect.set_crashes(row.crashes);
+    suspect.set_rounds(row.rounds);
+    suspect.set_probes(row.probes);
+    suspect.set_isolated(row.isIsolated);
     suspect.set_remaining_ms(
         static_cast<uint32_t>(std::max<int64_t>(toMs(row.expiresAt - now), 0)));
     suspect.set_cleared(row.clearedAt.has_value());
@@ -96,18 +135,25 @@
     return suspect;
 }
 
-uint32_t SuspectTable::crashCount(uint64_t contentDigest, Instant now) const
+SuspectTable::Count SuspectTable::count(uint64_t digest, Instant now) const
 {
-    const auto found = this->rows.find(contentDigest);
-    return found == this->rows.end() || found->second.expiresAt <= now ? 0 : found->second.crashes;
+    const Row *row = this->findRow(digest, now);
+    return row == nullptr ? Count{} : Count{row->crashes, row->rounds};
 }
 
-Duration SuspectTable::timeLeft(uint64_t contentDigest, Instant now) const
+Duration SuspectTable::timeLeft(uint64_t digest, Instant now) const
 {
-    const auto found = this->rows.find(contentDigest);
-    return found == this->rows.end()
-               ? Duration::zero()
-               : std::max<Duration>(found->second.expiresAt - now, Duration::zero());
+    const Row *row = this->findRow(digest, now);
+    return row == nullptr ? Duration::zero() : row->expiresAt - now;
+}
+
+Instant SuspectTable::probeDueAt(uint64_t digest, bool isOnlySuspect) const
+{
+    const Row &row = this->rows.at(digest);
+    const uint32_t factor = 1u << std::min(row.probes, MaxProbeDoublings);
+    const Duration delay =
+        isOnlySuspect && !row.isIsolated ? QuickProbeDelay * (factor - 1) : ProbeDelay * factor;
+    return std::max(row.lastCrashAt(), row.probedAt) + delay;
 }
 
 std::vector<proto::Suspect> SuspectTable::recentChanges(Instant now, bool all) const
@@ -121,18 +167,38 @@
     return suspects;
 }
 
+std::vector<proto::Suspect> SuspectTable::takeNextConfirmed(uint32_t minCrashes, size_t limit,
+                                                            Instant now)
+{
+    std::vector<proto::Suspect> suspects;
+    auto row = this->rows.upper_bound(this->lastTaken);
+    for (size_t seen = 0; seen < this->rows.size() && suspects.size() < limit; ++seen) {
+        if (row == this->rows.end())
+            row = this->rows.begin();
+        if (row->second.crashes >= minCrashes && row->second.expiresAt > now) {
+            suspects.push_back(toMessage(row->first, row->second, now));
+            suspects.back().clear_upstreams();
+            this->lastTaken = row->first;
+        }
+        ++row;
+    }
+    return suspects;
+}
+
 void SuspectTable::expire(Instant now)
 {
     std::erase_if(this->rows, [&](const auto &row) { return row.second.expiresAt <= now; });
 }
 
-void SuspectTable::evictExcess()
+void SuspectTable::evictExcess(uint64_t kept)
 {
+    const auto rank = [&](const auto &row) {
+        return std::tuple(row.first == kept, row.second.crashes, row.second.changedAt);
+    };
     while (this->rows.size() > MaxSuspects) {
-        this->rows.erase(std::min_element(this->rows.begin(), this->rows.end(),
-                                          [](const auto &left, const auto &right) {
-                                              return left.second.changedAt < right.second.changedAt;
-                                          }));
+        this->rows.erase(std::min_element(
+            this->rows.begin(), this->rows.end(),
+            [&](const auto &left, const auto &right) { return rank(left) < rank(right); }));
     }
 }
 
--- a/tests/routing/CrashTrackerTest.cpp
+++ b/tests/routing/CrashTrackerTest.cpp
@@ -18,6 +18,11 @@
     return report;
 }
 
+SuspectVerdict judge(const CrashTracker &tracker, uint64_t contentDigest, Instant now)
+{
+    return tracker.decide({contentDigest, {}, {}}, now).verdict;
+}
+
 } // namespace
 
 TEST_CASE("A request is refused after three confirmed crashes")
@@ -25,66 +30,68 @@
     const Instant start{std::chrono::hours(1)};
     CrashTracker tracker;
     const auto crash = [&](uint64_t digest, const std::string &upstream, Instant at) {
-        tracker.recordBreak(digest, upstream, upstream + "@1", at);
+        tracker.recordBreak({digest, {}, {}}, upstream, upstream + "@1", at, at);
         return tracker.recordEnd(upstream, at);
     };
     SUBCASE("a connection that breaks while its upstream lives counts for nothing")
     {
         for (int i = 0; i < 10; ++i) {
             const Instant at = start + std::chrono::seconds(i);
-            tracker.recordBreak(Crashing, "a", "a@1", at);
+            tracker.recordBreak({Crashing, {}, {}}, "a", "a@1", at, at);
             tracker.recordAlive("a", at);
         }
         CHECK(tracker.recordEnd("a", start + std::chrono::seconds(10)).empty());
-        CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::Unsuspected);
+        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::Unsuspected);
     }
     SUBCASE("a connection that breaks while a probe is under way needs another probe")
     {
-        tracker.recordBreak(Crashing, "a", "a@1", start);
-        tracker.recordBreak(Innocent, "a", "a@1", start + milliseconds(2));
+        tracker.recordBreak({Crashing, {}, {}}, "a", "a@1", start, start);
+        tracker.recordBreak({Innocent, {}, {}}, "a", "a@1", start + milliseconds(2),
+                            start + milliseconds(2));
         CHECK(tracker.recordAlive("a", start + milliseconds(1)));
         CHECK(!tracker.recordAlive("a", start + milliseconds(3)));
     }
     SUBCASE("the news of the end may come seconds after the break, but not much later")
     {
-        tracker.recordBreak(Crashing, "a", "a@1", start);
-        tracker.recordBreak(Innocent, "b", "b@1", start);
+        tracker.recordBreak({Crashing, {}, {}}, "a", "a@1", start, start);
+        tracker.recordBreak({Innocent, {}, {}}, "b", "b@1", start, start);
         CHECK(tracker.recordEnd("a", start + std::chrono::seconds(6)).size() == 1);
         CHECK(tracker.recordEnd("b", start + CrashTracker::CaseLifetime).empty());
     }
     SUBCASE("from the first crash on it runs alone, and from the third on not at all")
     {
         crash(Crashing, "a", start);
-        CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::RunAlone);
+        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::RunAlone);
         auto pass = tracker.gate().tryPass(Crashing);
         CHECK(pass);
         CHECK(!tracker.gate().tryPass(Crashing));
         pass.reset();
         CHECK(tracker.gate().tryPass(Crashing));
         crash(Crashing, "b", start);
-        CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::RunAlone);
+        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::RunAlone);
         crash(Crashing, "c", start);
-        CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::Refused);
-        CHECK(tracker.timeLeft(Crashing, start) == SuspectTable::SuspectLifetime);
-        CHECK(tracker.verdict(Crashing, start + SuspectTable::SuspectLifetime) ==
+        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::Refused);
+        CHECK(tracker.decide({Crashing, {}, {}}, start).retryAfter ==
+              SuspectTable::SuspectLifetime);
+        CHECK(judge(tracker, Crashing, start + SuspectTable::SuspectLifetime) ==
               SuspectVerdict::Unsuspected);
     }
     SUBCASE("an upstream that restarts under its name is counted again")
     {
         for (int born = 1; born <= 3; ++born) {
-            tracker.recordBreak(Crashing, "a", "a@" + std::to_string(born), start);
+            tracker.recordBreak({Crashing, {}, {}}, "a", "a@" + std::to_string(born), start, start);
             tracker.recordEnd("a", start);
         }
-        CHECK(tracker.verdict(Crashing, start) == SuspectVerdict::Refused);
+        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::Refused);
     }
     SUBCASE("a request that ran beside it is cleared once an upstream has completed it")
     {
         for (const std::string upstream : {"a", "b"}) {
-            tracker.recordBreak(Innocent, upstream, upstream + "@1", start);
+            tracker.recordBreak({Innocent, {}, {}}, upstream, upstream + "@1", start, start);
             crash(Crashing, upstream, start);
-            CHECK(tracker.verdict(Innocent, start) == SuspectVerdict::RunAlone);
+            CHECK(judge(tracker, Innocent, start) == SuspectVerdict::RunAlone);
             CHECK(tracker.recordCompletion(Innocent, start).size() == 1);
-            CHECK(tracker.verdict(Innocent, start) == SuspectVerdict::Unsuspected);
+            CHECK(judge(tracker, Innocent, start) == SuspectVerdict::Unsuspected);
         }
         CHECK(tracker.crashCount(Crashing, start) == 2);
         CHECK(tracker.recordCompletion(Innocent, start).empty());
@@ -98,27 +105,28 @@
         const Instant later = start + std::chrono::seconds(1);
         auto cleared = makeReport(tracker.recordCompletion(Crashing, later));
         CHECK(peer.merge(cleared, later).size() == 1);
-        CHECK(peer.verdict(Crashing, later) == SuspectVerdict::Unsuspected);
+        CHECK(judge(peer, Crashing, later) == SuspectVerdict::Unsuspected);
         auto repeated = first;
         repeated.mutable_suspects(0)->set_remaining_ms(repeated.suspects(0).remaining_ms() - 1500);
         CHECK(peer.merge(repeated, start + milliseconds(1500)).empty());
-        CHECK(peer.verdict(Crashing, later) == SuspectVerdict::Unsuspected);
+        CHECK(judge(peer, Crashing, later) == SuspectVerdict::Unsuspected);
         const Instant again = start + std::chrono::seconds(2);
         CHECK(peer.merge(makeReport(crash(Crashing, "b", again)), again).size() == 1);
         cleared.mutable_suspects(0)->set_remaining_ms(cleared.suspects(0).remaining_ms() - 1000);
         CHECK(peer.merge(cleared, again).empty());
-        CHECK(peer.verdict(Crashing, again) == SuspectVerdict::RunAlone);
+        CHECK(judge(peer, Crashing, again) == SuspectVerdict::RunAlone);
     }
     SUBCASE("an odd report leaves the table bounded")
     {
         proto::Suspect odd;
-        odd.set_content_digest(Crashing);
+        odd.set_digest(Crashing);
         odd.set_crashes(4000000000u);
         odd.set_remaining_ms(4000000000u);
         for (int i = 0; i < 1000; ++i)
             odd.add_upstreams(std::to_string(i));
         tracker.merge(makeReport({odd}), start);
-        CHECK(tracker.timeLeft(Crashing, start) <= SuspectTable::SuspectLifetime);
+        CHECK(tracker.decide({Crashing, {}, {}}, start).retryAfter <=
+              SuspectTable::SuspectLifetime);
         REQUIRE(tracker.recentChanges(start, true).size() == 1);
         CHECK(tracker.recentChanges(start, true)[0].upstreams_size() <=
               static_cast<int>(SuspectTable::MaxListedUpstreams));
@@ -126,7 +134,149 @@
     SUBCASE("open cases are bounded")
     {
         for (uint64_t digest = 0; digest < 2 * CrashTracker::MaxOpenCases; ++digest)
-            tracker.recordBreak(digest, "a", "a@1", start);
+            tracker.recordBreak({digest, {}, {}}, "a", "a@1", start, start);
         CHECK(tracker.recordEnd("a", start).size() <= CrashTracker::MaxOpenCases);
     }
 }
+TEST_CASE("A prompt part on which upstreams crash is refused, and the parts beside it are not")
+{
+    constexpr uint64_t First = 11;
+    constexpr uint64_t Deadly = 12;
+    constexpr uint64_t Session = 13;
+    const Instant start{std::chrono::hours(1)};
+    CrashTracker tracker;
+    uint64_t requests = 100;
+    int upstreams = 0;
+    const auto identify = [&](std::vector<uint64_t> parts, std::vector<uint64_t> probes = {}) {
+        return SuspectIdentity{++requests, std::move(parts), std::move(probes)};
+    };
+    /// Crashes an upstream on which these requests ran; returns what changed.
+    const auto crash = [&](const std::vector<SuspectIdentity> &running, Instant sentAt,
+                           Instant at) {
+        const std::string upstream = std::to_string(++upstreams);
+        for (const auto &request : running)
+            tracker.recordBreak(request, upstream, upstream + "@1", sentAt, at);
+        return tracker.recordEnd(upstream, at);
+    };
+    const auto judgeParts = [&](std::vector<uint64_t> parts, Instant at) {
+        return tracker.decide(identify(std::move(parts)), at).verdict;
+    };
+    const auto after = [&](int64_t ms) { return start + milliseconds(ms); };
+
+    SUBCASE("with a first part that is answered otherwise")
+    {
+        tracker.recordSoundAnswer({First}, start);
+        for (int i = 0; i < 3; ++i) {
+            CHECK(judgeParts({First, Deadly}, after(i * 200)) != SuspectVerdict::Refused);
+            crash({identify({First, Deadly}), identify({First})}, after(i * 200 + 50),
+                  after(i * 200 + 100));
+            CHECK(judgeParts({First}, after(i * 200 + 100)) == SuspectVerdict::Unsuspected);
+            tracker.recordSoundAnswer({First}, after(i * 200 + 150));
+        }
+        CHECK(judgeParts({First, Deadly}, after(600)) == SuspectVerdict::Refused);
+        CHECK(judgeParts({Deadly, Session}, after(600)) == SuspectVerdict::Refused);
+        CHECK(judgeParts({First, Session}, after(600)) == SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("with a first part that was never answered, until one request tells them apart")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash({identify({First, Deadly})}, after(i * 200 + 50), after(i * 200 + 100));
+        CHECK(judgeParts({First, Deadly}, after(600)) == SuspectVerdict::Refused);
+        const auto decision = tracker.decide(identify({First}), after(600));
+        CHECK(decision.verdict == SuspectVerdict::Probe);
+        tracker.recordProbes(decision.probes, after(600));
+        CHECK(judgeParts({First}, after(600)) == SuspectVerdict::Refused);
+        tracker.recordSoundAnswer({First}, after(700));
+        CHECK(judgeParts({First}, after(700)) == SuspectVerdict::Unsuspected);
+        CHECK(judgeParts({First, Deadly}, after(700)) != SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("one that is alone is let through at once, but after its crash not for long")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash({identify({First, Deadly})}, after(i * 200 + 50), after(i * 200 + 100));
+        const auto decision = tracker.decide(identify({Deadly}), after(600));
+        REQUIRE(decision.probes == std::vector<uint64_t>{Deadly});
+        tracker.recordProbes(decision.probes, after(600));
+        crash({identify({Deadly}, decision.probes)}, after(600), after(700));
+        CHECK(judgeParts({Deadly}, after(700 + 29000)) == SuspectVerdict::Refused);
+        CHECK(judgeParts({Deadly}, after(700 + 30000)) == SuspectVerdict::Probe);
+    }
+    SUBCASE("and no part is after many upstreams have ended at the same time")
+    {
+        tracker.recordSoundAnswer({First}, start);
+        for (int i = 0; i < 30; ++i)
+            crash({identify({First})}, start, after(i));
+        CHECK(judgeParts({First}, after(30)) == SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("also when it crashes several upstreams before the news has spread")
+    {
+        for (uint32_t i = 0; i < CrashTracker::MaxPartCrashes; ++i)
+            crash({identify({Deadly})}, start, after(static_cast<int>(i)));
+        CHECK(judgeParts({Deadly}, after(10)) == SuspectVerdict::Refused);
+    }
+    SUBCASE("also long after it was sound, and until it is sound again")
+    {
+        tracker.recordSoundAnswer({Deadly}, start);
+        for (int i = 0; i < 6; ++i)
+            crash({identify({Deadly})}, after(i * 200 + 50), after(i * 200 + 100));
+        CHECK(judgeParts({Deadly}, after(1200)) == SuspectVerdict::Refused);
+        tracker.recordSoundAnswer({Deadly}, after(1300));
+        CHECK(judgeParts({Deadly}, after(1300)) == SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("an answer that had been arriving for long says nothing against its parts")
+    {
+        CHECK(crash({identify({})}, start, after(100)).size() == 1);
+        CHECK(judgeParts({Session}, after(100)) == SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("probes are rare, and the suspicion ends")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash({identify({Deadly})}, after(i * 200 + 50), after(i * 200 + 100));
+        int probes = 0;
+        for (int64_t ms = 600; ms < 60000; ms += 100) {
+            const auto decision = tracker.decide(identify({Deadly}), after(ms));
+            if (decision.verdict != SuspectVerdict::Probe)
+                continue;
+            ++probes;
+            tracker.recordProbes(decision.probes, after(ms));
+            crash({identify({Deadly}, decision.probes)}, after(ms), after(ms + 100));
+        }
+        CHECK(probes == 2);
+        tracker.expire(after(0) + 2 * SuspectTable::SuspectLifetime);
+        CHECK(judgeParts({Deadly}, after(0) + 2 * SuspectTable::SuspectLifetime) ==
+              SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("other processes leave the probe to the first in order, and hear of it")
+    {
+        CrashTracker second([](uint64_t) { return size_t{1}; });
+        for (int i = 0; i < 3; ++i)
+            second.merge(
+                makeReport(crash({identify({Deadly})}, after(i * 200 + 50), after(i * 200 + 100))),
+                after(i * 200 + 100));
+        const Instant due = after(500) + SuspectTable::ProbeDelay;
+        CHECK(tracker.decide(identify({Deadly}), due).verdict == SuspectVerdict::Probe);
+        CHECK(second.decide(identify({Deadly}), due).verdict == SuspectVerdict::Refused);
+        second.merge(makeReport(tracker.recordProbes({Deadly}, due)), due);
+        CHECK(second.decide(identify({Deadly}), due + std::chrono::seconds(5)).verdict ==
+              SuspectVerdict::Refused);
+    }
+    SUBCASE("thousands of further suspects evict no confirmed one")
+    {
+        for (int i = 0; i < 3; ++i)
+            crash({identify({Deadly})}, after(i * 200 + 50), after(i * 200 + 100));
+        for (uint64_t part = 1000; part < 6000; part += 10)
+            crash({identify({part, part + 1, part + 2, part + 3, part + 4})}, after(700),
+                  after(800));
+        CHECK(judgeParts({Deadly}, after(900)) == SuspectVerdict::Refused);
+        CHECK(tracker.recentChanges(after(900), true).size() <= SuspectTable::MaxSuspects);
+        CHECK(tracker.takeNextConfirmed(40, after(900)).size() == 1);
+    }
+    SUBCASE("a process whose only news is the repeated one refuses it too")
+    {
+        for (uint32_t i = 0; i < CrashTracker::MaxPartCrashes; ++i)
+            crash({identify({Deadly})}, start, after(static_cast<int>(i)));
+        CrashTracker late;
+        late.merge(makeReport(tracker.takeNextConfirmed(40, after(9000))), after(9000));
+        CHECK(late.decide(identify({Deadly}), after(9000)).verdict == SuspectVerdict::Refused);
+    }
+}
