Break off streams that end inside an event, and continue one only with later events

Cause: relayEventStream took any successful answer for a continuation and any orderly end for the end of the stream.

Change: a stream that ends inside an event or without one is broken; an answer that is no event stream never continues one and is relayed as a whole body otherwise; events of a later run must have ids after the last one that was passed on, and a stream whose events have no ids is not continued after its first event. Server errors, request errors and answers that were not run were held back before already.

--- a/src/gateway/EventSplitter.h
+++ b/src/gateway/EventSplitter.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace tray {
 
@@ -17,23 +16,38 @@
     static constexpr size_t MaxEventBytes = 1u << 20;
 
     /// Appends bytes of the stream. Returns the complete events that are now available; the result
-    /// may be empty.
+    /// may be empty, and is so if the events are out of sequence.
     std::string feed(std::string_view bytes);
-    /// Returns and clears the bytes after the last complete event. They belong to the body of a
-    /// stream that ended normally.
-    std::string takeIncompleteEvent() { return std::exchange(this->incompleteEvent, {}); }
-    /// Discards the incomplete event, for example when the stream resumes at another upstream.
-    void discardIncompleteEvent() { this->incompleteEvent.clear(); }
+    /// Returns whether there are bytes after the last complete event. A stream that ends there has
+    /// been broken off.
+    bool hasIncompleteEvent() const { return !this->incompleteEvent.empty(); }
+    /// Discards the incomplete event. From here on, the stream of another upstream is fed, whose
+    /// events must come after those of the stream before.
+    void beginNextRun();
+    /// Returns whether the present run has had a complete event.
+    bool hasEvents() const { return this->eventsOfRun > 0; }
+    /// Returns whether another run can continue the stream: nothing was passed on yet, or the last
+    /// event has an id.
+    bool canContinue() const { return !this->hasPassedEvents || this->eventId.has_value(); }
+    /// Returns whether an event of the present run has an id that an earlier run has passed on, or
+    /// none to tell by.
+    bool isOutOfSequence() const { return this->outOfSequence; }
     /// Returns whether the incomplete event exceeds the maximum size.
     bool isEventTooLarge() const { return this->incompleteEvent.size() > MaxEventBytes; }
     /// Returns the most recent id of the complete events; empty if none of them had an id.
     const std::optional<std::string> &lastEventId() const { return this->eventId; }
 
 private:
-    void recordEventIds(std::string_view events);
+    void recordEvents(std::string_view events);
+    void recordEvent(const std::optional<std::string> &id);
 
     std::string incompleteEvent;
     std::optional<std::string> eventId;
+    // Id of the last event of the earlier runs, if there are any that have passed events on.
+    std::optional<std::string> continuesAfter;
+    size_t eventsOfRun = 0;
+    bool hasPassedEvents = false;
+    bool outOfSequence = false;
 };
 
 } // namespace tray
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -457,6 +457,8 @@
     if (result.mayHaveRun &&
         (!this->route->isRepeatable() || this->possibleExecutions >= this->route->maxAttempts))
         return false;
+    if (this->hasStreamBegun && !this->eventSplitter.canContinue())
+        return false;
     return this->gateway.retryBudgetOf(this->service)
         .tryConsume(this->gateway.countGateways(), now);
 }
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -54,7 +54,12 @@
         result.reason = "the answer is not the upstream's own";
         co_return result;
     }
-    if (success && this->route->kind == RouteKind::Streaming)
+    if (this->hasStreamBegun && success && !answer.isEventStream) {
+        result.outcome = AttemptOutcome::Broken;
+        result.reason = "the answer does not continue the stream";
+        co_return result;
+    }
+    if (success && this->route->kind == RouteKind::Streaming && answer.isEventStream)
         result = co_await this->relayEventStream(stream);
     else
         result = co_await this->relayBufferedResponse(stream, success);
@@ -96,7 +101,7 @@
         if (!co_await this->responder.start(stream.status(), std::move(headers)))
             this->isCallerGone = true;
     }
-    this->eventSplitter.discardIncompleteEvent();
+    this->eventSplitter.beginNextRun();
     while (!this->isCallerGone) {
         const Instant waitedSince = clockNow();
         // The timeout of a read does not expire while the upstream has bytes ready, so the deadline
@@ -115,12 +120,10 @@
             co_return result;
         }
         const bool ended = value(piece).empty();
-        std::string whole = ended ? this->eventSplitter.takeIncompleteEvent()
-                                  : this->eventSplitter.feed(value(piece));
-        if (this->eventSplitter.isEventTooLarge()) {
-            this->eventSplitter.discardIncompleteEvent();
+        std::string whole = this->eventSplitter.feed(value(piece));
+        if (const auto fault = this->findStreamFault(ended); !fault.empty()) {
             result.outcome = AttemptOutcome::Broken;
-            result.reason = "an event does not end";
+            result.reason = fault;
             co_return result;
         }
         if (!whole.empty()) {
@@ -145,6 +148,20 @@
     co_return result;
 }
 
+std::string_view Exchange::findStreamFault(bool ended) const
+{
+    const auto &events = this->eventSplitter;
+    if (events.isEventTooLarge())
+        return "an event does not end";
+    if (events.isOutOfSequence())
+        return "an event does not come after those of the run before";
+    if (ended && events.hasIncompleteEvent())
+        return "the stream ended inside an event";
+    if (ended && !events.hasEvents())
+        return "the stream ended without an event";
+    return "";
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::relayBufferedResponse(HttpStream &stream,
                                                                          bool success)
 {
--- a/src/gateway/RequestCodec.h
+++ b/src/gateway/RequestCodec.h
@@ -71,6 +71,8 @@
     bool isMisdirected = false;
     /// Whether the body has a content encoding, so that it is not the upstream's plain bytes.
     bool isEncoded = false;
+    /// Whether the body can be a stream of events: it has that type, or none is stated.
+    bool isEventStream = false;
     std::optional<ReportedLoad> load;
     AnswerDirectives directives;
     /// Describes directives that cannot be read and are ignored; empty if there are none.
--- a/tests/gateway/EventSplitterTest.cpp
+++ b/tests/gateway/EventSplitterTest.cpp
@@ -19,23 +19,49 @@
 
     SUBCASE("the incomplete event is discarded when the stream resumes at another upstream")
     {
-        splitter.discardIncompleteEvent();
+        splitter.beginNextRun();
+        CHECK(!splitter.hasEvents());
         CHECK(splitter.feed("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+        CHECK(splitter.hasEvents());
     }
-    SUBCASE("the bytes after the last event belong to a body that ended normally")
+    SUBCASE("a stream that ends after a part of an event is recognised")
     {
-        CHECK(splitter.takeIncompleteEvent() == "id: 3\n");
-        CHECK(splitter.takeIncompleteEvent().empty());
+        CHECK(splitter.hasIncompleteEvent());
+        CHECK(splitter.feed("data: c\n\n") == "id: 3\ndata: c\n\n");
+        CHECK(!splitter.hasIncompleteEvent());
+    }
+    SUBCASE("events that the run before has passed on, or that cannot be told from them, are not")
+    {
+        splitter.beginNextRun();
+        const bool isRepeated = splitter.feed("id: 3\ndata: c\n\nid: 2\ndata: b\n\n").empty();
+        CHECK(isRepeated);
+        CHECK(splitter.isOutOfSequence());
+        CHECK(splitter.lastEventId() == "2");
+        splitter.beginNextRun();
+        CHECK(splitter.feed("data: c\n\n").empty());
+        CHECK(splitter.isOutOfSequence());
+        splitter.beginNextRun();
+        CHECK(splitter.feed(": comment\n\nid: 10\ndata: c\n\n").size() == 27);
+        CHECK(!splitter.isOutOfSequence());
     }
     SUBCASE("several events in one piece are returned together")
     {
-        splitter.discardIncompleteEvent();
+        splitter.beginNextRun();
         CHECK(splitter.feed("id:7\n\nid: 8\r\ndata: x\r\n\r\n") ==
               "id:7\n\nid: 8\r\ndata: x\r\n\r\n");
         CHECK(splitter.lastEventId() == "8");
     }
 }
 
+TEST_CASE("A stream without ids can be continued only before its first event")
+{
+    EventSplitter splitter;
+    CHECK(splitter.feed("data").empty());
+    CHECK(splitter.canContinue());
+    CHECK(!splitter.feed(": a\n\n").empty());
+    CHECK(!splitter.canContinue());
+}
+
 TEST_CASE("The end of an event is found wherever the stream is split into pieces")
 {
     const std::string event = "id: 1\r\ndata: a\r\n\r\n";
