Pass no request on late in a stop whose answer may outlast it

Callers saw, in a planned stop of a gateway in calm: a stream that came late in the grace time was passed on and cut at its end without an answer; a request that must not be repeated ended with 502, its outcome unknown. Cause: ShutdownSchedule knew the mean time of a stream's body only. Half of the answers take longer than the mean; a route without a sample was taken as if it answered at once, and plain requests never had a sample; the time to the first byte was left out; and the question was asked before the adapter was loaded.

Change: it keeps moving averages of the whole duration and of its deviation for every route and passes a request on only if mean and four deviations fit, or if the request's own deadline passes before the final responses are due. Others get 503 with Retry-After at once, as another gateway can take them. The question is asked right before the request is sent.

Evidence: GatewayStopTest, "A request that may outlast a stop is not passed on late in the grace time": before, with no answers known and with one long answer after three short ones, the stream was cut and the plain request got 502, both passed on; now both get 503 and nothing reaches the upstream. A route whose answers are all short is still served.

ShutdownScheduleTest: recordBodyDuration is recordResponse now; the checks are unchanged, two parts are new.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -217,15 +217,6 @@
         }
         this->leavePrefillQueue();
         const auto target = std::get<DispatchTarget>(choice);
-        const bool isUnserved =
-            this->possibleExecutions == 0 && !last.upstreamError && !this->hasStreamBegun;
-        // The dispatch cost is not used as the expected time until the first response: it is a
-        // score for comparing upstreams, not a duration.
-        if (isUnserved && !this->gateway.shutdownSchedule.canFinish(this->route->name,
-                                                                    Duration::zero(), clockNow())) {
-            co_await this->refuseForShutdown("the answer is not expected to be whole in time");
-            co_return;
-        }
         this->gateway.recordUpstreamUse(target.upstreamId);
         if (!this->properties.adapter.empty()) {
             const bool ready = co_await this->ensureAdapterLoaded(target);
@@ -240,6 +231,13 @@
             if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()))
                 continue;
         }
+        const bool isUnserved =
+            this->possibleExecutions == 0 && !last.upstreamError && !this->hasStreamBegun;
+        if (isUnserved && !this->gateway.shutdownSchedule.canStart(this->route->name,
+                                                                   this->deadline, clockNow())) {
+            co_await this->refuseForShutdown("the answer is not expected to be whole in time");
+            co_return;
+        }
         if (!this->enterSuspectGates(clockNow())) {
             last.reason = "a request with the same suspect is running";
             if (this->timeUntilLatencyLimit(clockNow()) <= Duration::zero())
@@ -325,12 +323,19 @@
     const Instant limit = std::min(this->deadline, clockNow() + CrashVerdictTimeout);
     while (!this->isCallerGone && this->gateway.suspectExchange.isProbing(upstreamId)) {
         const Instant now = clockNow();
-        if (now >= limit)
+        if (now >= limit || this->gateway.shutdownSchedule.isDrainOver(now))
             co_return;
         co_await this->gateway.capacityChanged.waitFor(limit - now, this->priority());
     }
 }
 
+void Exchange::recordResponseDuration(Instant now)
+{
+    if (this->firstByteAt)
+        this->gateway.shutdownSchedule.recordResponse(this->route->name, now - *this->firstByteAt,
+                                                      now - this->sentAt);
+}
+
 std::string Exchange::describeSharedParts() const
 {
     std::string text;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -107,6 +107,8 @@
     /// Records that the prompt's parts have crashed no upstream once the answer has been arriving
     /// for long enough.
     void recordAnswerProgress(Instant now);
+    /// Records how long the complete answer has taken.
+    void recordResponseDuration(Instant now);
     /// Passes the gates of all suspects of a request that must run alone, and records it as a probe
     /// if it is one. Returns false if another request runs or the request is refused by now.
     bool enterSuspectGates(Instant now);
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -136,9 +136,7 @@
         }
         if (ended && !this->isCallerGone) {
             co_await this->responder.finish();
-            if (this->firstByteAt)
-                this->gateway.shutdownSchedule.recordBodyDuration(this->route->name,
-                                                                  clockNow() - *this->firstByteAt);
+            this->recordResponseDuration(clockNow());
             result.isFinal = true;
             result.isSound = true;
             this->log(stream.status(), "served", "");
@@ -204,6 +202,8 @@
         co_return result;
     }
     result.isSound = success;
+    if (success)
+        this->recordResponseDuration(clockNow());
     const int status = response.status;
     co_await this->responder.respond(std::move(response));
     this->log(status, success ? "served" : "upstream_failed", result.reason);
--- a/src/gateway/ShutdownSchedule.cpp
+++ b/src/gateway/ShutdownSchedule.cpp
@@ -1,6 +1,8 @@
-// Computes the deadlines of a graceful shutdown and the mean response durations.
+// Computes the deadlines of a graceful shutdown and the expected durations of responses.
 #include "gateway/ShutdownSchedule.h"
 
+#include <utility>
+
 namespace tray {
 
 void ShutdownSchedule::begin(Instant now, Duration grace)
@@ -8,21 +10,48 @@
     this->drainDeadlineAt = now + grace - ExitMargin - FinalResponseTime;
 }
 
-void ShutdownSchedule::recordBodyDuration(const std::string &route, Duration rest)
+void ShutdownSchedule::DurationEstimate::add(Duration sample)
+{
+    if (!std::exchange(this->hasSamples, true)) {
+        this->mean = sample;
+        return;
+    }
+    const Duration error = sample - this->mean;
+    const Duration spread = error < Duration::zero() ? -error : error;
+    this->deviation +=
+        std::chrono::duration_cast<Duration>(SampleWeight * (spread - this->deviation));
+    this->mean += std::chrono::duration_cast<Duration>(SampleWeight * error);
+}
+
+Duration ShutdownSchedule::DurationEstimate::upper() const
 {
-    const auto [mean, isFirst] = this->meanBodyDurations.try_emplace(route, rest);
-    if (!isFirst)
-        mean->second +=
-            std::chrono::duration_cast<Duration>(MeanSampleWeight * (rest - mean->second));
+    return this->mean + std::chrono::duration_cast<Duration>(UpperDeviations * this->deviation);
+}
+
+void ShutdownSchedule::recordResponse(const std::string &route, Duration body, Duration total)
+{
+    auto &known = this->durations[route];
+    known.body.add(body);
+    known.total.add(total);
 }
 
 bool ShutdownSchedule::canFinish(const std::string &route, Duration firstAnswer, Instant now) const
 {
     if (!this->drainDeadlineAt)
         return true;
-    const auto found = this->meanBodyDurations.find(route);
-    const Duration rest = found == this->meanBodyDurations.end() ? Duration::zero() : found->second;
+    const auto found = this->durations.find(route);
+    const Duration rest =
+        found == this->durations.end() ? Duration::zero() : found->second.body.upper();
     return now + firstAnswer + rest <= *this->drainDeadlineAt;
 }
 
+bool ShutdownSchedule::canStart(const std::string &route, Instant deadline, Instant now) const
+{
+    if (!this->drainDeadlineAt || deadline <= *this->drainDeadlineAt)
+        return true;
+    const auto found = this->durations.find(route);
+    return found != this->durations.end() &&
+           now + found->second.total.upper() <= *this->drainDeadlineAt;
+}
+
 } // namespace tray
--- a/src/gateway/ShutdownSchedule.h
+++ b/src/gateway/ShutdownSchedule.h
@@ -1,5 +1,5 @@
 // Deadlines of a gateway's graceful shutdown. Decides which requests are still expected to complete
-// before the process ends, using the mean duration of the response bodies of each route.
+// before the process ends, from the durations of the responses on their route.
 #pragma once
 
 #include "base/Time.h"
@@ -24,8 +24,11 @@
     /// Retry-After of refusals during a shutdown. It is short because other instances can take the
     /// request immediately.
     static constexpr Duration DrainRetryAfter = milliseconds(50);
-    /// Weight of a new sample in a route's exponential moving average.
-    static constexpr double MeanSampleWeight = 0.1;
+    /// Weight of a new sample in a route's exponential moving averages.
+    static constexpr double SampleWeight = 0.1;
+    /// Number of mean deviations above the mean that few responses exceed; as for the
+    /// retransmission timeout of TCP (RFC 6298).
+    static constexpr double UpperDeviations = 4;
 
     /// Begins a shutdown. The process ends after the grace period.
     void begin(Instant now, Duration grace);
@@ -41,16 +44,39 @@
     Instant drainDeadline() const { return *this->drainDeadlineAt; }
     Instant finalResponseDeadline() const { return *this->drainDeadlineAt + FinalResponseTime; }
 
-    /// Records the time from the first bytes of a response on this route to its end.
-    void recordBodyDuration(const std::string &route, Duration rest);
+    /// Records the duration of a response on this route: from its first bytes to its end, and from
+    /// the sending of the request to its end.
+    void recordResponse(const std::string &route, Duration body, Duration total);
     /// Returns whether a response whose first bytes are expected after the given time from now is
     /// expected to be complete before the final responses are due. Always true without a shutdown.
     bool canFinish(const std::string &route, Duration firstAnswer, Instant now) const;
+    /// Returns whether a request that is sent now gets its response before the final responses are
+    /// due, by the durations on its route or because its deadline passes before. Always true
+    /// without a shutdown.
+    bool canStart(const std::string &route, Instant deadline, Instant now) const;
 
 private:
+    /// Moving averages of the durations of a route's responses and of their deviation from it.
+    class DurationEstimate
+    {
+    public:
+        void add(Duration sample);
+        /// Duration that few responses exceed.
+        Duration upper() const;
+
+    private:
+        bool hasSamples = false;
+        Duration mean{};
+        Duration deviation{};
+    };
+    struct RouteDurations
+    {
+        DurationEstimate body;
+        DurationEstimate total;
+    };
+
     std::optional<Instant> drainDeadlineAt;
-    // Mean time from the first bytes of a response to its end, by route.
-    std::map<std::string, Duration> meanBodyDurations;
+    std::map<std::string, RouteDurations> durations;
 };
 
 } // namespace tray
--- a/tests/gateway/ShutdownScheduleTest.cpp
+++ b/tests/gateway/ShutdownScheduleTest.cpp
@@ -32,7 +32,7 @@
     SUBCASE("the mean time from first byte to end of the route's responses is added")
     {
         for (int i = 0; i < 50; ++i)
-            window.recordBodyDuration("tell", std::chrono::seconds(3));
+            window.recordResponse("tell", std::chrono::seconds(3), std::chrono::seconds(3));
         window.begin(start, Grace);
         CHECK(window.canFinish("tell", Left - std::chrono::seconds(3), start));
         CHECK_FALSE(window.canFinish("tell", Left - std::chrono::seconds(2), start));
@@ -40,10 +40,29 @@
     }
     SUBCASE("the mean follows a change of the response durations")
     {
-        window.recordBodyDuration("tell", std::chrono::seconds(30));
+        window.recordResponse("tell", std::chrono::seconds(30), std::chrono::seconds(30));
         for (int i = 0; i < 100; ++i)
-            window.recordBodyDuration("tell", milliseconds(100));
+            window.recordResponse("tell", milliseconds(100), milliseconds(100));
         window.begin(start, Grace);
         CHECK(window.canFinish("tell", Left - milliseconds(200), start));
     }
+    SUBCASE("a request is sent only if most answers of its route are short enough")
+    {
+        const Instant far = start + std::chrono::hours(1);
+        CHECK(window.canStart("take", far, start));
+        window.begin(start, Grace);
+        CHECK_FALSE(window.canStart("take", far, start));
+        for (int i = 0; i < 40; ++i)
+            window.recordResponse("take", Duration::zero(),
+                                  std::chrono::seconds(i % 4 == 0 ? 3 : 1));
+        CHECK(window.canStart("take", far, start));
+        CHECK_FALSE(window.canStart("take", far, start + Left - std::chrono::seconds(3)));
+        CHECK_FALSE(window.canStart("other", far, start));
+    }
+    SUBCASE("or if its deadline passes before the final responses are due")
+    {
+        window.begin(start, Grace);
+        CHECK(window.canStart("take", start + Left, start));
+        CHECK_FALSE(window.canStart("take", start + Left + milliseconds(1), start));
+    }
 }
--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -236,6 +236,64 @@
     CHECK(gateway.engine.received.size() == 2);
 }
 
+TEST_CASE("A request that may outlast a stop is not passed on late in the grace time")
+{
+    constexpr Duration Grace = std::chrono::seconds(3);
+    constexpr Duration LongTime = std::chrono::seconds(1);
+    constexpr Duration ShortTime = milliseconds(50);
+    Duration answerTime = LongTime;
+    const auto answerSlowly = [&](const HttpRequest &request) {
+        StubReply reply;
+        if (request.target.starts_with("/ask/")) {
+            reply.bytes = StubUpstream::sealedStreamHead(request);
+            reply.pieceDelay = answerTime;
+            reply.pieces = {StubUpstream::encodeChunk("id: 1\ndata: piece\n\n") + "0\r\n\r\n"};
+        } else {
+            reply.delay = answerTime;
+            reply.bytes = StubUpstream::sealedAnswer(request, 200, "done");
+        }
+        return reply;
+    };
+    // A stream, and a request that must not be repeated.
+    const std::map<std::string, uint32_t> tokensByTarget{{"/ask/1", 500}, {"/take/1", 0}};
+    /// Sends a request late in the grace time, after answers of these durations on its route.
+    const auto play = [&](const std::vector<Duration> &earlier, bool isExpectedToFit) {
+        for (const auto &[target, tokens] : tokensByTarget) {
+            INFO(target);
+            StoppingGateway gateway(answerSlowly, Grace);
+            gateway.keepSendingSnapshots(std::nullopt);
+            for (const Duration duration : earlier) {
+                answerTime = duration;
+                CallerResult before;
+                gateway.send(before, target, "before", tokens);
+                gateway.fixture.runFor(duration + milliseconds(100));
+                REQUIRE(before.status() == 200);
+            }
+            answerTime = isExpectedToFit ? ShortTime : LongTime;
+            CallerResult late;
+            gateway.sendLater(milliseconds(1900), late, target, "late", tokens);
+            gateway.stop();
+            const size_t received =
+                gateway.engine.received.size() + gateway.fixture.first.received.size();
+            CHECK(late.status() == (isExpectedToFit ? 200 : 503));
+            CHECK(received - earlier.size() == (isExpectedToFit ? 1 : 0));
+            CHECK(gateway.stopTook < Grace);
+        }
+    };
+    SUBCASE("if nothing is known of the route's answers")
+    {
+        play({}, false);
+    }
+    SUBCASE("if some of the route's answers take long")
+    {
+        play({ShortTime, ShortTime, ShortTime, LongTime}, false);
+    }
+    SUBCASE("but one whose route's answers are all short is")
+    {
+        play({ShortTime, ShortTime}, true);
+    }
+}
+
 TEST_CASE("A stop with a grace time shorter than the load balancer's time still answers in time")
 {
     constexpr Duration ShortGrace = milliseconds(1500);
