Play prompt parts that crash upstreams, and unframed and half-ended streams, in the soak

A third plan of the soak: streams with shared prompt parts, of which one in twelve has a part on which each upstream begins to answer and crashes, while gateways are killed, stopped and paused; from 4 s after the fifth crash and the last fault on, at most three such requests may reach upstreams, and sound ones with the same first parts must begin at least half as often as before. In the plan of all faults, streams now end with their connection or in chunks, and break by a reset, by an orderly end inside an event, or inside a chunk.

The stand-in now keeps its sockets out of other processes.

An end without events completes a stream only if its type and its framing say so: an upstream that continues a stream after its last event sends just that end, which the soak's upstreams do.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -84,9 +84,10 @@
     boost::asio::awaitable<AttemptResult> attempt(DispatchTarget target);
     boost::asio::awaitable<AttemptResult> handleResponse(std::string upstreamId,
                                                          uint64_t startedAtMs, HttpStream &stream);
-    boost::asio::awaitable<AttemptResult> relayEventStream(HttpStream &stream);
-    /// Returns why the bytes of the present run are no whole or partial stream, or an empty text.
-    std::string_view findStreamFault(bool ended) const;
+    boost::asio::awaitable<AttemptResult> relayEventStream(HttpStream &stream, bool mayBeEmpty);
+    /// Returns why the bytes of the present run are no whole or partial stream, or an empty text. A
+    /// stream without any event is whole only if its framing says so.
+    std::string_view findStreamFault(bool ended, bool canEndEmpty) const;
     boost::asio::awaitable<AttemptResult> relayBufferedResponse(HttpStream &stream, bool success);
     boost::asio::awaitable<bool> ensureAdapterLoaded(DispatchTarget target);
     /// Sends an error response of the gateway as the final response, or aborts the stream if the
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -60,7 +60,7 @@
         co_return result;
     }
     if (success && this->route->kind == RouteKind::Streaming && answer.isEventStream)
-        result = co_await this->relayEventStream(stream);
+        result = co_await this->relayEventStream(stream, answer.statesEventStream);
     else
         result = co_await this->relayBufferedResponse(stream, success);
     co_return result;
@@ -90,7 +90,8 @@
                                 this->properties.requestId, upstreamId, answer.malformedDirective));
 }
 
-asio::awaitable<Exchange::AttemptResult> Exchange::relayEventStream(HttpStream &stream)
+asio::awaitable<Exchange::AttemptResult> Exchange::relayEventStream(HttpStream &stream,
+                                                                    bool mayBeEmpty)
 {
     AttemptResult result;
     result.mayHaveRun = true;
@@ -102,6 +103,7 @@
             this->isCallerGone = true;
     }
     this->eventSplitter.beginNextRun();
+    const bool canEndEmpty = mayBeEmpty && !stream.endsWithConnection();
     while (!this->isCallerGone) {
         const Instant waitedSince = clockNow();
         // The timeout of a read does not expire while the upstream has bytes ready, so the deadline
@@ -121,7 +123,7 @@
         }
         const bool ended = value(piece).empty();
         std::string whole = this->eventSplitter.feed(value(piece));
-        if (const auto fault = this->findStreamFault(ended); !fault.empty()) {
+        if (const auto fault = this->findStreamFault(ended, canEndEmpty); !fault.empty()) {
             result.outcome = AttemptOutcome::Broken;
             result.reason = fault;
             co_return result;
@@ -146,7 +148,7 @@
     co_return result;
 }
 
-std::string_view Exchange::findStreamFault(bool ended) const
+std::string_view Exchange::findStreamFault(bool ended, bool canEndEmpty) const
 {
     const auto &events = this->eventSplitter;
     if (events.isEventTooLarge())
@@ -155,7 +157,7 @@
         return "an event does not come after those of the run before";
     if (ended && events.hasIncompleteEvent())
         return "the stream ended inside an event";
-    if (ended && !events.hasEvents())
+    if (ended && !events.hasEvents() && !canEndEmpty)
         return "the stream ended without an event";
     return "";
 }
--- a/src/gateway/RequestCodec.h
+++ b/src/gateway/RequestCodec.h
@@ -73,6 +73,8 @@
     bool isEncoded = false;
     /// Whether the body can be a stream of events: it has that type, or none is stated.
     bool isEventStream = false;
+    /// Whether the response states that its body is a stream of events.
+    bool statesEventStream = false;
     std::optional<ReportedLoad> load;
     AnswerDirectives directives;
     /// Describes directives that cannot be read and are ignored; empty if there are none.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -240,6 +240,8 @@
 
     const HttpHeaders &headers() const override { return this->fields; }
 
+    bool endsWithConnection() const override { return this->parser->get().need_eof(); }
+
     asio::awaitable<Result<std::string>> read(Duration inactivityTimeout) override
     {
         while (!this->isComplete) {
--- a/tests/platform/BrokenAnswerTest.cpp
+++ b/tests/platform/BrokenAnswerTest.cpp
@@ -14,14 +14,6 @@
 constexpr auto HalfEvent = "id: 2\nda";
 constexpr auto ErrorText = "engine fault";
 
-/// Head of a sealed event stream that ends with its connection.
-std::string makeUnframedHead(const HttpRequest &request)
-{
-    return fmt::format("HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: {}\r\n"
-                       "Marjoramtray-Response-Seal: s1\r\nContent-Type: text/event-stream\r\n\r\n",
-                       findHeader(request.headers, "Marjoramtray-Request-Id"));
-}
-
 StubReply replyWith(std::string bytes, bool isReset = false)
 {
     StubReply reply;
@@ -59,7 +51,7 @@
     SUBCASE("as a stream")
     {
         GatewayFixture fixture([](const HttpRequest &request) {
-            return replyWith(makeUnframedHead(request) + FirstEvent + SecondEvent);
+            return replyWith(StubUpstream::sealedUnframedHead(request) + FirstEvent + SecondEvent);
         });
         const std::string answer = callRaw(fixture, "/tell/1");
         CHECK(countText(answer, "id: 1") == 1);
@@ -69,7 +61,7 @@
     SUBCASE("as a plain answer")
     {
         GatewayFixture fixture([](const HttpRequest &request) {
-            return replyWith(makeUnframedHead(request) + "whole");
+            return replyWith(StubUpstream::sealedUnframedHead(request) + "whole");
         });
         const auto answer = fixture.send("/take/1");
         REQUIRE(isOk(answer));
@@ -79,7 +71,7 @@
     SUBCASE("but not one whose connection is reset")
     {
         GatewayFixture fixture([](const HttpRequest &request) {
-            return replyWith(makeUnframedHead(request) + "part", true);
+            return replyWith(StubUpstream::sealedUnframedHead(request) + "part", true);
         });
         CHECK(fixture.statusOf("/take/1") == 502);
     }
@@ -99,13 +91,14 @@
     };
     Ending ending;
     const auto breakOff = [&](const HttpRequest &request) {
-        const std::string begin = ending.isChunked ? StubUpstream::sealedStreamHead(request) +
-                                                         StubUpstream::encodeChunk(FirstEvent)
-                                                   : makeUnframedHead(request) + FirstEvent;
+        const std::string begin =
+            ending.isChunked
+                ? StubUpstream::sealedStreamHead(request) + StubUpstream::encodeChunk(FirstEvent)
+                : StubUpstream::sealedUnframedHead(request) + FirstEvent;
         return replyWith(begin + ending.bytes);
     };
     const auto resume = [](const HttpRequest &request) {
-        return replyWith(makeUnframedHead(request) + SecondEvent);
+        return replyWith(StubUpstream::sealedUnframedHead(request) + SecondEvent);
     };
     SUBCASE("and its caller is told so")
     {
@@ -136,7 +129,7 @@
 TEST_CASE("A broken stream takes nothing from an upstream that cannot continue it")
 {
     const auto breakOff = [](const HttpRequest &request) {
-        return replyWith(makeUnframedHead(request) + FirstEvent, true);
+        return replyWith(StubUpstream::sealedUnframedHead(request) + FirstEvent, true);
     };
     StubUpstream::Behaviour second;
     SUBCASE("and answers with a server error")
@@ -170,6 +163,12 @@
             return replyWith(StubUpstream::sealedAnswer(request, 200, ""));
         };
     }
+    SUBCASE("and closes before its first event")
+    {
+        second = [](const HttpRequest &request) {
+            return replyWith(StubUpstream::sealedUnframedHead(request));
+        };
+    }
     SUBCASE("and answers with no content")
     {
         second = [](const HttpRequest &request) {
@@ -179,7 +178,7 @@
     SUBCASE("and begins anew")
     {
         second = [](const HttpRequest &request) {
-            return replyWith(makeUnframedHead(request) + FirstEvent + SecondEvent);
+            return replyWith(StubUpstream::sealedUnframedHead(request) + FirstEvent + SecondEvent);
         };
     }
     SUBCASE("and answers with an unsealed stream")
@@ -198,6 +197,21 @@
     CHECK(!isMarkedComplete(answer));
 }
 
+TEST_CASE("A stream that broke after its last event is completed by the end that another one sends")
+{
+    GatewayFixture fixture(
+        [](const HttpRequest &request) {
+            return replyWith(StubUpstream::sealedUnframedHead(request) + FirstEvent, true);
+        },
+        [](const HttpRequest &request) {
+            return replyWith(StubUpstream::sealedStreamHead(request) +
+                             StubUpstream::encodeChunk(""));
+        });
+    const std::string answer = callRaw(fixture, "/retell/1");
+    CHECK(countText(answer, "id: 1") == 1);
+    CHECK(isMarkedComplete(answer));
+}
+
 TEST_CASE("An answer whose head breaks off at any byte is never passed on as complete")
 {
     bool isStream = false;
--- a/tests/platform/StubUpstream.cpp
+++ b/tests/platform/StubUpstream.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
 
 namespace tray::test {
@@ -22,6 +23,13 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 
+/// Keeps the socket out of processes that the test starts. A copy there would keep a crashed
+/// upstream's port open.
+void closeOnExec(int socket)
+{
+    ::fcntl(socket, F_SETFD, FD_CLOEXEC);
+}
+
 std::string idOf(const HttpRequest &request)
 {
     return std::string(findHeader(request.headers, "Marjoramtray-Request-Id"));
@@ -43,6 +51,7 @@
 {
     const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
     this->acceptor.open(endpoint.protocol());
+    closeOnExec(this->acceptor.native_handle());
     this->acceptor.set_option(asio::socket_base::reuse_address(true));
     this->acceptor.bind(endpoint);
     this->acceptor.listen();
@@ -51,6 +60,9 @@
 
 asio::awaitable<void> StubUpstream::crash(Duration downTime)
 {
+    // Another request has crashed it already.
+    if (!this->acceptor.is_open())
+        co_return;
     const uint16_t port = this->acceptor.local_endpoint().port();
     this->acceptor.close();
     for (const auto &weak : std::exchange(this->connections, {})) {
@@ -70,6 +82,7 @@
         auto [code, socket] = co_await this->acceptor.async_accept(Await);
         if (code)
             co_return;
+        closeOnExec(socket.native_handle());
         auto connection = std::make_shared<tcp::socket>(std::move(socket));
         std::erase_if(this->connections, [](const auto &weak) { return weak.expired(); });
         this->connections.push_back(connection);
@@ -168,6 +181,13 @@
                        idOf(request));
 }
 
+std::string StubUpstream::sealedUnframedHead(const HttpRequest &request)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nMarjoramtray-Request-Id: {}\r\n"
+                       "Marjoramtray-Response-Seal: s1\r\nContent-Type: text/event-stream\r\n\r\n",
+                       idOf(request));
+}
+
 std::string StubUpstream::encodeChunk(const std::string &data)
 {
     return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
--- a/tests/platform/StubUpstream.h
+++ b/tests/platform/StubUpstream.h
@@ -64,6 +64,8 @@
                                     const std::string &headerLine);
     /// Returns the head of a sealed event stream in chunked encoding.
     static std::string sealedStreamHead(const HttpRequest &request);
+    /// As sealedStreamHead(), of a stream that ends with its connection.
+    static std::string sealedUnframedHead(const HttpRequest &request);
     static std::string encodeChunk(const std::string &data);
 
 private:
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -180,8 +180,10 @@
             });
         upstream.relay =
             std::make_unique<Relay>(this->context, proto::RelaySection(), this->metrics);
-        upstream.address =
-            value(upstream.relay->forward({"127.0.0.1", 0}, upstream.server->listen()));
+        const Address own = upstream.server->listen();
+        upstream.address = this->plan == SoakPlan::DeadlyPart
+                               ? own
+                               : value(upstream.relay->forward({"127.0.0.1", 0}, own));
     }
     this->publish(upstream);
 }
@@ -246,7 +248,7 @@
         }
         return reply;
     }
-    auto stream = this->streamFor(request);
+    auto stream = this->countPrompt(request) ? this->crashOn(request) : this->streamFor(request);
     stream.delay = reply.delay;
     return stream;
 }
@@ -260,14 +262,33 @@
     const bool breaks =
         this->plan == SoakPlan::AllFaults && first <= EventsPerStream && this->drawInt(1, 12) == 1;
     const int end = breaks ? this->drawInt(first, EventsPerStream) : EventsPerStream;
-    reply.bytes = StubUpstream::sealedStreamHead(request);
+    // Streams without chunks end with their connection; an end without events would mean nothing.
+    const bool isChunked = first > EventsPerStream || this->drawInt(1, 3) > 1;
+    const auto frame = [&](const std::string &bytes) {
+        return isChunked ? StubUpstream::encodeChunk(bytes) : bytes;
+    };
+    reply.bytes = isChunked ? StubUpstream::sealedStreamHead(request)
+                            : StubUpstream::sealedUnframedHead(request);
     for (int event = first; event <= end; ++event)
-        reply.bytes += StubUpstream::encodeChunk(eventOf(event));
-    if (breaks) {
-        reply.bytes += "4\r\nid";
+        reply.bytes += frame(eventOf(event));
+    reply.close = !isChunked;
+    if (!breaks) {
+        reply.bytes += isChunked ? frame("") : "";
+        return reply;
+    }
+    switch (this->drawInt(1, 3)) {
+    case 1:
+        reply.bytes += isChunked ? "4\r\nid" : "id";
         reply.reset = true;
-    } else {
-        reply.bytes += "0\r\n\r\n";
+        break;
+    case 2:
+        // Ends in order inside an event.
+        reply.bytes += frame("id: 99\nda") + (isChunked ? frame("") : "");
+        break;
+    default:
+        reply.bytes += isChunked ? "4\r\nid" : "id: 99";
+        reply.close = true;
+        break;
     }
     return reply;
 }
@@ -302,6 +323,9 @@
         request.headers.emplace_back("Marjoramtray-Model", requestedModel);
         request.headers.emplace_back("Marjoramtray-Token-Usage", "100,12");
     }
+    if (this->plan == SoakPlan::DeadlyPart &&
+        (kind == RouteKind::Stream || kind == RouteKind::ResumableStream))
+        this->addPrompt(request);
     const Address address{this->rig.at(10 + gateway, 1).host, 8080};
     const Instant sentAt = clockNow();
     ++this->requestsInFlight;
@@ -376,6 +400,8 @@
 {
     if (plan == SoakPlan::PlannedStops)
         return planStops(seed);
+    if (plan == SoakPlan::DeadlyPart)
+        return planGatewayFaults(seed);
     std::mt19937_64 random(seed);
     const auto draw = [&](int low, int high) {
         return std::uniform_int_distribution<int>(low, high)(random);
@@ -621,7 +647,10 @@
                                    this->callLoop(gateway, caller >= CallersPerGateway),
                                    asio::detached);
             }
+            this->callersStartedAt = clockNow();
             co_await this->faultLoop();
+            if (this->plan == SoakPlan::DeadlyPart)
+                co_await pauseFor(this->callersStartedAt + DeadlyPartPeriod - clockNow());
             co_await awaitZero(this->activeFaults, MaxStopTime + std::chrono::seconds(4));
             this->callersActive = false;
             co_await awaitZero(this->requestsInFlight, LongRouteTimeout + CallerSlack);
@@ -650,6 +679,8 @@
             this->recordViolation(fmt::format("{} {} ran and was answered as not executed",
                                               nameOf(executed.kind), id));
     }
+    if (this->plan == SoakPlan::DeadlyPart)
+        this->checkPrompts();
     if (this->servedByModels < 50)
         this->recordViolation(
             fmt::format("only {} requests for models were served", this->servedByModels));
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -51,6 +51,10 @@
     /// Stops, configuration changes and removals of upstreams in quick succession. There are no
     /// other faults, so that each request that was read must be answered.
     PlannedStops,
+    /// Streams of which some have a prompt part on which each upstream crashes, while gateways are
+    /// killed, stopped and paused at first. Upstreams are called without relays, so that they
+    /// refuse connections after a crash.
+    DeadlyPart,
 };
 
 } // namespace tray::test
@@ -95,6 +99,13 @@
     static constexpr Duration FaultPeriod = std::chrono::seconds(12);
     static constexpr Duration RecoveryTime = std::chrono::seconds(8);
     static constexpr Duration PlannedStopsPeriod = std::chrono::seconds(7);
+    static constexpr Duration DeadlyPartPeriod = std::chrono::seconds(20);
+    /// Times after the start of the callers at which requests with the deadly part begin, and at
+    /// which the last fault of a gateway has ended.
+    static constexpr Duration DeadlyPartStart = std::chrono::seconds(3);
+    static constexpr Duration DeadlyPartFaultsEnd = std::chrono::seconds(9);
+    /// Time within which gateways without faults must know of the crashes.
+    static constexpr Duration StableTime = std::chrono::seconds(4);
 
     Soak(SoakPlan plan, uint64_t seed);
 
@@ -144,6 +155,14 @@
         Duration length{};
     };
 
+    /// Requests that share their first part with deadly ones: sent by callers, and received by
+    /// upstreams.
+    struct SoundPrompts
+    {
+        int sent = 0;
+        int received = 0;
+    };
+
     /// Executions of one request by upstreams and engines.
     struct Executions
     {
@@ -199,6 +218,16 @@
     boost::asio::awaitable<void> crashEngine(Fault fault);
     static std::vector<Fault> planFaults(SoakPlan plan, uint64_t seed);
     static std::vector<Fault> planStops(uint64_t seed);
+    static std::vector<Fault> planGatewayFaults(uint64_t seed);
+    /// Adds a prompt to a stream request, with the deadly part in some of them.
+    void addPrompt(HttpRequest &request);
+    /// Returns whether the request has the deadly part, and counts its arrival at an upstream.
+    bool countPrompt(const HttpRequest &request);
+    /// Begins an answer and crashes.
+    StubReply crashOn(const HttpRequest &request);
+    void checkPrompts();
+    /// Whether the gateways must know the deadly part by this time.
+    bool isDeadlyPartKnown(Instant now) const;
     boost::asio::awaitable<void> stopAndRestart(std::string name);
     boost::asio::awaitable<void> awaitReady(int gateway, std::string when);
     boost::asio::awaitable<void> checkModels(int gateway);
@@ -262,6 +291,12 @@
     int activeFaults = 0;
     int requestsInFlight = 0;
     int servedByModels = 0;
+    // Times at which upstreams received requests with the deadly part.
+    std::vector<Instant> deadlyArrivals;
+    // Sound prompts before the first deadly one, and after the gateways must know it.
+    SoundPrompts soundBefore;
+    SoundPrompts soundAfter;
+    Instant callersStartedAt{};
     // Requested models by request id.
     std::map<std::string, std::string> requestedModels;
     bool callersActive = true;
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -49,6 +49,14 @@
     runSoaks(SoakPlan::AllFaults);
 }
 
+TEST_CASE("A prompt part that crashes upstreams stops reaching them, and prompts beside it go on")
+{
+    // Guards against upstreams that crash one after the other on requests that share a part of
+    // their prompts, against sound requests that are refused with them, and against gateways that
+    // restart and begin anew.
+    runSoaks(SoakPlan::DeadlyPart);
+}
+
 TEST_CASE("Requests that gateways have read are answered during overlapping stops")
 {
     // Guards against requests that a gateway has read and leaves without an answer when stops,
