Do not clear a suspect when an upstream's time ran out before it answered

Callers of an engine would have seen: a request under which two engines had crashed waits in a full engine's queue until its deadline, the engine answers 504, and the crashes counted so far are void, so that the request crashes three more. A 504 does not show that the engine began with the request; other answers of the engine's own do, and clear it as before.

Evidence: CrashingRequestTest, "An upstream whose time ran out*": 5 requests reached upstreams before, 4 now.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -46,6 +46,7 @@
 // Maximum time to wait for the news whether the upstream of a broken attempt has ended. It covers
 // two round trips between regions.
 constexpr Duration CrashVerdictTimeout = milliseconds(150);
+constexpr int GatewayTimeoutStatus = 504;
 // Most parts of a prompt that a log line names.
 constexpr size_t MaxLoggedParts = 8;
 // Requests with a latency goal of at least this time have a lower priority
@@ -269,7 +270,10 @@
     const Instant now = clockNow();
     if (result.isSound)
         suspects.handleSoundAnswer(this->suspectIdentity.partDigests, now);
-    if (result.isFinal || result.outcome == AttemptOutcome::ServerError) {
+    // An upstream whose time ran out may not have begun with the request.
+    const bool hasRun = result.isFinal || (result.outcome == AttemptOutcome::ServerError &&
+                                           result.upstreamError->status != GatewayTimeoutStatus);
+    if (hasRun) {
         suspects.handleCompletion(this->suspectIdentity.contentDigest, now);
         return;
     }
--- a/tests/platform/CrashingRequestTest.cpp
+++ b/tests/platform/CrashingRequestTest.cpp
@@ -27,7 +27,9 @@
 /// Four upstreams, so that two of them are running whenever a request has crashed two others.
 struct CrashFixture : GatewayFixture
 {
-    CrashFixture() : GatewayFixture(crashOnBody, crashOnBody)
+    explicit CrashFixture(const StubUpstream::Behaviour &behaviour = crashOnBody)
+        : GatewayFixture(behaviour, behaviour), third(this->context, behaviour),
+          fourth(this->context, behaviour)
     {
         this->addUpstream("i-3", "here", this->third.listen());
         this->addUpstream("i-4", "there", this->fourth.listen());
@@ -54,8 +56,8 @@
         }
     }
 
-    StubUpstream third{this->context, crashOnBody};
-    StubUpstream fourth{this->context, crashOnBody};
+    StubUpstream third;
+    StubUpstream fourth;
 };
 
 } // namespace
@@ -98,6 +100,34 @@
     CHECK(fixture.first.received.size() + fixture.second.received.size() == 6);
 }
 
+TEST_CASE(
+    "An upstream whose time ran out before it answered clears no request that crashes upstreams")
+{
+    bool isOverdue = false;
+    const auto behave = [&](const HttpRequest &request) {
+        StubReply reply = crashOnBody(request);
+        if (!isOverdue)
+            return reply;
+        reply.crashFor.reset();
+        reply.bytes = StubUpstream::sealedAnswer(request, 504, "too late");
+        return reply;
+    };
+    CrashFixture fixture(behave);
+    const auto sendOnce = [&] {
+        const int status = fixture.statusOf("/take/1", CrashingBody);
+        fixture.runFor(milliseconds(600));
+        return status;
+    };
+    for (int i = 0; i < 2; ++i)
+        CHECK(sendOnce() == 502);
+    isOverdue = true;
+    CHECK(sendOnce() == 504);
+    isOverdue = false;
+    CHECK(sendOnce() == 502);
+    CHECK(sendOnce() == 503);
+    CHECK(fixture.countReceived(CrashingBody) == 4);
+}
+
 TEST_CASE("A caller learns at once that a request is refused as a suspect, and others are served")
 {
     CrashFixture fixture;
