Pass the gates of suspects before an adapter is requested

It now passes the gates first, and again after the wait for the adapter, since news of a crash may have come; a probe is recorded only right before it is sent.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -218,9 +218,18 @@
         }
         this->leavePrefillQueue();
         const auto target = std::get<DispatchTarget>(choice);
+        // Entered before the adapter is requested, so that requests that wait send no such request.
+        if (!this->enterSuspectGates(clockNow())) {
+            last.reason = "a request with the same suspect is running";
+            if (this->timeUntilLatencyLimit(clockNow()) <= Duration::zero())
+                break;
+            co_await this->gateway.capacityChanged.waitFor(QueueRecheckInterval, this->priority());
+            continue;
+        }
         this->gateway.recordUpstreamUse(target.upstreamId);
         if (!this->properties.adapter.empty()) {
             const bool ready = co_await this->ensureAdapterLoaded(target);
+            this->leaveSuspectGates();
             if (!ready) {
                 this->triedUpstreams.insert(target.upstreamId);
                 last.reason = "the adapter could not be loaded";
@@ -228,8 +237,10 @@
                     break;
                 continue;
             }
-            // Others that waited for the adapter may have used what the upstream allows.
-            if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()))
+            // Others that waited for the adapter may have used what the upstream allows, and news
+            // of a crash may have come.
+            if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()) ||
+                !this->enterSuspectGates(clockNow()))
                 continue;
         }
         const bool isUnserved =
@@ -239,13 +250,8 @@
             co_await this->refuseForShutdown("the answer is not expected to be whole in time");
             co_return;
         }
-        if (!this->enterSuspectGates(clockNow())) {
-            last.reason = "a request with the same suspect is running";
-            if (this->timeUntilLatencyLimit(clockNow()) <= Duration::zero())
-                break;
-            co_await this->gateway.capacityChanged.waitFor(QueueRecheckInterval, this->priority());
-            continue;
-        }
+        this->gateway.suspectExchange.handleProbe(this->suspectIdentity.probes,
+                                                  this->properties.requestId, clockNow());
         last = co_await this->attempt(target);
         this->leaveSuspectGates();
         this->recordForSuspects(last, target.upstreamId);
@@ -318,7 +324,6 @@
         this->suspectPasses.push_back(std::move(*pass));
     }
     this->suspectIdentity.probes = decision.probes;
-    suspects.handleProbe(decision.probes, this->properties.requestId, now);
     return true;
 }
 
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -110,8 +110,8 @@
     void recordAnswerProgress(Instant now);
     /// Records how long the complete answer has taken.
     void recordResponseDuration(Instant now);
-    /// Passes the gates of all suspects of a request that must run alone, and records it as a probe
-    /// if it is one. Returns false if another request runs or the request is refused by now.
+    /// Passes the gates of all suspects of a request that must run alone. Returns false if another
+    /// request runs or the request is refused by now.
     bool enterSuspectGates(Instant now);
     void leaveSuspectGates() { this->suspectPasses.clear(); }
     /// Waits until it is known whether the upstream of a broken attempt has ended, so that the next
