--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -258,7 +258,9 @@
     const std::map<std::string, uint32_t> tokensByTarget{{"/ask/1", 500}, {"/take/1", 0}};
     /// Sends a request late in the grace time, after answers of these durations on its route.
     const auto play = [&](const std::vector<Duration> &earlier, bool isExpectedToFit) {
-        for (const auto &[target, tokens] : tokensByTarget) {
+        for (const auto &entry : tokensByTarget) {
+            const std::string target = entry.first;
+            const uint32_t tokens = entry.second;
             INFO(target);
             StoppingGateway gateway(answerSlowly, Grace);
             gateway.keepSendingSnapshots(std::nullopt);
