--- a/tests/platform/GatewayStopTest.cpp
+++ b/tests/platform/GatewayStopTest.cpp
@@ -238,7 +238,8 @@
 
 TEST_CASE("A request that may outlast a stop is not passed on late in the grace time")
 {
-    constexpr Duration Grace = std::chrono::seconds(3);
+    constexpr Duration Grace = milliseconds(1500);
+    constexpr Duration LateAt = milliseconds(500);
     constexpr Duration LongTime = std::chrono::seconds(1);
     constexpr Duration ShortTime = milliseconds(50);
     Duration answerTime = LongTime;
@@ -255,32 +256,33 @@
         return reply;
     };
     // A stream, and a request that must not be repeated.
-    const std::map<std::string, uint32_t> tokensByTarget{{"/ask/1", 500}, {"/take/1", 0}};
-    /// Sends a request late in the grace time, after answers of these durations on its route.
+    const std::vector<std::pair<std::string, uint32_t>> requests{{"/ask/1", 500}, {"/take/1", 0}};
+    /// Sends requests late in the grace time, after answers of these durations on their routes.
     const auto play = [&](const std::vector<Duration> &earlier, bool isExpectedToFit) {
-        for (const auto &entry : tokensByTarget) {
-            const std::string target = entry.first;
-            const uint32_t tokens = entry.second;
-            INFO(target);
-            StoppingGateway gateway(answerSlowly, Grace);
-            gateway.keepSendingSnapshots(std::nullopt);
-            for (const Duration duration : earlier) {
-                answerTime = duration;
-                CallerResult before;
-                gateway.send(before, target, "before", tokens);
-                gateway.fixture.runFor(duration + milliseconds(100));
-                REQUIRE(before.status() == 200);
-            }
-            answerTime = isExpectedToFit ? ShortTime : LongTime;
-            CallerResult late;
-            gateway.sendLater(milliseconds(1900), late, target, "late", tokens);
-            gateway.stop();
-            const size_t received =
-                gateway.engine.received.size() + gateway.fixture.first.received.size();
-            CHECK(late.status() == (isExpectedToFit ? 200 : 503));
-            CHECK(received - earlier.size() == (isExpectedToFit ? 1 : 0));
-            CHECK(gateway.stopTook < Grace);
+        StoppingGateway gateway(answerSlowly, Grace);
+        gateway.keepSendingSnapshots(std::nullopt);
+        for (const Duration duration : earlier) {
+            answerTime = duration;
+            std::vector<CallerResult> before(requests.size());
+            for (size_t i = 0; i < requests.size(); ++i)
+                gateway.begin(before[i], requests[i].first, fmt::format("before-{}", i),
+                              requests[i].second);
+            gateway.fixture.runFor(duration + milliseconds(150));
+            for (const auto &result : before)
+                REQUIRE(result.status() == 200);
         }
+        answerTime = isExpectedToFit ? ShortTime : LongTime;
+        std::vector<CallerResult> late(requests.size());
+        for (size_t i = 0; i < requests.size(); ++i)
+            gateway.sendLater(LateAt, late[i], requests[i].first, fmt::format("late-{}", i),
+                              requests[i].second);
+        gateway.stop();
+        for (const auto &result : late)
+            CHECK(result.status() == (isExpectedToFit ? 200 : 503));
+        const size_t expected = earlier.size() + (isExpectedToFit ? 1 : 0);
+        CHECK(gateway.engine.received.size() == expected);
+        CHECK(gateway.fixture.first.received.size() == expected);
+        CHECK(gateway.stopTook < Grace);
     };
     SUBCASE("if nothing is known of the route's answers")
     {
