Pace the clients of review case 3 so that the link is not choked

The large requests now begin 65 ms after each other, half of the link's rate, so that the excuse for links on which packets wait does not apply.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -12,7 +12,12 @@
 // The burst has 2.9 times as many clients, the largest dose of a burst in the site file.
 constexpr int UsualClients = 13;
 constexpr int BurstClients = 37;
-constexpr int RequestsEach = 3;
+constexpr int RequestsEach = 2;
+// Time between the first large requests of two clients: 4 MiB in this time take about half of the
+// 1,000 Mbit/s of a gateway's link, so that no packet waits for the link.
+constexpr int StartIntervalMs = 65;
+// Time that the engine works on a large request.
+constexpr int WorkMs = 4000;
 
 } // namespace
 
@@ -52,6 +57,7 @@
             ready += reply && reply->status() == 200 ? 1 : 0;
             while (!begin)
                 sleepMs(1);
+            sleepMs(StartIntervalMs * i);
             for (int k = 0; k < RequestsEach; ++k) {
                 const std::string id = name + "-" + std::to_string(k);
                 const bool sent = connection->send(
@@ -71,7 +77,7 @@
         sleepMs(10);
     if (ready < count)
         finish(record, 2, "a request before the burst was not served");
-    engine.workMs = 1500;
+    engine.workMs = WorkMs;
     // The platform kills a process that exceeds memory_mb of its settings.
     std::atomic<bool> done{false};
     double most = 0;
