--- a/review/common/StandIn.h
+++ b/review/common/StandIn.h
@@ -24,6 +24,7 @@
 #include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -675,6 +676,8 @@
         const std::string log = folder + "/" + name + ".log";
         this->pid = ::fork();
         if (this->pid == 0) {
+            // The gateway ends with the program, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
             ::dup2(output, 1);
             ::dup2(output, 2);
