--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 mkdir -p build
 g++ -std=c++20 -O1 -c common/Json.cpp -o build/Json.o
-for source in */case.cpp; do
-    name=$(dirname "$source")
+for source in */case.cpp known/*/case.cpp; do
+    name=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra "$source" build/Json.o -o "build/case-$name" -pthread
 done
