--- a/review/common/StandIn.h
+++ b/review/common/StandIn.h
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
@@ -280,6 +281,13 @@
         }
     }
 
+    /// Refuses new connections.
+    void refuse()
+    {
+        ::shutdown(this->socket, SHUT_RDWR);
+        ::close(this->socket);
+    }
+
     int port = 0;
 
 private:
@@ -707,10 +715,21 @@
         return false;
     }
 
+    /// Whether the gateway answers a question for its readiness within a second.
+    bool answersReadiness() const
+    {
+        const auto connection = Connection::open(this->ip, this->readinessPort);
+        return connection &&
+               connection->send("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
+               connection->read(1000).has_value();
+    }
+
     std::unique_ptr<Connection> connect() const { return Connection::open(this->ip, this->port); }
 
     void signal(int number) const { ::kill(this->pid, number); }
 
+    pid_t processId() const { return this->pid; }
+
     /// Memory that the process occupies, in MB (10^6 bytes); 0 if it has ended.
     double residentMb() const
     {
