--- a/review/common/StandIn.h
+++ b/review/common/StandIn.h
@@ -719,8 +719,7 @@
     bool answersReadiness() const
     {
         const auto connection = Connection::open(this->ip, this->readinessPort);
-        return connection &&
-               connection->send("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
+        return connection && connection->send("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n") &&
                connection->read(1000).has_value();
     }
 
