Log the evidence of each answer that a request was not executed

ExecutionLedger keeps what each attempt of a request has shown; the line of a request has it in executions, and attempt_failed names the status, whether the answer bore the request's id, and whether its connection was reused. Errors are logged before they are sent. HttpServer's own answers are logged. Lines with a promise are dropped last, too long lines are shortened, and lines that the reader of standard output did not take are counted in the log and on the metrics page; until now that count was read by nobody.

No decision changes: the same answers count as not executed as before.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -162,7 +162,8 @@
         if (suspicion.verdict == SuspectVerdict::Refused) {
             last.reason =
                 fmt::format("suspect {:016x} has crashed several upstreams", suspicion.digest);
-            if (this->possibleExecutions > 0 || last.upstreamError || this->hasStreamBegun)
+            if (this->executions.possibleExecutions() > 0 || last.upstreamError ||
+                this->hasStreamBegun)
                 break;
             co_await this->finishWithError(ErrorKind::SuspectQuarantined, last.reason,
                                            suspicion.retryAfter);
@@ -174,7 +175,8 @@
         if (const auto *refusal = std::get_if<DispatchRefusal>(&choice)) {
             // An earlier attempt that may have been executed, or that got a response, determines
             // the final response. Otherwise nothing was executed, and the refusal states why.
-            if (this->possibleExecutions > 0 || last.upstreamError || this->hasStreamBegun)
+            if (this->executions.possibleExecutions() > 0 || last.upstreamError ||
+                this->hasStreamBegun)
                 break;
             if (last.outcome == AttemptOutcome::Full)
                 break;
@@ -208,7 +210,8 @@
             // An earlier attempt that may have been executed, or that got a response, determines
             // the final response.
             const bool mayHaveRun =
-                !this->hasStreamBegun && (this->possibleExecutions > 0 || last.upstreamError);
+                !this->hasStreamBegun &&
+                (this->executions.possibleExecutions() > 0 || last.upstreamError);
             const bool worthwhile = co_await this->waitInPrefillQueue(*wait, mayHaveRun);
             if (worthwhile)
                 continue;
@@ -243,8 +246,8 @@
                 !this->enterSuspectGates(clockNow()))
                 continue;
         }
-        const bool isUnserved =
-            this->possibleExecutions == 0 && !last.upstreamError && !this->hasStreamBegun;
+        const bool isUnserved = this->executions.possibleExecutions() == 0 && !last.upstreamError &&
+                                !this->hasStreamBegun;
         if (isUnserved && !this->gateway.shutdownSchedule.canStart(this->route->name,
                                                                    this->deadline, clockNow())) {
             co_await this->refuseForShutdown("the answer is not expected to be whole in time");
@@ -285,14 +288,14 @@
     }
     const auto &entries = this->gateway.directory.entries();
     const auto entry = entries.find(upstreamId);
-    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun && entry != entries.end()) {
+    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun() && entry != entries.end()) {
         SuspectIdentity identity = this->suspectIdentity;
         if (this->hasSoundAnswer)
             identity.partDigests.clear();
         suspects.handleBreak(identity, this->properties.requestId, entry->second, this->sentAt,
                              now);
     }
-    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun)
+    if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun())
         logDecision(LogPriority::Notable, now,
                     fmt::format("event=broken_run id={} upstream={} begun_ms={} parts={}",
                                 this->properties.requestId, upstreamId,
@@ -468,8 +471,8 @@
     // The upstream received nothing, so the attempt does not count against the retry allowance.
     if (result.outcome == AttemptOutcome::Unreachable)
         return true;
-    if (result.mayHaveRun &&
-        (!this->route->isRepeatable() || this->possibleExecutions >= this->route->maxAttempts))
+    if (result.mayHaveRun() && (!this->route->isRepeatable() ||
+                                this->executions.possibleExecutions() >= this->route->maxAttempts))
         return false;
     if (this->hasStreamBegun && !this->eventSplitter.canContinue())
         return false;
@@ -527,7 +530,7 @@
     this->sentAt = began;
     this->firstByteAt.reset();
     this->hasSoundAnswer = false;
-    ++this->possibleExecutions;
+    this->executions.beginAttempt(target.upstreamId);
     if (this->sendCount++ == 0)
         this->gateway.retryBudgetOf(this->service).noteFirstAttempt(began);
     const auto &entries = this->gateway.directory.entries();
@@ -563,7 +566,8 @@
     if (!isOk(opened)) {
         const auto kind = error(opened).kind;
         result.reason = error(opened).message;
-        result.mayHaveRun = kind != ErrorKind::UpstreamUnreachable;
+        if (kind == ErrorKind::UpstreamUnreachable)
+            result.evidence = NotExecutedEvidence::NotSent;
         result.outcome = kind == ErrorKind::UpstreamUnreachable ? AttemptOutcome::Unreachable
                          : kind == ErrorKind::Timeout           ? AttemptOutcome::TimedOut
                                                                 : AttemptOutcome::Broken;
@@ -581,16 +585,16 @@
     }
     if (this->isCallerGone)
         result.outcome = AttemptOutcome::Abandoned;
-    if (!result.mayHaveRun)
-        --this->possibleExecutions;
+    this->executions.endAttempt(result.evidence, result.evidenceSource);
     dispatcher.endAttempt(target.upstreamId, ticket, result.outcome, clockNow());
     this->gateway.capacityChanged.notifyAll();
     if (!result.isFinal && !this->isCallerGone)
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=attempt_failed id={} upstream={} outcome={} may_have_run={} "
-                                "reason=\"{}\" after_ms={}",
+                                "evidence={} source={} reason=\"{}\" after_ms={}",
                                 this->properties.requestId, target.upstreamId,
-                                enumName(result.outcome), result.mayHaveRun, result.reason,
+                                enumName(result.outcome), result.mayHaveRun(),
+                                enumName(result.evidence), result.evidenceSource, result.reason,
                                 toMs(clockNow() - began)));
     co_return result;
 }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -5,7 +5,9 @@
 
 #include "base/EnumNames.h"
 #include "gateway/EventSplitter.h"
+#include "gateway/ExecutionLedger.h"
 #include "gateway/Gateway.h"
+#include "observe/DecisionLog.h"
 
 namespace tray {
 
@@ -57,13 +59,17 @@
         /// Whether the request needs no further step: its final response was sent or its stream was
         /// aborted.
         bool isFinal = false;
-        /// Whether the upstream may have executed the request.
-        bool mayHaveRun = false;
+        /// How it is known that the upstream did not execute the request, and the source of that
+        /// knowledge for the log.
+        NotExecutedEvidence evidence = NotExecutedEvidence::None;
+        std::string evidenceSource;
         /// Whether the complete, successful answer of an upstream has been passed on.
         bool isSound = false;
         /// The upstream's error response, which the caller gets if no later attempt succeeds.
         std::optional<HttpResponse> upstreamError;
         std::string reason;
+
+        bool mayHaveRun() const { return this->evidence == NotExecutedEvidence::None; }
     };
 
     /// Sends attempts until one of them is final or no further attempt is allowed.
@@ -129,6 +135,7 @@
     /// Priority of the request; lower values are served first.
     int priority() const;
     void log(int status, const std::string &outcome, const std::string &reason) const;
+    LogPriority logPriority(int status, bool isServed) const;
 
     Gateway &gateway;
     const HttpRequest request;
@@ -150,9 +157,8 @@
     // Whether the present attempt has shown that upstreams can answer the prompt's parts.
     bool hasSoundAnswer = false;
     std::set<std::string> triedUpstreams;
-    // Number of attempts that the upstream may have executed, and number of attempts of any
-    // outcome.
-    int possibleExecutions = 0;
+    ExecutionLedger executions;
+    // Number of attempts of any outcome, including those whose adapter could not be loaded.
     int sendCount = 0;
     std::shared_ptr<HttpCancel> attemptCancel;
     bool isCallerGone = false;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -25,11 +25,16 @@
     const ResponseProperties answer =
         this->gateway.codec.decodeResponse(stream.status(), stream.headers());
     this->noteDirectives(upstreamId, startedAtMs, answer, stream.status());
+    const std::string source =
+        fmt::format("{}/{}/{}", stream.status(),
+                    answer.requestId == this->properties.requestId ? "own_id" : "other_id",
+                    stream.usesReusedConnection() ? "reused" : "new");
     if (answer.load)
         this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
                                           clockNow());
     AttemptResult result;
     if (answer.isNotExecuted) {
+        result.evidence = NotExecutedEvidence::Refused;
         result.outcome = answer.isMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
         if (answer.isMisdirected &&
@@ -43,9 +48,10 @@
         const Duration timeout =
             std::min<Duration>(OverloadRetryAfter, this->deadline - clockNow());
         const auto rest = co_await stream.read(timeout);
+        result.evidenceSource = source;
         co_return result;
     }
-    result.mayHaveRun = true;
+    result.evidenceSource = source;
     const bool success = stream.status() / 100 == 2;
     const bool genuine =
         answer.hasSeal && !answer.isEncoded && answer.requestId == this->properties.requestId;
@@ -63,6 +69,7 @@
         result = co_await this->relayEventStream(stream, answer.statesEventStream);
     else
         result = co_await this->relayBufferedResponse(stream, success);
+    result.evidenceSource = source;
     co_return result;
 }
 
@@ -94,7 +101,6 @@
                                                                     bool mayBeEmpty)
 {
     AttemptResult result;
-    result.mayHaveRun = true;
     if (!this->hasStreamBegun) {
         HttpHeaders headers = this->gateway.codec.makeCallerHeaders(stream.headers());
         this->hasStreamBegun = true;
@@ -166,7 +172,6 @@
                                                                          bool success)
 {
     AttemptResult result;
-    result.mayHaveRun = true;
     HttpResponse response;
     response.status = stream.status();
     response.headers = this->gateway.codec.makeCallerHeaders(stream.headers());
@@ -207,24 +212,28 @@
     if (success)
         this->recordResponseDuration(clockNow());
     const int status = response.status;
+    // An error is logged before it is sent, so that no caller knows of it without a line.
+    if (!success)
+        this->log(status, "upstream_failed", result.reason);
     co_await this->responder.respond(std::move(response));
-    this->log(status, success ? "served" : "upstream_failed", result.reason);
+    if (success)
+        this->log(status, "served", "");
     co_return result;
 }
 
 asio::awaitable<void> Exchange::finishAfterFailedAttempts(AttemptResult result)
 {
     if (result.upstreamError && !this->hasStreamBegun) {
-        const int status = result.upstreamError->status;
+        this->log(result.upstreamError->status, "upstream_failed", result.reason);
         co_await this->responder.respond(std::move(*result.upstreamError));
-        this->log(status, "upstream_failed", result.reason);
         co_return;
     }
-    if (this->possibleExecutions == 0 && this->gateway.shutdownSchedule.isDrainOver(clockNow())) {
+    if (this->executions.possibleExecutions() == 0 &&
+        this->gateway.shutdownSchedule.isDrainOver(clockNow())) {
         co_await this->refuseForShutdown(result.reason);
         co_return;
     }
-    if (this->possibleExecutions == 0) {
+    if (this->executions.possibleExecutions() == 0) {
         // If the upstream lacked the model, an engine must load it before the caller retries.
         const bool missing =
             result.outcome == AttemptOutcome::Misdirected && !this->properties.model.empty();
@@ -272,7 +281,7 @@
                     "sends={} runs={} age_ms={} deadline_left_ms={}",
                     this->properties.requestId, this->route == nullptr ? "none" : this->route->name,
                     this->properties.model, enumName(this->phase), this->hasStreamBegun,
-                    this->lastUpstream, this->sendCount, this->possibleExecutions,
+                    this->lastUpstream, this->sendCount, this->executions.possibleExecutions(),
                     toMs(now - this->arrived), toMs(this->deadline - now)));
     if (this->attemptCancel)
         this->attemptCancel->cancel();
@@ -284,6 +293,14 @@
                                    ShutdownSchedule::DrainRetryAfter);
 }
 
+LogPriority Exchange::logPriority(int status, bool isServed) const
+{
+    if (isServed)
+        return LogPriority::Routine;
+    return this->gateway.codec.statesNotExecuted(status) ? LogPriority::Essential
+                                                         : LogPriority::Notable;
+}
+
 void Exchange::log(int status, const std::string &outcome, const std::string &reason) const
 {
     const Instant now = clockNow();
@@ -294,13 +311,14 @@
     if (served && this->firstByteAt)
         metrics.histogram("tray_gateway_first_answer_ms").add(*this->firstByteAt - this->arrived);
     logDecision(
-        served ? LogPriority::Routine : LogPriority::Notable, now,
+        this->logPriority(status, served), now,
         fmt::format("event=request id={} route={} model={} adapter={} outcome={} status={} "
-                    "upstream={} sends={} runs={} config={} snapshot_age_ms={} cost={:.0f} "
-                    "first_ms={} longest_pause_ms={} ms={} parts={} reason=\"{}\"",
+                    "upstream={} sends={} runs={} executions={} config={} snapshot_age_ms={} "
+                    "cost={:.0f} first_ms={} longest_pause_ms={} ms={} parts={} reason=\"{}\"",
                     this->properties.requestId, routeName, this->properties.model,
                     this->properties.adapter, outcome, status, this->lastUpstream, this->sendCount,
-                    this->possibleExecutions, this->config ? this->config->version : 0,
+                    this->executions.possibleExecutions(), this->executions.describe(),
+                    this->config ? this->config->version : 0,
                     this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
                     this->lastCostMs,
                     this->firstByteAt ? toMs(*this->firstByteAt - this->arrived) : -1,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -81,10 +81,15 @@
                                                                     : Proximity::OtherRegion;
 }
 
-/// Returns the error response to a request that was not read completely.
+/// Returns the error response to a request that was not read completely or whose handler threw.
 HttpResponse makeRefusal(const RequestCodec &codec, const Error &reason)
 {
     const auto &answer = errorAnswer(reason.kind);
+    logDecision(codec.statesNotExecuted(answer.httpStatus) ? LogPriority::Essential
+                                                           : LogPriority::Notable,
+                clockNow(),
+                fmt::format("event=request_not_handled outcome={} status={} reason=\"{}\"",
+                            enumName(reason.kind), answer.httpStatus, reason.message));
     std::optional<Duration> retryAfter;
     if (reason.kind == ErrorKind::Draining)
         retryAfter = ShutdownSchedule::DrainRetryAfter;
@@ -171,6 +176,10 @@
                         [this] { return this->storeReachable ? 1.0 : 0.0; });
     this->metrics.gauge("tray_gateway_connections_dialled",
                         [this] { return static_cast<double>(this->client.dialled()); });
+    this->metrics.gauge("tray_gateway_log_lines_over_budget",
+                        [] { return static_cast<double>(missingLogLines().overBudget); });
+    this->metrics.gauge("tray_gateway_log_lines_not_taken",
+                        [] { return static_cast<double>(missingLogLines().notTaken); });
 }
 
 Result<Unit> Gateway::start()
--- a/src/gateway/RequestCodec.h
+++ b/src/gateway/RequestCodec.h
@@ -95,6 +95,9 @@
                                             const ForwardOptions &forwardOptions) const = 0;
     /// Returns the properties of an upstream's response.
     virtual ResponseProperties decodeResponse(int status, const HttpHeaders &headers) const = 0;
+    /// Returns whether a response with this status tells a caller that its request was not executed
+    /// and never will be.
+    virtual bool statesNotExecuted(int status) const = 0;
     /// Returns the headers of an upstream's response that are passed on to the caller.
     virtual HttpHeaders makeCallerHeaders(const HttpHeaders &headers) const = 0;
     /// Returns an error response that the gateway itself generates.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -242,6 +242,8 @@
 
     bool endsWithConnection() const override { return this->parser->get().need_eof(); }
 
+    bool usesReusedConnection() const override { return this->connection->isReused; }
+
     asio::awaitable<Result<std::string>> read(Duration inactivityTimeout) override
     {
         while (!this->isComplete) {
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -43,6 +43,8 @@
     virtual const HttpHeaders &headers() const = 0;
     /// Returns whether the body has neither a length nor chunks and ends with the connection.
     virtual bool endsWithConnection() const = 0;
+    /// Returns whether the connection had carried other calls before this one.
+    virtual bool usesReusedConnection() const = 0;
     /// Returns the next part of the body, or an empty string once the body is complete. Fails with
     /// StreamBroken if the connection ends early or no byte arrives within the timeout, so that a
     /// truncated body is never treated as complete. A body without a length is complete when the
--- a/src/observe/DecisionLog.cpp
+++ b/src/observe/DecisionLog.cpp
@@ -1,6 +1,7 @@
 // Rate limit of log lines and their non-blocking output.
 #include "observe/DecisionLog.h"
 
+#include <atomic>
 #include <mutex>
 #include <poll.h>
 #include <spdlog/sinks/base_sink.h>
@@ -14,28 +15,50 @@
 constexpr Duration Second = std::chrono::seconds(1);
 // A pipe that is ready for writing accepts at least this many bytes without blocking.
 constexpr size_t MaxNonBlockingBytes = 4096;
+// Bytes of a line that the time, the level and the name of the process may take.
+constexpr size_t MaxPrefixBytes = 200;
+constexpr std::string_view CutOffMark = "...";
+
+std::atomic<uint64_t> linesOverBudget{0};
+std::atomic<uint64_t> linesNotTaken{0};
 
 /// Writes lines to standard output. A line that cannot be written without blocking is dropped and
-/// counted.
+/// counted; the next line that is written tells how many.
 class StandardOutputSink : public spdlog::sinks::base_sink<std::mutex>
 {
 protected:
     void sink_it_(const spdlog::details::log_msg &message) override
     {
-        spdlog::memory_buf_t line;
-        this->formatter_->format(message, line);
-        pollfd output{STDOUT_FILENO, POLLOUT, 0};
-        if (line.size() > MaxNonBlockingBytes || ::poll(&output, 1, 0) <= 0 ||
-            ::write(STDOUT_FILENO, line.data(), line.size()) < 0)
-            ++this->droppedLines;
+        if (this->unreported > 0) {
+            const auto text = "event=log_lines_not_taken count=" + std::to_string(this->unreported);
+            if (this->write({message.logger_name, spdlog::level::warn, text}))
+                this->unreported = 0;
+        }
+        if (!this->write(message)) {
+            ++this->unreported;
+            ++linesNotTaken;
+        }
     }
 
     void flush_() override {}
 
 private:
-    uint64_t droppedLines = 0;
+    bool write(const spdlog::details::log_msg &message)
+    {
+        spdlog::memory_buf_t line;
+        this->formatter_->format(message, line);
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        return line.size() <= MaxNonBlockingBytes && ::poll(&output, 1, 0) > 0 &&
+               ::write(STDOUT_FILENO, line.data(), line.size()) >= 0;
+    }
+
+    // Dropped lines that no line in the log tells of.
+    uint64_t unreported = 0;
 };
 
+static_assert(LogBudget::RoutineLinesPerSecond < LogBudget::NotableLinesPerSecond &&
+              LogBudget::NotableLinesPerSecond < LogBudget::LinesPerSecond);
+
 LogBudget &processBudget()
 {
     static LogBudget budget;
@@ -48,17 +71,21 @@
 {
     if (now >= this->secondStartedAt + Second) {
         this->secondStartedAt = now;
-        this->written = 0;
-        this->routineWritten = 0;
+        this->written = {};
     }
-    const bool routine = priority == LogPriority::Routine;
-    if (this->written >= LinesPerSecond ||
-        (routine && this->routineWritten >= RoutineLinesPerSecond)) {
-        ++this->dropped;
-        return false;
+    // Each limit holds for the lines of its priority and of those below it together.
+    constexpr std::array<uint32_t, 3> Limits{RoutineLinesPerSecond, NotableLinesPerSecond,
+                                             LinesPerSecond};
+    const auto own = static_cast<size_t>(priority);
+    uint32_t sum = 0;
+    for (size_t i = 0; i < Limits.size(); ++i) {
+        sum += this->written[i];
+        if (i >= own && sum >= Limits[i]) {
+            ++this->dropped;
+            return false;
+        }
     }
-    ++this->written;
-    this->routineWritten += routine ? 1 : 0;
+    ++this->written[own];
     return true;
 }
 
@@ -79,14 +106,29 @@
 void logDecision(LogPriority priority, Instant now, const std::string &line)
 {
     auto &budget = processBudget();
-    if (!budget.tryConsume(priority, now))
+    if (!budget.tryConsume(priority, now)) {
+        ++linesOverBudget;
         return;
+    }
     if (const auto dropped = budget.takeDropped(); dropped > 0)
         spdlog::warn("event=log_lines_left_out count={}", dropped);
-    if (priority == LogPriority::Notable)
-        spdlog::warn("{}", line);
+    const std::string text = truncateLogLine(line, MaxNonBlockingBytes - MaxPrefixBytes);
+    if (priority == LogPriority::Routine)
+        spdlog::info("{}", text);
     else
-        spdlog::info("{}", line);
+        spdlog::warn("{}", text);
+}
+
+std::string truncateLogLine(std::string line, size_t maxBytes)
+{
+    if (line.size() > maxBytes)
+        line.replace(maxBytes - CutOffMark.size(), std::string::npos, CutOffMark);
+    return line;
+}
+
+MissingLogLines missingLogLines()
+{
+    return {linesOverBudget, linesNotTaken};
 }
 
 } // namespace tray
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -102,6 +102,10 @@
                         [this] { return this->report ? this->report->running : 0.0; });
     this->metrics.gauge("tray_steward_engine_waiting",
                         [this] { return this->report ? this->report->waiting : 0.0; });
+    this->metrics.gauge("tray_steward_log_lines_over_budget",
+                        [] { return static_cast<double>(missingLogLines().overBudget); });
+    this->metrics.gauge("tray_steward_log_lines_not_taken",
+                        [] { return static_cast<double>(missingLogLines().notTaken); });
     this->metrics.gauge("tray_steward_can_order", [this] { return this->canOrder() ? 1.0 : 0.0; });
     this->metrics.gauge("tray_steward_subscribers",
                         [this] { return static_cast<double>(this->subscribers.size()); });
