Withhold an upstream's status that promises no execution without evidence

Cause: an engine's own 503, 429 or 408 without the header of a refusal was passed on unchanged. To a caller these statuses say that the request has not run and never will; an engine says so only by that header.

Where repeating does no harm the upstream's answer stays as it is.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -96,6 +96,11 @@
     std::string_view findStreamFault(bool ended, bool canEndEmpty) const;
     boost::asio::awaitable<AttemptResult> relayBufferedResponse(HttpStream &stream, bool success);
     boost::asio::awaitable<bool> ensureAdapterLoaded(DispatchTarget target);
+    /// Logs and sends an error response, of an upstream or of the gateway, as the final response.
+    /// All of them pass here: one that would state that the request was not executed is replaced
+    /// unless there is evidence of that, or executing the request again does no harm.
+    boost::asio::awaitable<void> finishWithResponse(HttpResponse response, std::string outcome,
+                                                    std::string reason);
     /// Sends an error response of the gateway as the final response, or aborts the stream if the
     /// response has begun.
     boost::asio::awaitable<void> finishWithError(ErrorKind kind, std::string reason,
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -211,21 +211,21 @@
     result.isSound = success;
     if (success)
         this->recordResponseDuration(clockNow());
+    if (!success) {
+        co_await this->finishWithResponse(std::move(response), "upstream_failed", result.reason);
+        co_return result;
+    }
     const int status = response.status;
-    // An error is logged before it is sent, so that no caller knows of it without a line.
-    if (!success)
-        this->log(status, "upstream_failed", result.reason);
     co_await this->responder.respond(std::move(response));
-    if (success)
-        this->log(status, "served", "");
+    this->log(status, "served", "");
     co_return result;
 }
 
 asio::awaitable<void> Exchange::finishAfterFailedAttempts(AttemptResult result)
 {
     if (result.upstreamError && !this->hasStreamBegun) {
-        this->log(result.upstreamError->status, "upstream_failed", result.reason);
-        co_await this->responder.respond(std::move(*result.upstreamError));
+        co_await this->finishWithResponse(std::move(*result.upstreamError), "upstream_failed",
+                                          result.reason);
         co_return;
     }
     if (this->executions.possibleExecutions() == 0 &&
@@ -260,10 +260,31 @@
     const auto &answer = errorAnswer(kind);
     if (!retryAfter && answer.retryAfterMs > 0 && answer.ran == Ran::No)
         retryAfter = milliseconds(answer.retryAfterMs);
-    this->log(answer.httpStatus, std::string(enumName(kind)), reason);
     std::string type(answer.type);
     HttpResponse response = this->gateway.codec.makeErrorResponse(
         this->properties.requestId, answer.httpStatus, type, reason, retryAfter);
+    std::string outcome(enumName(kind));
+    co_await this->finishWithResponse(std::move(response), std::move(outcome), std::move(reason));
+}
+
+asio::awaitable<void> Exchange::finishWithResponse(HttpResponse response, std::string outcome,
+                                                   std::string reason)
+{
+    const auto &codec = this->gateway.codec;
+    const bool isRepeatable = this->route != nullptr && this->route->isRepeatable();
+    if (codec.statesNotExecuted(response.status) && !isRepeatable &&
+        this->executions.possibleExecutions() > 0) {
+        const auto &unknown = errorAnswer(ErrorKind::OutcomeUnknown);
+        reason = fmt::format("{}; status {} is withheld, as the request may have run", reason,
+                             response.status);
+        outcome = enumName(unknown.kind);
+        std::string type(unknown.type);
+        response = codec.makeErrorResponse(this->properties.requestId, unknown.httpStatus, type,
+                                           reason, std::nullopt);
+        this->gateway.metrics.counter("tray_gateway_statuses_withheld_total").add();
+    }
+    // Logged before it is sent, so that no caller knows of an error without a line.
+    this->log(response.status, outcome, reason);
     co_await this->responder.respond(std::move(response));
 }
 
