Take only an upstream's refusal of the request itself as evidence of no execution

The stand-ins of three older cases named no request in their refusals; they do now, as engines do, and their checks are as they were.

--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -25,15 +25,15 @@
     const ResponseProperties answer =
         this->gateway.codec.decodeResponse(stream.status(), stream.headers());
     this->noteDirectives(upstreamId, startedAtMs, answer, stream.status());
+    const bool namesRequest = answer.requestId == this->properties.requestId;
     const std::string source =
-        fmt::format("{}/{}/{}", stream.status(),
-                    answer.requestId == this->properties.requestId ? "own_id" : "other_id",
+        fmt::format("{}/{}/{}", stream.status(), namesRequest ? "own_id" : "other_id",
                     stream.usesReusedConnection() ? "reused" : "new");
     if (answer.load)
         this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
                                           clockNow());
     AttemptResult result;
-    if (answer.isNotExecuted) {
+    if (answer.isNotExecuted && namesRequest) {
         result.evidence = NotExecutedEvidence::Refused;
         result.outcome = answer.isMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
@@ -53,8 +53,7 @@
     }
     result.evidenceSource = source;
     const bool success = stream.status() / 100 == 2;
-    const bool genuine =
-        answer.hasSeal && !answer.isEncoded && answer.requestId == this->properties.requestId;
+    const bool genuine = answer.hasSeal && !answer.isEncoded && namesRequest;
     if (answer.isEncoded || (success && !genuine)) {
         result.outcome = AttemptOutcome::Broken;
         result.reason = "the answer is not the upstream's own";
--- a/tests/platform/DeadlineTest.cpp
+++ b/tests/platform/DeadlineTest.cpp
@@ -174,7 +174,8 @@
 TEST_CASE("A refusal with an incomplete body does not delay the answer beyond the deadline")
 {
     StubReply reply;
-    reply.bytes = "HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 100\r\n\r\n";
+    reply.bytes = "HTTP/1.1 503 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                  "Marjoramtray-Not-Executed: 1\r\nContent-Length: 100\r\n\r\n";
     reply.delay = RouteTimeout - milliseconds(100);
     reply.hang = true;
     GatewayFixture fixture([&](const HttpRequest &) { return reply; });
--- a/tests/platform/GatewayRequestTest.cpp
+++ b/tests/platform/GatewayRequestTest.cpp
@@ -109,7 +109,8 @@
     SUBCASE("refused by an upstream without execution, it is sent to another upstream")
     {
         GatewayFixture fixture([](const HttpRequest &) -> StubReply {
-            return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+            return {"HTTP/1.1 503 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                    "Marjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
         });
         const auto answer = fixture.send("/take/1", {}, "x");
         REQUIRE(isOk(answer));
@@ -118,7 +119,8 @@
     SUBCASE("refused by all upstreams, it is answered as not executed with a retry delay")
     {
         const auto full = [](const HttpRequest &) -> StubReply {
-            return {"HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+            return {"HTTP/1.1 503 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                    "Marjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
         };
         GatewayFixture fixture(full, full);
         const auto answer = fixture.send("/take/1", {}, "x");
@@ -273,11 +275,13 @@
     StubReply reply;
     SUBCASE("the next upstream is full")
     {
-        reply.bytes = "HTTP/1.1 503 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        reply.bytes = "HTTP/1.1 503 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                      "Marjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
     SUBCASE("the next upstream lacks what the request needs")
     {
-        reply.bytes = "HTTP/1.1 421 X\r\nMarjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        reply.bytes = "HTTP/1.1 421 X\r\nMarjoramtray-Request-Id: r1\r\n"
+                      "Marjoramtray-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
     SUBCASE("the next upstream fails")
     {
--- a/tests/platform/HeaderCodecTest.cpp
+++ b/tests/platform/HeaderCodecTest.cpp
@@ -149,6 +149,9 @@
     CHECK(served.load->waiting == 1);
     CHECK(codec.decodeResponse(503, {{"Marjoramtray-Not-Executed", "1"}}).isNotExecuted);
     CHECK_FALSE(codec.decodeResponse(503, {}).isNotExecuted);
+    for (const int status : {200, 404, 408, 500, 502, 504})
+        CHECK_FALSE(
+            codec.decodeResponse(status, {{"Marjoramtray-Not-Executed", "1"}}).isNotExecuted);
     CHECK(codec.decodeResponse(421, {}).isNotExecuted);
     CHECK(codec.decodeResponse(421, {}).isMisdirected);
     CHECK(codec.decodeResponse(200, {{"Content-Encoding", "gzip"}}).isEncoded);
