--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -261,10 +261,16 @@
 
 void Gateway::applyConfig(const ConfigSnapshot &reading)
 {
-    // The store's responses are in order, so an older version could only come from an object that
-    // was overwritten.
-    if (!reading.config || (this->config && reading.config->version < this->config->version))
+    if (!reading.config)
         return;
+    // An older version comes from an object that was overwritten, or from a store that was restored
+    // from an older copy.
+    if (this->config && reading.config->version < this->config->version) {
+        logDecision(LogPriority::Notable, clockNow(),
+                    fmt::format("event=config_ignored version={} revision={} in_force={}",
+                                reading.config->version, reading.revision, this->config->version));
+        return;
+    }
     this->config = reading.config;
     this->callerServer.setLimits(toServerLimits(this->config->limits));
     logDecision(LogPriority::Notable, clockNow(),
@@ -296,6 +302,9 @@
         }
         const Error problem = error(reading);
         if (problem.kind == ErrorKind::Stale) {
+            logDecision(LogPriority::Notable, clockNow(),
+                        fmt::format("event=config_forgotten revision={} reason=\"{}\"", revision,
+                                    problem.message));
             revision = 0;
             continue;
         }
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -71,6 +71,30 @@
     this->changes.push_back({++this->revision, kind, true, object});
 }
 
+void StubStore::restore(const Copy &copy)
+{
+    this->kinds = copy.kinds;
+    this->revision = copy.revision;
+    this->changes.clear();
+    this->oldestRevision = copy.revision;
+    ++this->era;
+}
+
+std::string StubStore::specOf(const std::string &kind, const std::string &name) const
+{
+    const auto objects = this->kinds.find(kind);
+    if (objects == this->kinds.end())
+        return "";
+    const auto found = objects->second.find(name);
+    return found == objects->second.end() ? "" : json::serialize(found->second.at("spec"));
+}
+
+asio::awaitable<void> StubStore::send(HttpResponder &responder, HttpResponse response)
+{
+    response.headers.emplace_back("Store-Era", std::to_string(this->era));
+    co_await responder.respond(std::move(response));
+}
+
 HttpResponse StubStore::list(const std::string &kind, const std::string &target) const
 {
     json::array items;
@@ -126,12 +150,17 @@
     const uint64_t since = std::stoull(queryParameter(request.target, "watch"));
     const auto end = std::chrono::steady_clock::now() +
                      milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
+    const uint64_t begunInEra = this->era;
     while (true) {
         if (this->neverRespond)
             co_await this->waitForever();
-        if (since < this->oldestRevision) {
+        if (this->era != begunInEra) {
+            responder.abort();
+            co_return;
+        }
+        if (since < this->oldestRevision || since > this->revision) {
             HttpResponse gone = answer(410, {{"error", "that history is gone"}});
-            co_await responder.respond(std::move(gone));
+            co_await this->send(responder, std::move(gone));
             co_return;
         }
         json::array events;
@@ -143,7 +172,7 @@
             HttpResponse changed =
                 answer(200, {{"events", events}, {"current_rev", this->revision}});
             replacePlaceholders(changed.body, this->placeholders);
-            co_await responder.respond(std::move(changed));
+            co_await this->send(responder, std::move(changed));
             co_return;
         }
         asio::steady_timer timer(this->context, milliseconds(5));
@@ -177,7 +206,7 @@
         response = found == objects.end() ? answer(404, {{"error", "no such object"}})
                                           : answer(200, found->second);
     }
-    co_await responder.respond(std::move(response));
+    co_await this->send(responder, std::move(response));
 }
 
 } // namespace tray::test
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -32,6 +32,21 @@
         this->changes.clear();
         this->oldestRevision = this->revision;
     }
+    /// A copy of all objects.
+    struct Copy
+    {
+        uint64_t revision = 0;
+        std::map<std::string, std::map<std::string, boost::json::value>> kinds;
+    };
+
+    Copy makeCopy() const { return {this->revision, this->kinds}; }
+    /// Comes back from a copy: what was written since is gone, its revisions are given out again,
+    /// and a new era begins. Waiting watches are cut off.
+    void restore(const Copy &copy);
+    /// Returns the text of an object's spec; empty if there is no such object.
+    std::string specOf(const std::string &kind, const std::string &name) const;
+    uint64_t currentRevision() const { return this->revision; }
+
     /// JSON strings in objects that are replaced by other text in lists and watches, which need not
     /// be valid JSON.
     std::map<std::string, std::string> placeholders;
@@ -50,6 +65,8 @@
     boost::asio::awaitable<void> watch(const std::string &kind, HttpRequest request,
                                        HttpResponder &responder);
     boost::asio::awaitable<void> waitForever();
+    /// Sends an answer with the headers that all answers have.
+    boost::asio::awaitable<void> send(HttpResponder &responder, HttpResponse response);
     HttpResponse list(const std::string &kind, const std::string &target) const;
     HttpResponse write(const std::string &kind, const std::string &name,
                        const HttpRequest &request);
@@ -59,6 +76,7 @@
     HttpServer server;
     uint64_t revision = 100;
     uint64_t oldestRevision = 0;
+    uint64_t era = 1;
     std::map<std::string, std::map<std::string, boost::json::value>> kinds;
     std::deque<Change> changes;
 };
