Order the store's revisions by its era everywhere

Callers would have seen: a route that was added after the restore answered with 404 for up to ten seconds and more, requests to engines that left, no placement for as long as the revisions take to catch up.

Cause: a revision was taken for something that only rises. After a restore the store gives revisions out again, so that a watch from an old one is answered without 410 once the store has passed it, and the changes in between are missed; peers discard the list updates of the one that has read it anew; a new planner's term and a new steward's fencing token are lower than those before; a write on the condition of a lost revision passes. Class: a number of one history compared with one of another.

--- a/src/fleet/FleetStore.h
+++ b/src/fleet/FleetStore.h
@@ -1,8 +1,10 @@
 // Protocol-independent interface of the platform's store: configuration, instance list and records.
+// All revisions are positions that only rise (fleet/StorePosition.h).
 #pragma once
 
 #include "base/Result.h"
 #include "fleet/FleetConfig.h"
+#include "fleet/StorePosition.h"
 #include "fleet/UpstreamDirectory.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -40,7 +42,7 @@
 };
 
 /// Calls fail with PlatformUnavailable, with Stale if the store no longer has the requested
-/// history, with NotFound, or with VersionConflict.
+/// history or has been restored from a copy since, with NotFound, or with VersionConflict.
 class FleetStore
 {
 public:
@@ -49,6 +51,9 @@
 
     virtual ~FleetStore() = default;
 
+    /// Era of the store's history according to its answers; rises when the store has been restored
+    /// from an older copy. 0 before the first answer.
+    virtual uint64_t era() const = 0;
     /// Reads the newest configuration; NotFound before the operators have written the first one.
     virtual Awaitable<ConfigSnapshot> readConfig() = 0;
     /// Waits for a configuration that was written after a revision. The config is null if none was
@@ -59,9 +64,9 @@
 
     virtual Awaitable<Record> readRecord(std::string collection, std::string name) = 0;
     virtual Awaitable<std::vector<Record>> listRecords(std::string collection) = 0;
-    /// Writes a record if its revision in the store is still the given one; 0 creates it. Returns
-    /// the new revision. After PlatformUnavailable the write may have taken effect, or may do so
-    /// later.
+    /// Writes a record if its revision in the store is still the given one; 0 creates it. Fails
+    /// with VersionConflict if that revision is of an earlier era. Returns the new revision. After
+    /// PlatformUnavailable the write may have taken effect, or may do so later.
     virtual Awaitable<uint64_t> writeRecord(std::string collection, Record record) = 0;
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -174,6 +174,8 @@
     });
     this->metrics.gauge("tray_gateway_store_reachable",
                         [this] { return this->storeReachable ? 1.0 : 0.0; });
+    this->metrics.gauge("tray_gateway_planner_term",
+                        [this] { return static_cast<double>(this->plannerCoordinator.ownTerm()); });
     this->metrics.gauge("tray_gateway_connections_dialled",
                         [this] { return static_cast<double>(this->client.dialled()); });
     this->metrics.gauge("tray_gateway_log_lines_over_budget",
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -64,6 +64,8 @@
     void sendTo(const std::string &peer, const proto::Datagram &datagram);
     bool isDataCentrePeer(const std::string &peer) const;
     bool isPlanner() const { return this->election.isPlanner(); }
+    /// Term in which this gateway is the planner; 0 if it is not.
+    uint64_t ownTerm() const { return this->election.ownTerm(); }
 
 private:
     struct Peer
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -41,6 +41,64 @@
 
 } // namespace
 
+TEST_CASE("Revisions only rise over the eras of a store that is restored from copies")
+{
+    asio::io_context context;
+    test::StubStore store(context);
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+    const auto empty = store.makeCopy();
+    store.put("servers", "i-1", entryText());
+    const auto before = runCall(context, client.readUpstreams());
+    const auto written = runCall(context, client.writeRecord("leases", {"planner", "first", 0}));
+    REQUIRE(isOk(before));
+    REQUIRE(isOk(written));
+    store.restore(empty);
+
+    SUBCASE("a record that is written again has a higher revision than the one that was lost")
+    {
+        const auto again = runCall(context, client.writeRecord("leases", {"planner", "next", 0}));
+        REQUIRE(isOk(again));
+        CHECK(value(again) > value(written));
+    }
+    SUBCASE("a write on the condition of a lost revision is refused, though it was given out again")
+    {
+        // The revision of the first record, for another one.
+        store.put("others", "o", "1");
+        const auto other = runCall(context, client.writeRecord("leases", {"planner", "other", 0}));
+        REQUIRE(isOk(other));
+        const auto stale =
+            runCall(context, client.writeRecord("leases", {"planner", "stale", value(written)}));
+        REQUIRE_FALSE(isOk(stale));
+        CHECK(error(stale).kind == ErrorKind::VersionConflict);
+        CHECK(store.specOf("leases", "planner") == R"("other")");
+    }
+    SUBCASE("a watch from a lost revision is stale, though the store has passed it again")
+    {
+        for (int i = 0; i < 20; ++i)
+            store.put("servers", "i-2", entryText());
+        const auto changes =
+            runCall(context, client.awaitUpstreams(value(before).revision, milliseconds(100)));
+        REQUIRE_FALSE(isOk(changes));
+        CHECK(error(changes).kind == ErrorKind::Stale);
+    }
+    SUBCASE("a list whose pages come from two eras is not taken for one")
+    {
+        store.pageSize = 1;
+        for (const auto *id : {"i-1", "i-2", "i-3"})
+            store.put("servers", id, entryText());
+        bool isRestored = false;
+        store.beforeList = [&] {
+            if (store.requestCount % 2 == 0 && !std::exchange(isRestored, true))
+                store.restore(store.makeCopy());
+        };
+        const auto mixed = runCall(context, client.readUpstreams());
+        REQUIRE(isRestored);
+        REQUIRE_FALSE(isOk(mixed));
+        CHECK(error(mixed).kind == ErrorKind::Stale);
+    }
+}
+
 TEST_CASE("The store client reads, follows and writes objects")
 {
     asio::io_context context;
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -199,6 +199,8 @@
         co_await this->watch(kind, std::move(request), responder);
         co_return;
     } else if (name.empty()) {
+        if (this->beforeList)
+            this->beforeList();
         response = this->list(kind, request.target);
     } else {
         const auto &objects = this->kinds[kind];
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -51,6 +51,8 @@
     /// be valid JSON.
     std::map<std::string, std::string> placeholders;
     int requestCount = 0;
+    /// Called before each page of a list, if set.
+    std::function<void()> beforeList;
 
 private:
     struct Change
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -21,6 +21,7 @@
 class RecordStore : public FleetStore
 {
 public:
+    uint64_t era() const override { return this->currentEra; }
     Awaitable<ConfigSnapshot> readConfig() override
     {
         auto spec = std::make_shared<EngineSpec>();
@@ -61,6 +62,7 @@
 
     std::map<std::string, Record> records;
     uint64_t revision = 10;
+    uint64_t currentEra = 0;
     int writes = 0;
     /// All writes fail while this is set.
     bool failWrites = false;
