--- a/tests/platform/ListUpdateTest.cpp
+++ b/tests/platform/ListUpdateTest.cpp
@@ -1,4 +1,4 @@
-// Invalid notifications from other gateways about the instance list.
+// What gateways follow: the instance list, also from other gateways, and the configuration.
 #include "GatewayFixture.h"
 
 using namespace tray;
@@ -51,3 +51,17 @@
     CHECK(bodyOf(fixture) == "second");
     CHECK(fixture.store.requestCount - before < 40);
 }
+
+TEST_CASE("A configuration that is older than the store's history is read once and then watched")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {StubUpstream::sealedAnswer(request, 200, "first")};
+    });
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    fixture.addUpstream("i-3", "there", fixture.firstAddress);
+    fixture.store.compactHistory();
+    fixture.runFor(milliseconds(500));
+    const int before = fixture.store.requestsByKind["config"];
+    fixture.runFor(std::chrono::seconds(2));
+    CHECK(fixture.store.requestsByKind["config"] <= before + 1);
+}
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -188,6 +188,7 @@
     const auto slash = rest.find('/');
     const std::string kind = rest.substr(0, slash);
     const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    ++this->requestsByKind[kind];
     HttpResponse response;
     if (this->neverRespond)
         co_await this->waitForever();
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -51,6 +51,8 @@
     /// be valid JSON.
     std::map<std::string, std::string> placeholders;
     int requestCount = 0;
+    /// Requests for each kind of objects.
+    std::map<std::string, int> requestsByKind;
     /// Called before each page of a list, if set.
     std::function<void()> beforeList;
 
