Let the watch of the list return before the store is restored in its test

With 600 ms the list's revision was one that the copy still has, and the code before the era was ordered passed the case by chance. With 2.5 s that code keeps two removed upstreams in use (200 instead of 503, 2 of 13 assertions fail), and the present one passes.

--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -45,7 +45,8 @@
     // What the system and others write after the copy is lost.
     raiseRevision(fixture.store, 20);
     fixture.store.put("config", "main", makeConfig(2, false));
-    fixture.runFor(milliseconds(600));
+    // The watch of the list returns meanwhile with a revision that the copy does not have.
+    fixture.runFor(milliseconds(2500));
     fixture.store.restore(copy);
     SUBCASE("of the configuration")
     {
