Keep the end of an upstream over a restore of the store

Callers would have seen requests sent to engines that had announced their end, or had left, before the store came back (DRAIN): cut off when these exit.

Cause: the list of the copy shows them as ready, and UpstreamDirectory believed the newest answer. Class: an answer that is newer in time but older in content undoes what was known.

An incarnation that drains does not become ready again. A list that is read first after a restore does not bring back an incarnation that was removed before it, until the engine writes its entry again or the entry has outlasted those of ended engines (6 s). Entries that the copy lacks stay in use for the usual 2.3 s, as after an outage.

--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -2,6 +2,7 @@
 #include "fleet/UpstreamDirectory.h"
 
 #include <set>
+#include <utility>
 
 namespace tray {
 
@@ -23,6 +24,29 @@
     this->storeReturnedAt = now;
 }
 
+void UpstreamDirectory::noteStoreRestored(Instant now)
+{
+    this->storeFailing = false;
+    this->storeReturnedAt = now;
+    this->storeRestoredAt = now;
+}
+
+bool UpstreamDirectory::isReturnFromCopy(const UpstreamEntry &entry, Instant now) const
+{
+    if (!this->storeRestoredAt || now >= *this->storeRestoredAt + LapseTime)
+        return false;
+    const auto found = this->ended.find(entry.id);
+    return found != this->ended.end() && found->second.startedAtMs == entry.startedAtMs &&
+           found->second.at <= *this->storeRestoredAt;
+}
+
+void UpstreamDirectory::erase(const std::string &id, Instant now)
+{
+    const auto found = this->current.find(id);
+    this->ended[id] = {found->second.startedAtMs, now};
+    this->current.erase(found);
+}
+
 bool UpstreamDirectory::isListUnreliable(Instant now) const
 {
     return this->storeFailing ||
@@ -34,8 +58,13 @@
 {
     Notices notices;
     std::set<std::string> listed;
+    this->returnedEntries.clear();
     for (const auto &entry : entries) {
         listed.insert(entry.id);
+        if (!this->current.contains(entry.id) && this->isReturnFromCopy(entry, now)) {
+            this->returnedEntries[entry.id] = entry;
+            continue;
+        }
         const auto more = this->apply({false, entry}, now);
         notices.insert(notices.end(), more.begin(), more.end());
     }
@@ -55,13 +84,22 @@
 {
     if (change.removed)
         return this->remove(change.entry.id, now);
-    const auto &entry = change.entry;
+    auto entry = change.entry;
     this->missingEntries.erase(entry.id);
+    this->returnedEntries.erase(entry.id);
+    this->ended.erase(entry.id);
     const auto found = this->current.find(entry.id);
     if (found == this->current.end()) {
         this->current.emplace(entry.id, entry);
         return {{UpstreamEvent::Added, entry.id}};
     }
+    // An incarnation that has announced its end does not become ready again. A store that was
+    // restored from an older copy shows it as it was before.
+    if (entry.startedAtMs == found->second.startedAtMs &&
+        found->second.phase == UpstreamPhase::Draining && entry.phase == UpstreamPhase::Ready) {
+        entry.phase = UpstreamPhase::Draining;
+        entry.remainingLifetime = found->second.remainingLifetime;
+    }
     auto event = UpstreamEvent::Updated;
     if (entry.startedAtMs != found->second.startedAtMs)
         event = UpstreamEvent::Restarted;
@@ -75,6 +113,7 @@
 UpstreamDirectory::Notices UpstreamDirectory::remove(const std::string &id, Instant now)
 {
     const auto found = this->current.find(id);
+    this->returnedEntries.erase(id);
     if (found == this->current.end() || this->missingEntries.contains(id))
         return {};
     // A draining upstream is removed whatever the state of the store.
@@ -83,16 +122,24 @@
         this->missingEntries[id] = base + RelistGracePeriod;
         return {{UpstreamEvent::Missing, id}};
     }
-    this->current.erase(found);
+    this->erase(id, now);
     return {{UpstreamEvent::Removed, id}};
 }
 
 UpstreamDirectory::Notices UpstreamDirectory::removeExpired(Instant now)
 {
     Notices notices;
+    std::erase_if(this->ended,
+                  [&](const auto &item) { return now >= item.second.at + EndedMemory; });
     // While the store is failing no upstream can be listed again.
     if (this->storeFailing)
         return notices;
+    if (this->storeRestoredAt && now >= *this->storeRestoredAt + LapseTime) {
+        for (const auto &[id, entry] : std::exchange(this->returnedEntries, {})) {
+            const auto more = this->apply({false, entry}, now);
+            notices.insert(notices.end(), more.begin(), more.end());
+        }
+    }
     for (auto it = this->missingEntries.begin(); it != this->missingEntries.end();) {
         const Instant base =
             this->storeReturnedAt ? *this->storeReturnedAt + RelistGracePeriod : it->second;
@@ -100,7 +147,7 @@
             ++it;
             continue;
         }
-        this->current.erase(it->first);
+        this->erase(it->first, now);
         notices.push_back({UpstreamEvent::Removed, it->first});
         it = this->missingEntries.erase(it);
     }
--- a/src/fleet/UpstreamDirectory.h
+++ b/src/fleet/UpstreamDirectory.h
@@ -46,6 +46,11 @@
 public:
     /// Time after the store's return within which running upstreams are listed again.
     static constexpr Duration RelistGracePeriod = milliseconds(2300);
+    /// Time after the store was restored within which the entries of ended upstreams lapse: several
+    /// heartbeats of an upstream.
+    static constexpr Duration LapseTime = std::chrono::seconds(6);
+    /// Time for which ended upstreams are remembered; longer than any copy is old.
+    static constexpr Duration EndedMemory = std::chrono::seconds(60);
 
     using Notices = std::vector<UpstreamNotice>;
 
@@ -55,11 +60,16 @@
     bool noteStoreFailure(Instant calledAt);
     /// Records that the store answered. Call this before the content of the answer is applied.
     void noteStoreAnswer(Instant now);
+    /// Records that the store has been restored from an older copy, before a list of it is applied.
+    /// Upstreams that wrote their entries since the copy are missing in it until they write them
+    /// again, and upstreams that have ended since are listed until their entries lapse.
+    void noteStoreRestored(Instant now);
     /// Replaces all entries by a complete list.
     Notices replaceAll(const std::vector<UpstreamEntry> &entries, Instant now);
     /// Applies one change of the list.
     Notices apply(const UpstreamChange &change, Instant now);
-    /// Removes the missing entries whose grace period has ended.
+    /// Removes the missing entries whose grace period has ended, and uses returned entries that are
+    /// still listed after the time in which those of ended upstreams lapse.
     Notices removeExpired(Instant now);
 
     /// Whether an entry that vanishes now may be listed again.
@@ -68,7 +78,17 @@
     const std::map<std::string, UpstreamEntry> &entries() const { return this->current; }
 
 private:
+    /// An incarnation that was removed from the list.
+    struct Ended
+    {
+        uint64_t startedAtMs = 0;
+        Instant at{};
+    };
+
     Notices remove(const std::string &id, Instant now);
+    /// Whether a list of the restored store may show an upstream as it was before its end.
+    bool isReturnFromCopy(const UpstreamEntry &entry, Instant now) const;
+    void erase(const std::string &id, Instant now);
 
     std::map<std::string, UpstreamEntry> current;
     // Entries that vanished while the list was unreliable, with the time at which they are removed.
@@ -77,6 +97,10 @@
     bool storeFailing = false;
     // Time of the store's return after its last failure; not set if it never failed.
     std::optional<Instant> storeReturnedAt;
+    std::optional<Instant> storeRestoredAt;
+    std::map<std::string, Ended> ended;
+    // Entries of ended upstreams that the restored store lists. Invariant: no key of current.
+    std::map<std::string, UpstreamEntry> returnedEntries;
 };
 
 } // namespace tray
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -247,6 +247,16 @@
         logDecision(LogPriority::Notable, now, "event=store_regained");
 }
 
+void Gateway::recordListEra()
+{
+    const uint64_t previous = std::exchange(this->listEra, this->store.era());
+    if (previous == 0 || this->listEra == previous)
+        return;
+    this->directory.noteStoreRestored(clockNow());
+    logDecision(LogPriority::Notable, clockNow(),
+                fmt::format("event=list_restored era={} previous={}", this->listEra, previous));
+}
+
 void Gateway::recordStoreFailure(Instant calledAt, const std::string &reason)
 {
     const Instant now = clockNow();
@@ -337,6 +347,7 @@
             co_return error(reading);
         const Instant now = clockNow();
         this->recordStoreSuccess();
+        this->recordListEra();
         this->listRelay.handleFullRead(value(reading).revision, now);
         this->upstreamsKnown = true;
         co_return this->directory.replaceAll(value(reading).entries, now);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -91,6 +91,9 @@
     /// were not needed before.
     void recordUpstreamUse(const std::string &upstreamId);
     void recordStoreSuccess();
+    /// Records that the store has been restored from a copy if its era has risen since the last
+    /// list.
+    void recordListEra();
     /// Records that a call to the store that began at the given time has failed.
     void recordStoreFailure(Instant calledAt, const std::string &reason);
     void handleDatagram(const proto::Datagram &datagram, const Address &sender);
@@ -136,6 +139,8 @@
     PlannerCoordinator plannerCoordinator;
     SuspectExchange suspectExchange;
     bool upstreamsKnown = false;
+    // Era of the store in which the list was read last; 0 before the first time.
+    uint64_t listEra = 0;
     bool storeReachable = true;
     // Until this time, the watch of the configuration may hang unnoticed.
     Instant configSuspectUntil{};
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -118,3 +118,78 @@
               UpstreamEvent::Removed);
     }
 }
+
+TEST_CASE("A store that was restored from an older copy does not undo the end of an upstream")
+{
+    UpstreamDirectory directory;
+    directory.noteStoreAnswer(Start);
+    directory.replaceAll({makeEntry("a"), makeEntry("b")}, Start);
+    const Instant restored = Start + std::chrono::seconds(5);
+    const auto isReady = [&](const std::string &id) {
+        const auto found = directory.entries().find(id);
+        return found != directory.entries().end() && found->second.phase == UpstreamPhase::Ready;
+    };
+    const auto restore = [&](const std::vector<UpstreamEntry> &copy) {
+        directory.noteStoreRestored(restored);
+        directory.replaceAll(copy, restored);
+    };
+
+    SUBCASE("one that drained since the copy goes on draining")
+    {
+        auto leaving = makeEntry("a");
+        leaving.phase = UpstreamPhase::Draining;
+        leaving.remainingLifetime = std::chrono::seconds(9);
+        directory.apply({false, leaving}, Start);
+        restore({makeEntry("a"), makeEntry("b")});
+        CHECK_FALSE(isReady("a"));
+        CHECK(directory.entries().at("a").remainingLifetime == std::chrono::seconds(9));
+        CHECK(isReady("b"));
+    }
+    SUBCASE("one that ended since the copy is not used")
+    {
+        directory.apply(makeRemoval("a"), Start);
+        restore({makeEntry("a"), makeEntry("b")});
+        CHECK_FALSE(directory.entries().contains("a"));
+        SUBCASE("and its entry lapses")
+        {
+            directory.apply(makeRemoval("a"), restored + std::chrono::seconds(4));
+            directory.removeExpired(restored + std::chrono::seconds(30));
+            CHECK_FALSE(directory.entries().contains("a"));
+        }
+        SUBCASE("until it writes its entry again")
+        {
+            directory.apply({false, makeEntry("a")}, restored + std::chrono::seconds(1));
+            CHECK(isReady("a"));
+        }
+        SUBCASE("until its entry has outlasted those of ended upstreams")
+        {
+            directory.removeExpired(restored + UpstreamDirectory::LapseTime - milliseconds(1));
+            CHECK_FALSE(directory.entries().contains("a"));
+            directory.removeExpired(restored + UpstreamDirectory::LapseTime);
+            CHECK(isReady("a"));
+        }
+    }
+    SUBCASE("but a new incarnation with its id is used at once")
+    {
+        directory.apply(makeRemoval("a"), Start);
+        restore({makeEntry("a", 2), makeEntry("b")});
+        CHECK(isReady("a"));
+    }
+    SUBCASE("and one that is missing in the copy stays in use until it can have written again")
+    {
+        restore({makeEntry("b")});
+        CHECK(isReady("a"));
+        directory.removeExpired(restored + UpstreamDirectory::RelistGracePeriod);
+        CHECK_FALSE(directory.entries().contains("a"));
+    }
+}
+
+TEST_CASE("An upstream that lapsed and lives is used again once a complete list shows it")
+{
+    UpstreamDirectory directory;
+    directory.noteStoreAnswer(Start);
+    directory.replaceAll({makeEntry("a")}, Start);
+    directory.apply(makeRemoval("a"), Start);
+    directory.replaceAll({makeEntry("a")}, Start + std::chrono::seconds(1));
+    CHECK(directory.entries().contains("a"));
+}
--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -67,6 +67,33 @@
     }
 }
 
+TEST_CASE("An upstream that left since the copy gets no requests after the restore")
+{
+    GatewayFixture fixture(answerFirst);
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    const auto copy = fixture.store.makeCopy();
+    SUBCASE("when it had been removed")
+    {
+        fixture.store.remove("servers", "i-1");
+    }
+    SUBCASE("when it was draining")
+    {
+        fixture.store.put(
+            "servers", "i-1",
+            fmt::format(R"({{"service":"shop","address":"{}","zone":"here","slots":4,)"
+                        R"("state":"draining","sequence":1,"models":[]}})",
+                        toString(fixture.firstAddress)));
+    }
+    fixture.runFor(std::chrono::seconds(1));
+    fixture.store.restore(copy);
+    fixture.first.received.clear();
+    for (int i = 0; i < 10; ++i) {
+        fixture.runFor(milliseconds(300));
+        CHECK(fixture.statusOf("/look/1") == 200);
+    }
+    CHECK(fixture.first.received.empty());
+}
+
 TEST_CASE("A second gateway of the data centre follows the list over a restore")
 {
     GatewayFixture fixture(answerFirst);
