Register gateways again after a restore of the store

Callers would have seen, long after: gateways that do not know each other, so that limits and the retry allowance are shared among too few and a second planner is elected.

Cause: a gateway wrote its record and read the others' once, at its start. The copy may lack the record of one that started since. Class: state that was written once and is taken to last. The registration now runs again when the store's era has risen.

Test: "A gateway registers again after a restore that lost its record", which failed on the code before the era was read, and passes.

--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -34,6 +34,8 @@
 // Interval at which an unchanged placement request is sent again, because a datagram may have been
 // lost.
 constexpr Duration PlacementResendInterval = milliseconds(450);
+// Time between two checks whether the store has been restored since the registration.
+constexpr Duration RestoreCheckPeriod = std::chrono::seconds(1);
 // Initial backoff after a failed registration in the store; doubles with each failure.
 constexpr Duration InitialRetryBackoff = milliseconds(300);
 // Maximum backoff after a failed registration in the store.
@@ -61,35 +63,35 @@
     keepRunning(this->context, "tick_loop", [this] { return this->tickLoop(); });
 }
 
+asio::awaitable<bool> PlannerCoordinator::writeOwnRecord()
+{
+    const Record record{this->instance, formatGatewayRecord(this->address, this->dataCentre), 0};
+    const auto result = co_await this->dependencies.store.writeRecord(GatewayRecords, record);
+    // A version conflict is a success: the record of an earlier incarnation of this instance has
+    // the same address.
+    co_return isOk(result) || error(result).kind == ErrorKind::VersionConflict;
+}
+
 asio::awaitable<void> PlannerCoordinator::registerLoop()
 {
+    const auto &store = this->dependencies.store;
     Duration backoff = InitialRetryBackoff;
-    bool written = false;
+    // Era of the store in which the record was written and the others were read.
+    std::optional<uint64_t> registeredEra;
     while (!this->isStopping) {
-        if (!written) {
-            const Record record{this->instance,
-                                formatGatewayRecord(this->address, this->dataCentre), 0};
-            const auto result =
-                co_await this->dependencies.store.writeRecord(GatewayRecords, record);
-            // A version conflict is a success: the record of an earlier incarnation of this
-            // instance has the same address.
-            written = isOk(result) || error(result).kind == ErrorKind::VersionConflict;
+        if (registeredEra == store.era()) {
+            co_await pauseFor(RestoreCheckPeriod);
+            continue;
         }
+        const bool written = co_await this->writeOwnRecord();
+        const uint64_t era = store.era();
         if (written) {
             const auto records = co_await this->dependencies.store.listRecords(GatewayRecords);
             if (isOk(records)) {
-                for (const auto &record : value(records)) {
-                    const auto separator = record.text.find(' ');
-                    const auto parsed = parseAddress(record.text.substr(0, separator));
-                    if (record.name == this->instance || !isOk(parsed))
-                        continue;
-                    auto &peer = this->peers[record.name];
-                    peer.address = value(parsed);
-                    peer.listedAt = clockNow();
-                    if (separator != std::string::npos)
-                        peer.dataCentre = record.text.substr(separator + 1);
-                }
-                co_return;
+                this->notePeerRecords(value(records), clockNow());
+                registeredEra = era;
+                backoff = InitialRetryBackoff;
+                continue;
             }
         }
         co_await pauseFor(backoff);
@@ -97,6 +99,21 @@
     }
 }
 
+void PlannerCoordinator::notePeerRecords(const std::vector<Record> &records, Instant now)
+{
+    for (const auto &record : records) {
+        const auto separator = record.text.find(' ');
+        const auto parsed = parseAddress(record.text.substr(0, separator));
+        if (record.name == this->instance || !isOk(parsed))
+            continue;
+        auto &peer = this->peers[record.name];
+        peer.address = value(parsed);
+        peer.listedAt = now;
+        if (separator != std::string::npos)
+            peer.dataCentre = record.text.substr(separator + 1);
+    }
+}
+
 asio::awaitable<void> PlannerCoordinator::tickLoop()
 {
     Instant nextReportAt = clockNow();
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -89,7 +89,11 @@
 
     /// Returns the peer that the selector chooses in each data centre, by data centre.
     std::map<std::string, const Peer *> selectPeers(uint64_t selector) const;
+    /// Writes this gateway's record and reads those of the others, again after each restore of the
+    /// store, which may have lost records.
     boost::asio::awaitable<void> registerLoop();
+    boost::asio::awaitable<bool> writeOwnRecord();
+    void notePeerRecords(const std::vector<Record> &records, Instant now);
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> tryAcquireLeadership();
 
--- a/tests/platform/RestoredStoreTest.cpp
+++ b/tests/platform/RestoredStoreTest.cpp
@@ -137,3 +137,15 @@
     fixture.runFor(std::chrono::seconds(2));
     CHECK(termOf(fixture.peerMetrics.page()) > oldTerm);
 }
+
+TEST_CASE("A gateway registers again after a restore that lost its record")
+{
+    GatewayFixture fixture(answerFirst);
+    const auto copy = fixture.store.makeCopy();
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    fixture.runFor(milliseconds(300));
+    REQUIRE_FALSE(fixture.store.specOf("gateways", "front-1").empty());
+    fixture.store.restore(copy);
+    fixture.runFor(std::chrono::seconds(3));
+    CHECK_FALSE(fixture.store.specOf("gateways", "front-1").empty());
+}
