Write a steward's record again after a restore of the store

What would have been seen: after a restore and a power loss an engine stays empty, as the record of its models is that of the copy; or, if the record is gone, each later write of it fails with not_found, for ever.

Cause: the record is written only when the models change, and writeRecordText expected a record to exist. A steward seldom calls the store, so gateways tell it the era with their subscriptions; one that has written in an earlier era writes again, and creates the record if it is gone.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -519,6 +519,7 @@
     subscribe->set_period_ms(
         static_cast<uint32_t>(toMs(isRemote ? RemoteSnapshotPeriod : SnapshotPeriod)));
     subscribe->set_with_copies(plans);
+    subscribe->set_store_era(this->store.era());
     this->datagrams.send(this->stewardAddress(entry), std::move(datagram));
 }
 
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -190,8 +190,10 @@
         record.revision = value(present).revision;
         written = co_await this->store.writeRecord(StewardRecords, record);
     }
-    if (isOk(written))
+    if (isOk(written)) {
         this->recordRevision = value(written);
+        this->recordEra = eraOf(value(written));
+    }
     co_return written;
 }
 
@@ -201,12 +203,14 @@
     const auto written = co_await this->writeRecordText(recordText(models));
     // After a failure it is unknown whether the record was written.
     this->recordRevision = isOk(written) ? value(written) : 0;
-    if (isOk(written))
+    if (isOk(written)) {
         this->recordedModels = models;
-    else
+        this->recordEra = eraOf(value(written));
+    } else {
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=store_failed call=record_models reason=\"{}\"",
                                 error(written).message));
+    }
     this->modelsDifferSince.reset();
     this->recordWriteRunning = false;
 }
@@ -216,9 +220,10 @@
     if (this->recordRevision == 0) {
         const auto present =
             co_await this->store.readRecord(StewardRecords, this->settings.instance);
-        if (!isOk(present))
+        // The store may have lost the record; a write without a revision creates it.
+        if (!isOk(present) && error(present).kind != ErrorKind::NotFound)
             co_return error(present);
-        this->recordRevision = value(present).revision;
+        this->recordRevision = isOk(present) ? value(present).revision : 0;
     }
     const Record record{this->settings.instance, std::move(text), this->recordRevision};
     auto written = co_await this->store.writeRecord(StewardRecords, record);
@@ -227,9 +232,11 @@
 
 void Steward::recordIfChanged(Instant now)
 {
+    const bool isLost = this->reportedEra > this->recordEra;
     const bool differs =
         !this->report->busy && !this->report->leaving &&
-        !isEquivalentRecord(this->planner.heldByRequestOrder(*this->report), this->recordedModels);
+        (isLost || !isEquivalentRecord(this->planner.heldByRequestOrder(*this->report),
+                                       this->recordedModels));
     if (!differs || this->fencingToken == 0 || this->stopping) {
         this->modelsDifferSince.reset();
         return;
@@ -378,6 +385,7 @@
         const auto &subscribe = datagram.subscribe();
         this->upstreamId = subscribe.upstream_id();
         this->listedStartedAtMs = subscribe.born_ms();
+        this->reportedEra = std::max(this->reportedEra, subscribe.store_era());
         auto &subscriber = this->subscribers[datagram.sender()];
         subscriber.address = sender;
         subscriber.expiresAt = now + SubscriptionLifetime;
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -86,6 +86,10 @@
     uint64_t fencingToken = 0;
     // Revision of this instance's record; 0 while it is unknown.
     uint64_t recordRevision = 0;
+    // Era of the last write of the record, and the highest era that a gateway has reported. A
+    // record of an earlier era may be lost.
+    uint64_t recordEra = 0;
+    uint64_t reportedEra = 0;
     // Models in the record of the previous process; cleared by the engine's first report.
     std::optional<std::vector<std::string>> previousModels;
     // Models in the record, and the time since which the engine holds different ones.
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -53,7 +53,7 @@
         auto &present = this->records[record.name];
         if (present.revision != record.revision)
             co_return Error{ErrorKind::VersionConflict, "the record has changed"};
-        record.revision = ++this->revision;
+        record.revision = makePosition(this->currentEra, ++this->revision);
         present = record;
         co_return record.revision;
     }
@@ -126,6 +126,7 @@
         datagram.mutable_subscribe()->set_born_ms(5);
         datagram.mutable_subscribe()->set_period_ms(periodMs);
         datagram.mutable_subscribe()->set_with_copies(withCopies);
+        datagram.mutable_subscribe()->set_store_era(this->reportedEra);
         this->port.send(this->address, datagram);
     }
 
@@ -160,6 +161,8 @@
     ImmediateEngine engine;
     Metrics metrics;
     Address address;
+    /// Era of the store that the gateway reports with its subscriptions.
+    uint64_t reportedEra = 0;
     std::vector<proto::EngineSnapshot> snapshots;
     DatagramPort port;
     std::optional<Steward> steward;
@@ -355,3 +358,43 @@
     CHECK((*stopDuration < milliseconds(300)) == isReplied);
     CHECK(fixture.loadedModels().size() == 1);
 }
+
+TEST_CASE("A steward writes its record again after a restore that lost it")
+{
+    StewardFixture fixture;
+    fixture.store.currentEra = fixture.reportedEra = 1;
+    fixture.engine.state.models = {{"m1", {}}};
+    fixture.start();
+    for (int i = 0; i < 8; ++i) {
+        fixture.subscribe();
+        fixture.runFor(milliseconds(500));
+    }
+    REQUIRE(fixture.store.records.at("side-1").text.ends_with(" m1"));
+    const uint64_t before = fixture.store.records.at("side-1").revision;
+    fixture.store.records.clear();
+    fixture.store.currentEra = 2;
+
+    SUBCASE("as soon as a gateway reports the new era")
+    {
+        fixture.reportedEra = 2;
+        for (int i = 0; i < 10; ++i) {
+            fixture.subscribe();
+            fixture.runFor(milliseconds(500));
+        }
+    }
+    SUBCASE("or when its engine's models change")
+    {
+        fixture.engine.state.models = {{"m1", {}}, {"m2", {}}};
+        for (int i = 0; i < 10; ++i) {
+            fixture.subscribe();
+            fixture.runFor(milliseconds(500));
+        }
+    }
+    REQUIRE(fixture.store.records.contains("side-1"));
+    CHECK(fixture.store.records.at("side-1").text.find(" m1") != std::string::npos);
+    CHECK(fixture.store.records.at("side-1").revision > before);
+    const int writes = fixture.store.writes;
+    fixture.subscribe();
+    fixture.runFor(std::chrono::seconds(3));
+    CHECK(fixture.store.writes == writes);
+}
