Bound the memory of all bodies of a gateway together

Callers saw requests at a sound engine end without an answer, as the gateway was killed beyond its memory limit.

Cause: each answer that is no stream was kept up to 8 MiB, whatever the others held; 59 error answers without an end were enough. Class: a bound for each, none for all.

An answer that gets no more is given up with 502 and its connection is closed.

Test: BodyMemoryTest; without the change of ExchangeResponse.cpp 0 of 40 requests had their answer and the process grew by 161 MB (allowed 67); with it all 40 have 502 and a sound request is served each time in between.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -87,7 +87,8 @@
 
 Exchange::Exchange(Gateway &gateway, HttpRequest request, HttpResponder &responder, Instant arrived)
     : gateway(gateway), request(std::move(request)), responder(responder), arrived(arrived),
-      activeExchanges(gateway.activeExchanges), config(gateway.config)
+      activeExchanges(gateway.activeExchanges), config(gateway.config),
+      responseMemory(gateway.bodyMemory)
 {
     this->activeExchanges->insert(this);
 }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -162,6 +162,8 @@
     // Whether the present attempt has shown that upstreams can answer the prompt's parts.
     bool hasSoundAnswer = false;
     std::set<std::string> triedUpstreams;
+    // Memory of the body of the present attempt's response.
+    MemoryBudget::Share responseMemory;
     ExecutionLedger executions;
     // Number of attempts of any outcome, including those whose adapter could not be loaded.
     int sendCount = 0;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -171,6 +171,7 @@
                                                                          bool success)
 {
     AttemptResult result;
+    this->responseMemory.release();
     HttpResponse response;
     response.status = stream.status();
     response.headers = this->gateway.codec.makeCallerHeaders(stream.headers());
@@ -184,12 +185,14 @@
         }
         if (value(piece).empty())
             break;
-        response.body += value(piece);
-        if (response.body.size() > MaxBufferedBodyBytes) {
+        const bool isTooLarge = response.body.size() + value(piece).size() > MaxBufferedBodyBytes;
+        if (isTooLarge || !this->responseMemory.tryGrow(value(piece).size())) {
             result.outcome = AttemptOutcome::Broken;
-            result.reason = "the answer is too large";
+            result.reason =
+                isTooLarge ? "the answer is too large" : "no memory is left for the answer";
             co_return result;
         }
+        response.body += value(piece);
     }
     if (!success) {
         result.outcome =
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -102,7 +102,7 @@
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, FleetStore &store,
                  const RequestCodec &codec, Metrics &metrics)
     : context(context), settings(std::move(settings)), store(store), codec(codec), metrics(metrics),
-      client(context),
+      bodyMemory(this->settings.bodyMemoryBytes), client(context),
       callerServer(
           context,
           [this](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
@@ -176,6 +176,8 @@
                         [this] { return this->storeReachable ? 1.0 : 0.0; });
     this->metrics.gauge("tray_gateway_planner_term",
                         [this] { return static_cast<double>(this->plannerCoordinator.ownTerm()); });
+    this->metrics.gauge("tray_gateway_body_memory_bytes",
+                        [this] { return static_cast<double>(this->bodyMemory.usedBytes()); });
     this->metrics.gauge("tray_gateway_connections_dialled",
                         [this] { return static_cast<double>(this->client.dialled()); });
     this->metrics.gauge("tray_gateway_log_lines_over_budget",
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/SuspectExchange.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/MemoryBudget.h"
 #include "observe/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -42,6 +43,8 @@
     uint16_t stewardPort = 0;
     /// Processor time of the process, in cores.
     double cpuCores = 1;
+    /// Most memory that the bodies of requests and responses may hold together, in bytes.
+    size_t bodyMemoryBytes = 64u << 20;
     SharedRetryLimits retryLimits;
     StoreLoadLimits loadLimits;
     /// Time between SIGTERM and the end of the process.
@@ -111,6 +114,7 @@
     FleetStore &store;
     const RequestCodec &codec;
     Metrics &metrics;
+    MemoryBudget bodyMemory;
     HttpClient client;
     HttpServer callerServer;
     HttpServer readinessServer;
--- /dev/null
+++ b/tests/platform/BodyMemoryTest.cpp
@@ -0,0 +1,66 @@
+// Bodies without an end at many requests at once: they hold bounded memory together, and other
+// requests go on.
+#include "GatewayFixture.h"
+
+#include <fstream>
+#include <unistd.h>
+
+using namespace tray;
+using namespace tray::test;
+
+namespace {
+
+// Half of the fixture's memory for bodies, which large bodies may use, and as much again for what
+// the connections and copies of them hold.
+constexpr size_t MaxGrowthBytes = 64u << 20;
+constexpr int EndlessAnswers = 40;
+
+/// Memory of this process that is not swapped out, in bytes.
+size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+TEST_CASE("Error answers without an end hold bounded memory together, and others are served")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        if (request.target == "/take/sound")
+            return {StubUpstream::sealedAnswer(request, 200, "sound")};
+        StubReply reply;
+        reply.bytes = "HTTP/1.1 500 X\r\nMarjoramtray-Request-Id: r1\r\n\r\n";
+        reply.repeatedBytes = std::string(256u << 10, 'x');
+        reply.pieceDelay = milliseconds(10);
+        return reply;
+    });
+    fixture.store.remove("servers", "i-2");
+    REQUIRE(fixture.statusOf("/take/sound") == 200);
+    const size_t before = residentBytes();
+    size_t peak = before;
+    int errors = 0;
+    for (int i = 0; i < EndlessAnswers; ++i)
+        asio::co_spawn(
+            fixture.context,
+            [&]() -> asio::awaitable<void> {
+                HttpRequest request;
+                request.target = "/take/endless";
+                request.headers = {{"Host", "a.example"}, {"Marjoramtray-Request-Id", "r1"}};
+                const auto answer = co_await fixture.caller.request(fixture.address, request,
+                                                                    std::chrono::seconds(5));
+                errors += isOk(answer) && value(answer).status == 502 ? 1 : 0;
+            },
+            asio::detached);
+    for (int i = 0; i < 10; ++i) {
+        fixture.runFor(milliseconds(100));
+        peak = std::max(peak, residentBytes());
+        CHECK(fixture.statusOf("/take/sound") == 200);
+    }
+    fixture.runFor(std::chrono::seconds(1));
+    CHECK(errors == EndlessAnswers);
+    CHECK(peak - before <= MaxGrowthBytes);
+}
