Close idle connections to upstreams that are called no more

Cause: an idle connection was only looked at when its address was called again, so those to engines that are gone were kept for ever, up to 64 for each address and without a bound over all.

The pool closes connections that have been idle for longer than any call would use them, when one is returned, and keeps at most 1,024 in all.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -23,8 +23,12 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 
-// Maximum number of idle connections per address. Further ones are closed after use.
+// Maximum number of idle connections per address, and over all addresses. Further ones are closed
+// after use.
 constexpr size_t MaxIdleConnections = 64;
+constexpr size_t MaxIdleConnectionsInAll = 1024;
+// Time between two searches for connections that have been idle for too long.
+constexpr auto PoolSweepPeriod = std::chrono::seconds(1);
 // Time before the peer's announced idle timeout from which an idle connection is no longer used, so
 // that a request is not sent while the peer closes the connection.
 constexpr auto IdleTimeoutMargin = std::chrono::milliseconds(1200);
@@ -91,6 +95,7 @@
         while (!list.empty()) {
             auto connection = std::move(list.back());
             list.pop_back();
+            --this->idleCount;
             const auto idleTime = std::chrono::steady_clock::now() - connection->idleSince;
             if (idleTime < maxIdle && idleTime + IdleTimeoutMargin < connection->peerIdleTimeout &&
                 isUsable(*connection))
@@ -104,11 +109,30 @@
         connection->stream.expires_never();
         ++connection->useCount;
         connection->isReused = true;
-        connection->idleSince = std::chrono::steady_clock::now();
+        const Instant now = std::chrono::steady_clock::now();
+        connection->idleSince = now;
         const std::lock_guard lock(this->mutex);
+        this->sweep(now);
         auto &list = this->idle[key];
-        if (list.size() < MaxIdleConnections)
-            list.push_back(std::move(connection));
+        if (list.size() >= MaxIdleConnections || this->idleCount >= MaxIdleConnectionsInAll)
+            return;
+        list.push_back(std::move(connection));
+        ++this->idleCount;
+    }
+
+    /// Closes the connections that no call may use any more. Addresses that no call uses again keep
+    /// none. Call this with the mutex locked.
+    void sweep(Instant now)
+    {
+        if (now < this->sweptAt + PoolSweepPeriod)
+            return;
+        this->sweptAt = now;
+        for (auto it = this->idle.begin(); it != this->idle.end();) {
+            this->idleCount -= std::erase_if(it->second, [&](const auto &connection) {
+                return now - connection->idleSince >= MaxPooledIdleTime;
+            });
+            it = it->second.empty() ? this->idle.erase(it) : std::next(it);
+        }
     }
 
     asio::awaitable<Result<std::shared_ptr<Connection>>>
@@ -156,6 +180,9 @@
     std::atomic<uint64_t> dialled{0};
     std::mutex mutex;
     std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
+    // Number of connections in all lists.
+    size_t idleCount = 0;
+    Instant sweptAt{};
 };
 
 namespace {
@@ -304,7 +331,17 @@
 void HttpClient::forget(const Address &address)
 {
     const std::lock_guard lock(this->impl->mutex);
-    this->impl->idle.erase(toString(address));
+    const auto found = this->impl->idle.find(toString(address));
+    if (found == this->impl->idle.end())
+        return;
+    this->impl->idleCount -= found->second.size();
+    this->impl->idle.erase(found);
+}
+
+size_t HttpClient::pooled() const
+{
+    const std::lock_guard lock(this->impl->mutex);
+    return this->impl->idleCount;
 }
 
 uint64_t HttpClient::dialled() const
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -66,12 +66,15 @@
     bool cancelled = false;
 };
 
+/// Longest time for which an idle connection is kept in a pool.
+constexpr Duration MaxPooledIdleTime = std::chrono::seconds(10);
+
 /// Options of one call.
 struct HttpCallOptions
 {
     /// Maximum idle time of a pooled connection that the call may use; 0 always opens a new
     /// connection.
-    Duration maxIdle = std::chrono::seconds(10);
+    Duration maxIdle = MaxPooledIdleTime;
     /// Timeout for establishing a connection.
     Duration connectTimeout = std::chrono::seconds(60);
     /// Cancels the call; may be null.
@@ -116,6 +119,8 @@
     void forget(const Address &address);
     /// Number of connection attempts since the client was created.
     uint64_t dialled() const;
+    /// Number of idle connections in the pool.
+    size_t pooled() const;
 
 private:
     struct Impl;
