Take an earlier incarnation in a restored list for what it is

With the end of the restarted one known, or its draining, the earlier start time counted as a restart, and the engine got requests again (DRAIN). Start times are now compared by order in the first list of an era.

Test: two parts of the case in UpstreamDirectoryTest; not run on the code before, whose comparison for equality lets both through.

--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -35,8 +35,11 @@
 {
     if (!this->storeRestoredAt || now >= *this->storeRestoredAt + LapseTime)
         return false;
+    const auto known = this->current.find(entry.id);
+    if (known != this->current.end())
+        return entry.startedAtMs < known->second.startedAtMs;
     const auto found = this->ended.find(entry.id);
-    return found != this->ended.end() && found->second.startedAtMs == entry.startedAtMs &&
+    return found != this->ended.end() && entry.startedAtMs <= found->second.startedAtMs &&
            found->second.at <= *this->storeRestoredAt;
 }
 
@@ -61,8 +64,9 @@
     this->returnedEntries.clear();
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        if (!this->current.contains(entry.id) && this->isReturnFromCopy(entry, now)) {
-            this->returnedEntries[entry.id] = entry;
+        if (this->isReturnFromCopy(entry, now)) {
+            if (!this->current.contains(entry.id))
+                this->returnedEntries[entry.id] = entry;
             continue;
         }
         const auto more = this->apply({false, entry}, now);
--- a/src/fleet/UpstreamDirectory.h
+++ b/src/fleet/UpstreamDirectory.h
@@ -86,7 +86,8 @@
     };
 
     Notices remove(const std::string &id, Instant now);
-    /// Whether a list of the restored store may show an upstream as it was before its end.
+    /// Whether a list of the restored store may show an upstream as it was before its end, or an
+    /// incarnation before the known one.
     bool isReturnFromCopy(const UpstreamEntry &entry, Instant now) const;
     void erase(const std::string &id, Instant now);
 
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -169,6 +169,22 @@
             CHECK(isReady("a"));
         }
     }
+    SUBCASE("one that restarted and drained since the copy is not taken for the incarnation before")
+    {
+        auto leaving = makeEntry("a", 2);
+        leaving.phase = UpstreamPhase::Draining;
+        directory.apply({false, leaving}, Start);
+        restore({makeEntry("a"), makeEntry("b")});
+        CHECK_FALSE(isReady("a"));
+        CHECK(directory.entries().at("a").startedAtMs == 2);
+    }
+    SUBCASE("one that restarted and ended since the copy is not used as the incarnation before")
+    {
+        directory.apply({false, makeEntry("a", 2)}, Start);
+        directory.apply(makeRemoval("a"), Start);
+        restore({makeEntry("a"), makeEntry("b")});
+        CHECK_FALSE(directory.entries().contains("a"));
+    }
     SUBCASE("but a new incarnation with its id is used at once")
     {
         directory.apply(makeRemoval("a"), Start);
