Skip interim responses before the response itself

Test: NotExecutedAnswerTest, "An interim answer is not taken for the answer"; passes now, not run on the code before.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -247,6 +247,12 @@
                 co_return code;
             this->fields = toHeaders(this->parser->get());
             this->isComplete = this->parser->is_done();
+            // An interim response is followed by the response itself.
+            if (this->status() / 100 == 1) {
+                this->parser.emplace();
+                this->parser->body_limit(boost::none);
+                continue;
+            }
             if (!matchesCall || matchesCall(this->fields, this->connection->isReused)) {
                 readKeepAliveTimeout(*this->connection,
                                      this->parser->get()[http::field::keep_alive]);
--- a/tests/platform/NotExecutedAnswerTest.cpp
+++ b/tests/platform/NotExecutedAnswerTest.cpp
@@ -120,3 +120,17 @@
         CHECK(value(answer).body == "second");
     }
 }
+
+TEST_CASE("An interim answer is not taken for the answer")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                StubUpstream::sealedAnswer(request, 200, "whole")};
+    });
+    for (const auto *target : {"/take/1", "/look/1"}) {
+        const auto answer = fixture.send(target);
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 200);
+        CHECK(value(answer).body == "whole");
+    }
+}
