Blame no upstream for a lack of memory here, and believe no refusal without an id

An answer that got no memory counted as broken: the engine was used less, and its address was probed as after a crash. The error of an attempt was kept uncounted during the next one. Two empty ids counted as the same id, so that a request without one could be refused by an answer to another.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -256,6 +256,8 @@
         }
         this->gateway.suspectExchange.handleProbe(this->suspectIdentity.probes,
                                                   this->properties.requestId, clockNow());
+        // The next attempt replaces the error of the one before.
+        last.upstreamError.reset();
         last = co_await this->attempt(target);
         this->leaveSuspectGates();
         this->recordForSuspects(last, target.upstreamId);
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -33,7 +33,7 @@
         this->gateway.dispatcher.noteLoad(upstreamId, answer.load->running, answer.load->waiting,
                                           clockNow());
     AttemptResult result;
-    if (answer.isNotExecuted && namesRequest) {
+    if (answer.isNotExecuted && namesRequest && !answer.requestId.empty()) {
         result.evidence = NotExecutedEvidence::Refused;
         result.outcome = answer.isMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
@@ -187,7 +187,8 @@
             break;
         const bool isTooLarge = response.body.size() + value(piece).size() > MaxBufferedBodyBytes;
         if (isTooLarge || !this->responseMemory.tryGrow(value(piece).size())) {
-            result.outcome = AttemptOutcome::Broken;
+            // A lack of memory here says nothing about the upstream.
+            result.outcome = isTooLarge ? AttemptOutcome::Broken : AttemptOutcome::Abandoned;
             result.reason =
                 isTooLarge ? "the answer is too large" : "no memory is left for the answer";
             co_return result;
