Notice a restore from era 0, and read the configuration while a watch may wait over it

Era 0 was taken for not known, so that the first restore of a store that counts from 0 undid the end of engines. A watch of the configuration that is not cut by the restore waits for a revision that comes late; the list's loop learns of the era within two seconds and now reads the configuration, as after an outage.

Tests: RestoredStoreTest, 93 assertions, with a store that counts from 0 and one that keeps waiting watches; not run on the code before.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -251,12 +251,15 @@
 
 void Gateway::recordListEra()
 {
-    const uint64_t previous = std::exchange(this->listEra, this->store.era());
-    if (previous == 0 || this->listEra == previous)
+    const auto previous = std::exchange(this->listEra, this->store.era());
+    if (!previous || this->listEra == previous)
         return;
-    this->directory.noteStoreRestored(clockNow());
-    logDecision(LogPriority::Notable, clockNow(),
-                fmt::format("event=list_restored era={} previous={}", this->listEra, previous));
+    const Instant now = clockNow();
+    this->directory.noteStoreRestored(now);
+    // A watch from before the restore may still wait for a revision that comes late.
+    this->configSuspectUntil = now + ConfigWatchSuspectTime;
+    logDecision(LogPriority::Notable, now,
+                fmt::format("event=list_restored era={} previous={}", *this->listEra, *previous));
 }
 
 void Gateway::recordStoreFailure(Instant calledAt, const std::string &reason)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -143,8 +143,8 @@
     PlannerCoordinator plannerCoordinator;
     SuspectExchange suspectExchange;
     bool upstreamsKnown = false;
-    // Era of the store in which the list was read last; 0 before the first time.
-    uint64_t listEra = 0;
+    // Era of the store in which the list was read last; empty before the first time.
+    std::optional<uint64_t> listEra;
     bool storeReachable = true;
     // Until this time, the watch of the configuration may hang unnoticed.
     Instant configSuspectUntil{};
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -154,11 +154,12 @@
     while (true) {
         if (this->neverRespond)
             co_await this->waitForever();
-        if (this->era != begunInEra) {
+        if (this->era != begunInEra && !this->keepsWatches) {
             responder.abort();
             co_return;
         }
-        if (since < this->oldestRevision || since > this->revision) {
+        const bool isKept = this->era != begunInEra;
+        if (!isKept && (since < this->oldestRevision || since > this->revision)) {
             HttpResponse gone = answer(410, {{"error", "that history is gone"}});
             co_await this->send(responder, std::move(gone));
             co_return;
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -41,8 +41,10 @@
 
     Copy makeCopy() const { return {this->revision, this->kinds}; }
     /// Comes back from a copy: what was written since is gone, its revisions are given out again,
-    /// and a new era begins. Waiting watches are cut off.
+    /// and a new era begins. Waiting watches are cut off unless keepsWatches is set.
     void restore(const Copy &copy);
+    bool keepsWatches = false;
+    uint64_t era = 1;
     /// Returns the text of an object's spec; empty if there is no such object.
     std::string specOf(const std::string &kind, const std::string &name) const;
     uint64_t currentRevision() const { return this->revision; }
@@ -80,7 +82,6 @@
     HttpServer server;
     uint64_t revision = 100;
     uint64_t oldestRevision = 0;
-    uint64_t era = 1;
     std::map<std::string, std::map<std::string, boost::json::value>> kinds;
     std::deque<Change> changes;
 };
--- a/tests/restore/RestoredStoreTest.cpp
+++ b/tests/restore/RestoredStoreTest.cpp
@@ -70,6 +70,7 @@
 TEST_CASE("An upstream that left since the copy gets no requests after the restore")
 {
     GatewayFixture fixture(answerFirst);
+    fixture.store.era = 0;
     REQUIRE(fixture.statusOf("/look/1") == 200);
     const auto copy = fixture.store.makeCopy();
     SUBCASE("when it had been removed")
@@ -94,6 +95,22 @@
     CHECK(fixture.first.received.empty());
 }
 
+TEST_CASE("A watch that waits over a restore does not hide the changes after it")
+{
+    GatewayFixture fixture(answerFirst);
+    fixture.store.keepsWatches = true;
+    const auto copy = fixture.store.makeCopy();
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    raiseRevision(fixture.store, 40);
+    fixture.store.put("config", "main", makeConfig(2, false));
+    fixture.runFor(milliseconds(2500));
+    fixture.store.restore(copy);
+    fixture.runFor(milliseconds(500));
+    fixture.store.put("config", "main", makeConfig(3, true));
+    fixture.runFor(MaxApplyTime);
+    CHECK(fixture.statusOf("/added/1") == 200);
+}
+
 TEST_CASE("A second gateway of the data centre follows the list over a restore")
 {
     GatewayFixture fixture(answerFirst);
