Let a share of the bodies' memory outlive its budget

Nobody has seen it outside of tests of the shares themselves: a gateway that ends while requests hold shares would have had them returned to memory that was freed. Requests may outlive their gateway, as the set of active exchanges does.

Cause: a share referred to the budget, which is a member of the gateway. The account is now owned by the budget and its shares together.

--- a/src/net/MemoryBudget.cpp
+++ b/src/net/MemoryBudget.cpp
@@ -5,21 +5,21 @@
 
 bool MemoryBudget::Share::tryGrow(size_t bytes)
 {
-    if (this->budget == nullptr || bytes == 0)
+    if (!this->account || bytes == 0)
         return true;
     const bool isSmall = this->held + bytes <= SmallBodyBytes;
-    const size_t limit = isSmall ? this->budget->limit : this->budget->limit / 2;
-    if (this->budget->used + bytes > limit)
+    const size_t limit = isSmall ? this->account->limit : this->account->limit / 2;
+    if (this->account->used + bytes > limit)
         return false;
     this->held += bytes;
-    this->budget->used += bytes;
+    this->account->used += bytes;
     return true;
 }
 
 void MemoryBudget::Share::release()
 {
     if (this->held > 0)
-        this->budget->used -= this->held;
+        this->account->used -= this->held;
     this->held = 0;
 }
 
--- a/tests/net/MemoryBudgetTest.cpp
+++ b/tests/net/MemoryBudgetTest.cpp
@@ -43,6 +43,15 @@
         CHECK(budget.usedBytes() <= 20 * Small);
         CHECK(budget.usedBytes() > 19 * Small);
     }
+    SUBCASE("a body may outlive the budget")
+    {
+        auto ended = std::make_unique<MemoryBudget>(20 * Small);
+        MemoryBudget::Share last(*ended);
+        REQUIRE(last.tryGrow(Small));
+        ended.reset();
+        CHECK(last.tryGrow(Small));
+        last.release();
+    }
     SUBCASE("without a budget there is no bound")
     {
         MemoryBudget::Share unbounded;
