Bound the memory of the bodies of requests

Callers saw 30 of 37 requests with bodies of 4 MiB, which the configuration allows, end without an answer, as the gateway was killed beyond its memory limit.

Cause: each body was read whole, whatever the others held. Class: a bound for each, none for all.

Requests take the memory of their bodies from the gateway's budget, as answers do: the whole length before the body is read, or, in chunks, what has arrived. They keep it until their handler has ended. If there is too little, the rest is read and dropped within the limits and the time of every body, and the answer is 503 with Retry-After; the connection stays usable. If the rest does not arrive in time, the same answer closes the connection.

Test: LargeRequestTest, 40 requests of 4 MiB at once at an upstream that takes 2 s; before, both parts failed, in chunks the process grew by 361 MiB (96 allowed). With the change 8 are served and 32 refused, growth 65 MiB (in chunks 7, 33 and 92), none of the refused reached the upstream and a small request was served each time in between. RequestMemoryTest: 3 cases of the server alone, 33 assertions pass.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -93,6 +93,8 @@
     std::optional<Duration> retryAfter;
     if (reason.kind == ErrorKind::Draining)
         retryAfter = ShutdownSchedule::DrainRetryAfter;
+    else if (answer.retryAfterMs > 0 && answer.ran == Ran::No)
+        retryAfter = milliseconds(answer.retryAfterMs);
     return codec.makeErrorResponse("", answer.httpStatus, std::string(answer.type), reason.message,
                                    retryAfter);
 }
@@ -109,7 +111,8 @@
               Exchange exchange(*this, std::move(request), responder, clockNow());
               co_await exchange.run();
           },
-          {}, [&codec](const Error &reason) { return makeRefusal(codec, reason); }),
+          {}, [&codec](const Error &reason) { return makeRefusal(codec, reason); },
+          &this->bodyMemory),
       readinessServer(context,
                       [this](HttpRequest, HttpResponder &responder) -> asio::awaitable<void> {
                           HttpResponse answer =
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -62,6 +62,11 @@
     return {ErrorKind::BadRequest, "the request is not valid HTTP: " + code.message()};
 }
 
+Error outOfMemoryRefusal()
+{
+    return {ErrorKind::OutOfMemory, "too many large bodies are held: this one is not read"};
+}
+
 bool isRequestFault(beast::error_code code)
 {
     return code == beast::error::timeout ||
@@ -76,9 +81,9 @@
     class Connection;
 
     Impl(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
-         HttpRefusal refusal)
+         HttpRefusal refusal, MemoryBudget *bodyMemory)
         : context(context), handler(std::move(handler)), limits(limits),
-          refusal(refusal ? std::move(refusal) : defaultRefusal)
+          refusal(refusal ? std::move(refusal) : defaultRefusal), bodyMemory(bodyMemory)
     {}
 
     void serve(tcp::socket socket);
@@ -87,6 +92,8 @@
     HttpHandler handler;
     HttpServerLimits limits;
     HttpRefusal refusal;
+    // Memory of the bodies of requests; null if it is not bounded.
+    MemoryBudget *const bodyMemory;
     std::unique_ptr<Listener> listener;
     std::atomic<bool> draining{false};
     // The listener has handed over its last connection.
@@ -369,9 +376,12 @@
             auto [writeCode, written] = co_await http::async_write(this->stream, proceed, Await);
             code = writeCode;
         }
+        std::optional<MemoryBudget::Share> memory(std::in_place);
+        if (this->server->bodyMemory != nullptr)
+            memory.emplace(*this->server->bodyMemory);
+        bool isOutOfMemory = false;
         if (!code)
-            std::tie(code, bytes) =
-                co_await http::async_read(this->stream, this->buffer, parser, Await);
+            code = co_await this->readBody(parser, *memory, isOutOfMemory);
         this->reading = false;
         this->readTimer.cancel();
         if (code == asio::error::operation_aborted && clockNow() >= this->readDeadline)
@@ -379,11 +389,13 @@
         if (code) {
             if (isRequestFault(code)) {
                 this->requestKeepsAlive = false;
-                const bool isStopping =
-                    this->server->refusingIncompleteRequests && code == beast::error::timeout;
-                HttpResponse response = this->server->refusal(
-                    isStopping ? Error{ErrorKind::Draining, "the instance stops: no more is read"}
-                               : toRefusal(code));
+                const bool isTimeout = code == beast::error::timeout;
+                Error reason = toRefusal(code);
+                if (isTimeout && this->server->refusingIncompleteRequests)
+                    reason = {ErrorKind::Draining, "the instance stops: no more is read"};
+                else if (isTimeout && isOutOfMemory)
+                    reason = outOfMemoryRefusal();
+                HttpResponse response = this->server->refusal(reason);
                 co_await this->respond(std::move(response));
             }
             co_return false;
@@ -399,6 +411,11 @@
         this->isHeadRequest = request.method == "HEAD";
         this->requestKeepsAlive = message.keep_alive();
         ++this->requests;
+        if (isOutOfMemory) {
+            HttpResponse response = this->server->refusal(outOfMemoryRefusal());
+            co_await this->respond(std::move(response));
+            co_return !this->closing;
+        }
         ++this->server->inFlight;
         bool failed = false;
         try {
@@ -426,6 +443,34 @@
         co_return !this->closing && this->started;
     }
 
+    /// Reads the body of a request and takes its memory from the share. If there is too little, the
+    /// rest is read without being kept, so that the connection stays usable.
+    asio::awaitable<beast::error_code> readBody(http::request_parser<http::string_body> &parser,
+                                                MemoryBudget::Share &memory, bool &isOutOfMemory)
+    {
+        const auto length = parser.content_length();
+        isOutOfMemory = length && !memory.tryGrow(static_cast<size_t>(*length));
+        size_t counted = 0;
+        parser.eager(true);
+        while (!parser.is_done()) {
+            const auto [code, bytes] =
+                co_await http::async_read_some(this->stream, this->buffer, parser, Await);
+            if (code)
+                co_return code;
+            auto &body = parser.get().body();
+            if (!length && !isOutOfMemory) {
+                isOutOfMemory = !memory.tryGrow(body.size() - counted);
+                counted = body.size();
+            }
+            if (isOutOfMemory) {
+                // An assignment would keep the allocated memory.
+                std::string().swap(body);
+                memory.release();
+            }
+        }
+        co_return beast::error_code{};
+    }
+
     /// Calls the disconnect callback if the peer closes the connection while a request is handled.
     /// Bytes that arrive meanwhile are read ahead.
     void watchForDisconnect()
@@ -516,8 +561,9 @@
 }
 
 HttpServer::HttpServer(asio::io_context &context, HttpHandler handler, HttpServerLimits limits,
-                       HttpRefusal refusal)
-    : impl(std::make_shared<Impl>(context, std::move(handler), limits, std::move(refusal)))
+                       HttpRefusal refusal, MemoryBudget *bodyMemory)
+    : impl(std::make_shared<Impl>(context, std::move(handler), limits, std::move(refusal),
+                                  bodyMemory))
 {}
 
 HttpServer::~HttpServer()
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -5,6 +5,7 @@
 #include "base/Address.h"
 #include "base/Time.h"
 #include "net/HttpMessage.h"
+#include "net/MemoryBudget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -59,15 +60,18 @@
 
 /// Creates the response to a request that is refused before it reaches the handler, or whose
 /// handler threw. The kind of the reason is, for example, BadRequest, HeaderTooLarge, BodyTooLarge,
-/// RequestTimeout or Draining.
+/// OutOfMemory, RequestTimeout or Draining.
 using HttpRefusal = std::function<HttpResponse(const Error &reason)>;
 
 /// Listens on an address and serves its connections until it is drained.
 class HttpServer
 {
 public:
+    /// If a budget is given, the bodies of requests take their memory from it until their handler
+    /// has ended; requests for which none is left are refused with ErrorKind::OutOfMemory. The
+    /// context then runs on one thread, and the budget lives as long as the server.
     HttpServer(boost::asio::io_context &context, HttpHandler handler, HttpServerLimits limits = {},
-               HttpRefusal refusal = {});
+               HttpRefusal refusal = {}, MemoryBudget *bodyMemory = nullptr);
     ~HttpServer();
 
     /// Binds and starts accepting connections; port 0 selects a free port. Returns the bound
