Free the body of a request once it has been sent

Cause: HttpClient::open kept its copy of the body until the head of the response had arrived, and the caller of open() kept its own for further attempts. The copy is now freed after the request has been written. While it is written the body is still held twice, and the share of the gateway counts it once.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -379,11 +379,13 @@
     if (!isOk(connected))
         co_return error(connected);
     auto connection = value(std::move(connected));
-    const auto message = toMessage(address, std::move(request));
+    auto message = toMessage(address, std::move(request));
     connection->stream.expires_at(deadline);
     const auto [code, bytes] = co_await http::async_write(connection->stream, message, Await);
     if (code)
         co_return failure(code, toString(address));
+    // The response may take long, and large bodies of many calls would add up.
+    std::string().swap(message.body());
     const std::string key = toString(address);
     auto stream = std::make_unique<BeastStream>(
         [self, key](std::shared_ptr<Connection> pooled) {
--- a/tests/net/RequestMemoryTest.cpp
+++ b/tests/net/RequestMemoryTest.cpp
@@ -1,4 +1,6 @@
-// Tests of a server whose requests take the memory of their bodies from a budget.
+// Tests of the memory that the bodies of requests hold: of a server that takes it from a budget,
+// and of a client.
+#include "net/HttpClient.h"
 #include "net/HttpServer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -12,6 +14,8 @@
 #include <boost/beast/http.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
+#include <fstream>
+#include <unistd.h>
 
 using namespace tray;
 namespace asio = boost::asio;
@@ -25,6 +29,16 @@
 // Large bodies may use half of the budget, which is one large body.
 constexpr size_t BudgetBytes = 2 * LargeBytes;
 
+/// Memory of this process that is not swapped out, in bytes.
+size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    size_t total = 0;
+    size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string makeRequest(const std::string &target, const std::string &body, bool isChunked)
 {
     const std::string head = "POST " + target + " HTTP/1.1\r\nHost: a\r\n";
@@ -182,3 +196,48 @@
     CHECK(fixture.handled.empty());
     CHECK(fixture.budget.usedBytes() == 0);
 }
+
+TEST_CASE("A client does not keep the body of a request while it waits for the answer")
+{
+    // Allocations of this size are returned to the system when they are freed.
+    constexpr size_t BodyBytes = 64u << 20;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    size_t received = 0;
+    bool isAnswered = false;
+    std::vector<char> room(64u << 10);
+    const size_t before = residentBytes();
+    size_t waiting = 0;
+    const auto serve = [&]() -> asio::awaitable<void> {
+        auto [code, socket] = co_await acceptor.async_accept(Await);
+        while (!code && received < BodyBytes) {
+            const auto [readCode, size] =
+                co_await socket.async_read_some(asio::buffer(room), Await);
+            code = readCode;
+            received += size;
+        }
+        asio::steady_timer timer(context, milliseconds(300));
+        co_await timer.async_wait(Await);
+        waiting = residentBytes();
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(answer), Await);
+        co_await socket.async_read_some(asio::buffer(room), Await);
+    };
+    const auto call = [&]() -> asio::awaitable<void> {
+        HttpClient client(context);
+        const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/";
+        request.body = std::string(BodyBytes, 'b');
+        auto opened = co_await client.open(address, std::move(request), std::chrono::seconds(10));
+        isAnswered = isOk(opened) && value(opened)->status() == 200;
+    };
+    asio::co_spawn(context, serve, asio::detached);
+    asio::co_spawn(context, call, asio::detached);
+    context.run_for(std::chrono::seconds(15));
+    CHECK(isAnswered);
+    CHECK(received >= BodyBytes);
+    CHECK(waiting > 0);
+    CHECK(waiting < before + BodyBytes / 4);
+}
