Let requests without the deadly part clear several refused parts at once

Callers saw: a new prompt version had two shared parts, its first requests had a deadly third one, and all sound requests of the version were refused with 503 for 15 s and more.

Cause: a refused part was probed at once only if the request had no other refused part. Sound requests that share two new parts with the deadly ones waited for the 15 s as if they told nothing apart.

Change: a request separates its refused parts, too, if each of them has only occurred in crashes in which a suspect that the request lacks occurred as well. A trusted part is no such explanation. The delays between probes are as before, so their number for each crash is bounded, and a crash of a probe ends the quick ones for its parts. The slots of all suspects of a request follow one rendezvous order, that of its smallest digest, so that two gateways do not each wait for the other's turn and then go at the same moment.

Evidence: CrashTrackerTest, "with two parts that were never answered", failed before and passes; all of test-routing and CrashingPartTest pass.

--- a/src/routing/CrashTracker.cpp
+++ b/src/routing/CrashTracker.cpp
@@ -52,9 +52,15 @@
         else
             add(digest, part);
     }
+    if (refused.empty())
+        return decision;
+    const bool isSeparating =
+        refused.size() == 1 || this->hasOtherExplanation(request, refused, now);
+    // One order for all suspects of the request, so that one process is the first for all of them.
+    const Duration slot =
+        ProbeSlot * this->probeOrder(*std::min_element(refused.begin(), refused.end()));
     for (const uint64_t digest : refused) {
-        const Instant probeAt = this->suspects.probeDueAt(digest, refused.size() == 1) +
-                                ProbeSlot * this->probeOrder(digest);
+        const Instant probeAt = this->suspects.probeDueAt(digest, isSeparating) + slot;
         add(digest, now >= probeAt ? SuspectVerdict::Probe : SuspectVerdict::Refused);
         if (now < probeAt)
             decision.retryAfter =
@@ -64,6 +70,20 @@
     return decision;
 }
 
+bool CrashTracker::hasOtherExplanation(const SuspectIdentity &request,
+                                       const std::vector<uint64_t> &refused, Instant now) const
+{
+    const auto isElsewhere = [&](uint64_t digest) {
+        const auto &own = request.partDigests;
+        return digest != request.contentDigest && !this->trustedParts.contains(digest) &&
+               std::find(own.begin(), own.end(), digest) == own.end();
+    };
+    return std::all_of(refused.begin(), refused.end(), [&](uint64_t digest) {
+        const auto companions = this->suspects.findCompanions(digest, now);
+        return std::any_of(companions.begin(), companions.end(), isElsewhere);
+    });
+}
+
 void CrashTracker::recordBreak(const SuspectIdentity &request, const std::string &upstream,
                                const std::string &incarnation, Instant sentAt, Instant now)
 {
--- a/src/routing/CrashTracker.h
+++ b/src/routing/CrashTracker.h
@@ -156,6 +156,10 @@
     /// Parts of all requests whose connections to an upstream broke: those without trust, or all if
     /// there are none.
     std::set<uint64_t> findLikelyParts(const std::string &upstream) const;
+    /// Whether each of these parts of a request has only occurred in crashes that a suspect without
+    /// trust, which the request does not have, explains as well.
+    bool hasOtherExplanation(const SuspectIdentity &request, const std::vector<uint64_t> &refused,
+                             Instant now) const;
     SuspectVerdict judgeContent(uint64_t digest, Instant now) const;
     /// Verdict on a part by its crashes alone; not a probe.
     SuspectVerdict judgePart(uint64_t digest, Instant now) const;
--- a/src/routing/SuspectTable.cpp
+++ b/src/routing/SuspectTable.cpp
@@ -147,12 +147,31 @@
     return row == nullptr ? Duration::zero() : row->expiresAt - now;
 }
 
-Instant SuspectTable::probeDueAt(uint64_t digest, bool isOnlySuspect) const
+std::vector<uint64_t> SuspectTable::findCompanions(uint64_t digest, Instant now) const
+{
+    std::vector<uint64_t> companions;
+    const Row *row = this->findRow(digest, now);
+    if (row == nullptr || row->upstreams.empty())
+        return companions;
+    for (const auto &[other, candidate] : this->rows) {
+        if (other == digest || candidate.expiresAt <= now || candidate.crashes < row->crashes)
+            continue;
+        const bool hasAll =
+            std::all_of(row->upstreams.begin(), row->upstreams.end(), [&](const auto &upstream) {
+                return candidate.upstreams.contains(upstream.first);
+            });
+        if (hasAll)
+            companions.push_back(other);
+    }
+    return companions;
+}
+
+Instant SuspectTable::probeDueAt(uint64_t digest, bool isSeparating) const
 {
     const Row &row = this->rows.at(digest);
     const uint32_t factor = 1u << std::min(row.probes, MaxProbeDoublings);
     const Duration delay =
-        isOnlySuspect && !row.isIsolated ? QuickProbeDelay * (factor - 1) : ProbeDelay * factor;
+        isSeparating && !row.isIsolated ? QuickProbeDelay * (factor - 1) : ProbeDelay * factor;
     return std::max(row.lastCrashAt(), row.probedAt) + delay;
 }
 
--- a/src/routing/SuspectTable.h
+++ b/src/routing/SuspectTable.h
@@ -79,10 +79,13 @@
     }
     /// Time until the suspect expires; zero if it is not in the table.
     Duration timeLeft(uint64_t digest, Instant now) const;
-    /// Time from which a request with the suspect may be sent as a probe. A request without another
-    /// suspect may be sent sooner, as it separates the suspect from those that it occurred with.
-    /// The suspect must be in the table.
-    Instant probeDueAt(uint64_t digest, bool isOnlySuspect) const;
+    /// Other suspects that occurred in each known crash of the suspect and so explain all of them
+    /// as well.
+    std::vector<uint64_t> findCompanions(uint64_t digest, Instant now) const;
+    /// Time from which a request with the suspect may be sent as a probe. A request that separates
+    /// the suspect from those that it occurred with may be sent sooner. The suspect must be in the
+    /// table.
+    Instant probeDueAt(uint64_t digest, bool isSeparating) const;
     /// The suspect with this digest as a message; without crashes if it is not in the table.
     proto::Suspect find(uint64_t digest, Instant now) const;
     /// Suspects that changed within PropagationTime; with all set, every suspect, for a neighbour
--- a/tests/routing/CrashTrackerTest.cpp
+++ b/tests/routing/CrashTrackerTest.cpp
@@ -190,6 +190,66 @@
         CHECK(judgeParts({First}, after(700)) == SuspectVerdict::Unsuspected);
         CHECK(judgeParts({First, Deadly}, after(700)) != SuspectVerdict::Unsuspected);
     }
+    SUBCASE("with two parts that were never answered, until one request tells them apart")
+    {
+        constexpr uint64_t Second = 14;
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        CHECK(judgeParts({First, Second, Deadly}, after(100)) == SuspectVerdict::Refused);
+        const auto decision = tracker.decide(identify({First, Second}), after(100));
+        REQUIRE(decision.verdict == SuspectVerdict::Probe);
+        tracker.recordProbes(decision.probes, after(100));
+        CHECK(judgeParts({First, Second}, after(150)) == SuspectVerdict::Refused);
+        tracker.recordSoundAnswer({First, Second}, after(200));
+        CHECK(judgeParts({First, Second}, after(200)) == SuspectVerdict::Unsuspected);
+        CHECK(judgeParts({First, Second, Deadly}, after(200)) != SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("with two parts whose requests crash without it, too, but once")
+    {
+        constexpr uint64_t Second = 14;
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        int probes = 0;
+        for (int64_t ms = 100; ms < 29000; ms += 100) {
+            auto request = identify({Second, Deadly});
+            const auto decision = tracker.decide(request, after(ms));
+            if (decision.verdict != SuspectVerdict::Probe)
+                continue;
+            ++probes;
+            tracker.recordProbes(decision.probes, after(ms));
+            request.probes = decision.probes;
+            crash({request}, after(ms), after(ms + 50));
+        }
+        CHECK(probes == 1);
+    }
+    SUBCASE("and a trusted part that is missing tells nothing apart")
+    {
+        constexpr uint64_t Second = 14;
+        tracker.recordSoundAnswer({First}, start);
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        CHECK(judgeParts({Second, Deadly}, after(200)) == SuspectVerdict::Refused);
+    }
+    SUBCASE("two gateways send one request that tells parts apart, the first in order")
+    {
+        constexpr uint64_t Second = 14;
+        // The order of the parts differs, that of the request must not.
+        CrashTracker front([](uint64_t digest) { return size_t{digest == First ? 0u : 1u}; });
+        CrashTracker peer([](uint64_t digest) { return size_t{digest == First ? 1u : 0u}; });
+        for (int i = 0; i < 6; ++i) {
+            const auto report =
+                makeReport(crash({identify({First, Second, Deadly})}, start, after(i * 10)));
+            front.merge(report, after(i * 10));
+            peer.merge(report, after(i * 10));
+        }
+        const auto decision = front.decide(identify({Second, First}), after(100));
+        REQUIRE(decision.verdict == SuspectVerdict::Probe);
+        CHECK(peer.decide(identify({First, Second}), after(100)).verdict ==
+              SuspectVerdict::Refused);
+        peer.merge(makeReport(front.recordProbes(decision.probes, after(100))), after(100));
+        CHECK(peer.decide(identify({First, Second}), after(700)).verdict ==
+              SuspectVerdict::Refused);
+    }
     SUBCASE("one that is alone is let through at once, but after its crash not for long")
     {
         for (int i = 0; i < 3; ++i)
