Count a cut-off store call as an outage only if the next one fails

Cause: each failed call counted as a failure of the store at the time at which it failed, although the next call was answered, and a gateway that does not read the list learned of the store's return only from a watch of 10 s.

Change: a call that fails before its answer is overdue leaves the store in doubt. An answer contradicts it; a failure of a call that began later confirms it. A call whose answer was overdue by a second or more counts at once, as before, because entries may have lapsed in that silence. The loops of the list and of the configuration call without waiting until an answer has come.

--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -13,11 +13,23 @@
     if (!this->storeFailing && this->storeReturnedAt && calledAt < *this->storeReturnedAt)
         return false;
     this->storeFailing = true;
+    this->inDoubtSince.reset();
     return true;
 }
 
+bool UpstreamDirectory::noteEarlyFailure(Instant calledAt, Instant now)
+{
+    if (this->storeFailing || (this->inDoubtSince && calledAt >= *this->inDoubtSince))
+        return this->noteStoreFailure(calledAt);
+    const bool isOutdated = this->storeReturnedAt && calledAt < *this->storeReturnedAt;
+    if (!isOutdated && !this->inDoubtSince)
+        this->inDoubtSince = now;
+    return false;
+}
+
 void UpstreamDirectory::noteStoreAnswer(Instant now)
 {
+    this->inDoubtSince.reset();
     if (!this->storeFailing)
         return;
     this->storeFailing = false;
@@ -27,6 +39,7 @@
 void UpstreamDirectory::noteStoreRestored(Instant now)
 {
     this->storeFailing = false;
+    this->inDoubtSince.reset();
     this->storeReturnedAt = now;
     this->storeRestoredAt = now;
 }
--- a/src/fleet/UpstreamDirectory.h
+++ b/src/fleet/UpstreamDirectory.h
@@ -58,6 +58,11 @@
     /// Returns false if that is no news: the call began before the store returned from its last
     /// failure.
     bool noteStoreFailure(Instant calledAt);
+    /// Records that a call that began at calledAt was cut off or refused before its answer was
+    /// overdue. A single call may fail so although the store works, so this counts as a failure of
+    /// the store only if a call that began later fails, too, before the store answers. Returns
+    /// whether it counts.
+    bool noteEarlyFailure(Instant calledAt, Instant now);
     /// Records that the store answered. Call this before the content of the answer is applied.
     void noteStoreAnswer(Instant now);
     /// Records that the store has been restored from an older copy, before a list of it is applied.
@@ -72,6 +77,9 @@
     /// still listed after the time in which those of ended upstreams lapse.
     Notices removeExpired(Instant now);
 
+    /// Whether a call has failed and no other one has shown yet whether the store works.
+    bool isStoreInDoubt() const { return this->inDoubtSince.has_value(); }
+
     /// Whether an entry that vanishes now may be listed again.
     bool isListUnreliable(Instant now) const;
 
@@ -95,6 +103,9 @@
     // Invariant: each key is also a key of current.
     std::map<std::string, Instant> missingEntries;
     bool storeFailing = false;
+    // Time of the first early failure since the store's last answer. Not set while the store is
+    // failing.
+    std::optional<Instant> inDoubtSince;
     // Time of the store's return after its last failure; not set if it never failed.
     std::optional<Instant> storeReturnedAt;
     std::optional<Instant> storeRestoredAt;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -41,6 +41,9 @@
 constexpr Duration InitialRetryBackoff = milliseconds(150);
 // Maximum backoff after a failed call to the store.
 constexpr Duration MaxRetryBackoff = milliseconds(900);
+// Time after which the answer of a call that does not wait is overdue. A failure before that may
+// concern only this call; a store that was silent for so long may have lost entries.
+constexpr Duration AnswerOverdueTime = std::chrono::seconds(1);
 // Maximum time between two snapshots of an engine in this region.
 constexpr Duration SnapshotPeriod = milliseconds(250);
 // Maximum time between two snapshots of an engine in another region. Such engines get little work
@@ -259,18 +262,25 @@
                 fmt::format("event=list_restored era={} previous={}", this->listEra, previous));
 }
 
-void Gateway::recordStoreFailure(Instant calledAt, const std::string &reason)
+void Gateway::recordStoreFailure(Instant calledAt, Duration wait, const std::string &reason)
 {
     const Instant now = clockNow();
-    const bool isNews = this->directory.noteStoreFailure(calledAt);
-    if (isNews)
+    const bool isOverdue = now >= calledAt + wait + AnswerOverdueTime;
+    const bool isNews = isOverdue ? this->directory.noteStoreFailure(calledAt)
+                                  : this->directory.noteEarlyFailure(calledAt, now);
+    const bool isInDoubt = this->directory.isStoreInDoubt();
+    if (isNews || isInDoubt)
         this->configSuspectUntil = now + ConfigWatchSuspectTime;
     if (isNews && !std::exchange(this->storeReachable, false))
         return;
-    logDecision(LogPriority::Notable, now,
-                fmt::format("event={} call_ms={} reason=\"{}\"",
-                            isNews ? "store_lost" : "store_call_outdated", toMs(now - calledAt),
-                            reason));
+    std::string_view event = "store_call_outdated";
+    if (isNews)
+        event = "store_lost";
+    else if (isInDoubt)
+        event = "store_in_doubt";
+    logDecision(
+        LogPriority::Notable, now,
+        fmt::format("event={} call_ms={} reason=\"{}\"", event, toMs(now - calledAt), reason));
 }
 
 void Gateway::applyConfig(const ConfigSnapshot &reading)
@@ -296,7 +306,10 @@
 {
     uint64_t revision = 0;
     Duration backoff = InitialRetryBackoff;
+    bool hasFailed = false;
     while (!this->shutdownSchedule.isStopping()) {
+        // A call that does not wait shows soonest whether the store works.
+        const Duration wait = hasFailed ? Duration::zero() : ConfigWatchTimeout;
         // Not a single conditional expression, because g++ 12 destroys its awaited temporaries
         // twice.
         const Instant calledAt = clockNow();
@@ -304,8 +317,9 @@
         if (revision == 0)
             reading = co_await this->store.readConfig();
         else
-            reading = co_await this->store.awaitConfig(revision, ConfigWatchTimeout);
+            reading = co_await this->store.awaitConfig(revision, wait);
         if (isOk(reading)) {
+            hasFailed = false;
             this->recordStoreSuccess();
             this->applyConfig(value(reading));
             revision = value(reading).revision;
@@ -323,7 +337,9 @@
             continue;
         }
         if (problem.kind != ErrorKind::NotFound)
-            this->recordStoreFailure(calledAt, problem.message);
+            this->recordStoreFailure(calledAt, revision == 0 ? Duration::zero() : wait,
+                                     problem.message);
+        hasFailed = true;
         co_await pauseFor(backoff);
         backoff = std::min(backoff * 2, MaxRetryBackoff);
     }
@@ -338,10 +354,19 @@
     if (isOk(reading))
         this->applyConfig(value(reading));
     else if (error(reading).kind != ErrorKind::NotFound)
-        this->recordStoreFailure(calledAt, error(reading).message);
+        this->recordStoreFailure(calledAt, Duration::zero(), error(reading).message);
 }
 
-asio::awaitable<Result<UpstreamDirectory::Notices>> Gateway::readUpstreams()
+Duration Gateway::upstreamWatchTimeout() const
+{
+    // The store is read without waiting if it was unreachable, which detects its return soonest, or
+    // if this gateway is not the reader and only catches up with what the store has told a peer.
+    const bool mayWait = this->listRelay.revision() != 0 && this->storeReachable &&
+                         !this->directory.isStoreInDoubt() && this->listRelay.isReader();
+    return mayWait ? UpstreamWatchTimeout : Duration::zero();
+}
+
+asio::awaitable<Result<UpstreamDirectory::Notices>> Gateway::readUpstreams(Duration wait)
 {
     if (this->listRelay.revision() == 0) {
         auto reading = co_await this->store.readUpstreams();
@@ -354,10 +379,6 @@
         this->upstreamsKnown = true;
         co_return this->directory.replaceAll(value(reading).entries, now);
     }
-    // The store is read without waiting if it was unreachable, which detects its return soonest, or
-    // if this gateway is not the reader and only catches up with what the store has told a peer.
-    const bool mayWait = this->storeReachable && this->listRelay.isReader();
-    const Duration wait = mayWait ? UpstreamWatchTimeout : Duration::zero();
     const uint64_t seenBefore = this->listRelay.highestSeenRevision();
     auto reading = co_await this->store.awaitUpstreams(this->listRelay.revision(), wait);
     if (!isOk(reading))
@@ -391,7 +412,8 @@
             continue;
         }
         const Instant calledAt = clockNow();
-        const auto notices = co_await this->readUpstreams();
+        const Duration wait = this->upstreamWatchTimeout();
+        const auto notices = co_await this->readUpstreams(wait);
         if (isOk(notices)) {
             this->applyUpstreamNotices(value(notices));
             backoff = InitialRetryBackoff;
@@ -412,7 +434,7 @@
             this->listRelay.resetRevision();
             continue;
         }
-        this->recordStoreFailure(calledAt, problem.message);
+        this->recordStoreFailure(calledAt, wait, problem.message);
         if (auto update = this->listRelay.handleStoreFailure(clockNow()))
             this->sendListUpdate(std::move(*update));
         co_await pauseFor(backoff);
@@ -442,7 +464,7 @@
             if (isOk(reading))
                 this->applyConfig(value(reading));
             else
-                this->recordStoreFailure(now, error(reading).message);
+                this->recordStoreFailure(now, Duration::zero(), error(reading).message);
             this->peerConfigReportedAt = clockNow();
         }
         co_await pauseFor(ListRelay::HeartbeatPeriod);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -73,7 +73,10 @@
 
     boost::asio::awaitable<void> followConfig();
     boost::asio::awaitable<void> followUpstreams();
-    boost::asio::awaitable<Result<UpstreamDirectory::Notices>> readUpstreams();
+    /// Reads the instance list, or its changes, for which it waits up to the given time.
+    boost::asio::awaitable<Result<UpstreamDirectory::Notices>> readUpstreams(Duration wait);
+    /// Returns the time for which the next read of the instance list may wait for changes.
+    Duration upstreamWatchTimeout() const;
     /// Announces to the other gateways of the data centre that this one reads the instance list for
     /// them. Also reads the configuration if a peer has reported a newer version.
     boost::asio::awaitable<void> listUpdateLoop();
@@ -97,8 +100,9 @@
     /// Records that the store has been restored from a copy if its era has risen since the last
     /// list.
     void recordListEra();
-    /// Records that a call to the store that began at the given time has failed.
-    void recordStoreFailure(Instant calledAt, const std::string &reason);
+    /// Records that a call to the store has failed that began at the given time and might wait for
+    /// changes for the given time.
+    void recordStoreFailure(Instant calledAt, Duration wait, const std::string &reason);
     void handleDatagram(const proto::Datagram &datagram, const Address &sender);
     void registerGauges();
     Address stewardAddress(const UpstreamEntry &entry) const;
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -119,6 +119,43 @@
     }
 }
 
+TEST_CASE("A call that was cut off is a failure of the store only if a later call confirms it")
+{
+    UpstreamDirectory directory;
+    directory.noteStoreAnswer(Start);
+    directory.replaceAll({makeEntry("a")}, Start);
+    const Instant cutAt = Start + std::chrono::seconds(1);
+    const Instant retriedAt = cutAt + milliseconds(150);
+    CHECK_FALSE(directory.noteEarlyFailure(Start, cutAt));
+    CHECK(directory.isStoreInDoubt());
+
+    SUBCASE("an answer contradicts it")
+    {
+        directory.noteStoreAnswer(retriedAt);
+        CHECK_FALSE(directory.isStoreInDoubt());
+        CHECK(directory.apply(makeRemoval("a"), retriedAt).front().event == UpstreamEvent::Removed);
+    }
+    SUBCASE("another call that was cut off with it does not confirm it")
+    {
+        CHECK_FALSE(directory.noteEarlyFailure(Start, cutAt + milliseconds(10)));
+        CHECK_FALSE(directory.isListUnreliable(cutAt + milliseconds(10)));
+    }
+    SUBCASE("a later call that fails confirms it")
+    {
+        CHECK(directory.noteEarlyFailure(retriedAt, retriedAt));
+        CHECK_FALSE(directory.isStoreInDoubt());
+        const Instant returnedAt = Start + std::chrono::seconds(5);
+        directory.noteStoreAnswer(returnedAt);
+        CHECK(directory.apply(makeRemoval("a"), returnedAt).front().event ==
+              UpstreamEvent::Missing);
+    }
+    SUBCASE("a later call whose answer is overdue confirms it")
+    {
+        CHECK(directory.noteStoreFailure(retriedAt));
+        CHECK(directory.isListUnreliable(retriedAt));
+    }
+}
+
 TEST_CASE("A store that was restored from an older copy does not undo the end of an upstream")
 {
     UpstreamDirectory directory;
--- a/tests/platform/ListUpdateTest.cpp
+++ b/tests/platform/ListUpdateTest.cpp
@@ -65,3 +65,17 @@
     fixture.runFor(std::chrono::seconds(2));
     CHECK(fixture.store.requestsByKind["config"] <= before + 1);
 }
+
+TEST_CASE("A watch that is cut off once does not prolong the use of an upstream that is removed")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {StubUpstream::sealedAnswer(request, 200, "first")};
+    });
+    REQUIRE(bodyOf(fixture) == "first");
+    fixture.runFor(std::chrono::seconds(2));
+    fixture.store.cutWatches("servers");
+    fixture.runFor(milliseconds(600));
+    fixture.store.remove("servers", "i-1");
+    fixture.runFor(milliseconds(1000));
+    CHECK(bodyOf(fixture) == "second");
+}
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -151,10 +151,11 @@
     const auto end = std::chrono::steady_clock::now() +
                      milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
     const uint64_t begunInEra = this->era;
+    const int cutsBefore = this->cutCounts[kind];
     while (true) {
         if (this->neverRespond)
             co_await this->waitForever();
-        if (this->era != begunInEra) {
+        if (this->era != begunInEra || this->cutCounts[kind] != cutsBefore) {
             responder.abort();
             co_return;
         }
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -26,6 +26,8 @@
     bool respond503 = false;
     /// Accepts requests without ever answering them; pending watches are not answered, either.
     bool neverRespond = false;
+    /// Cuts off the waiting watches of a kind of objects.
+    void cutWatches(const std::string &kind) { ++this->cutCounts[kind]; }
     /// Drops the history of changes, so that watches from older revisions are answered with 410.
     void compactHistory()
     {
@@ -83,6 +85,8 @@
     uint64_t era = 1;
     std::map<std::string, std::map<std::string, boost::json::value>> kinds;
     std::deque<Change> changes;
+    // Number of times that the watches of a kind were cut off.
+    std::map<std::string, int> cutCounts;
 };
 
 } // namespace tray::test
