Let upstreams of the soak fail after execution, and callers repeat

The soak could not see a gateway pass on an upstream's 408, 429 or 503 for a request that had been executed: each of its upstreams that answered so stated that it had not executed the request, and no caller acted on the promise.

With AllFaults one in 50 executed requests is answered with the upstream's own 500 or 504, on routes that must run once also 503, 429 or 408, without Marjoramtray-Not-Executed, half of them up to 1.5 s late. Routes that may be repeated get none of the three, as the promise is only required for the others. One in 200 requests waits until its deadline and is refused with Marjoramtray-Not-Executed. Callers of routes that must run once repeat an operation once, at any gateway, with a new request id, after a promise or if nothing was sent; the executions of all requests of an operation are added at the end. The calls that check the recovery are not repeated.

An engine checks path and body against the operation instead of the request id, which are the same unless it is a repeat; the path must now also be that of the operation's route.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -41,6 +41,13 @@
     return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
 }
 
+StubReply notExecuted(int status, std::string_view id)
+{
+    return {fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Not-Executed: 1\r\n"
+                        "Marjoramtray-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        status, id)};
+}
+
 bool meansNotExecuted(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -82,6 +89,12 @@
     return kind == RouteKind::ModelStream || kind == RouteKind::ResumableModelStream;
 }
 
+bool Soak::runsOnce(RouteKind kind)
+{
+    return kind == RouteKind::NonIdempotent || kind == RouteKind::Stream ||
+           kind == RouteKind::ModelStream;
+}
+
 Duration Soak::routeTimeout(RouteKind kind) const
 {
     return this->plan == SoakPlan::PlannedStops && isModelRoute(kind) ? LongRouteTimeout
@@ -214,20 +227,17 @@
 {
     const auto &upstream = this->upstreams[index];
     const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
-    const auto notExecuted = [&](int status) -> StubReply {
-        return {fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Not-Executed: 1\r\n"
-                            "Marjoramtray-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                            status, id)};
-    };
     if (findHeader(request.headers, "Marjoramtray-Expect-Instance") != upstream.id)
-        return notExecuted(421);
+        return notExecuted(421, id);
     const Instant now = clockNow();
     if (upstream.forbiddenSince && now > *upstream.forbiddenSince + MaxRemovalDelay &&
         now > this->storeDisturbedUntil + MaxRemovalDelay)
         this->recordViolation(fmt::format(
             "request {} reached {} after the removal of this upstream", id, upstream.id));
     if (this->drawInt(1, 40) == 1)
-        return notExecuted(503);
+        return notExecuted(503, id);
+    if (auto refusal = this->drawLateRefusal(request))
+        return *refusal;
     RouteKind kind = RouteKind::Idempotent;
     for (const auto candidate :
          {RouteKind::NonIdempotent, RouteKind::Stream, RouteKind::ResumableStream}) {
@@ -237,6 +247,8 @@
     auto &executed = this->executions[id];
     ++executed.count;
     executed.kind = kind;
+    if (auto failure = this->drawFailure(request, kind))
+        return *failure;
     StubReply reply;
     reply.delay = milliseconds(this->drawInt(1, 60));
     if (kind == RouteKind::Idempotent || kind == RouteKind::NonIdempotent) {
@@ -253,6 +265,31 @@
     return stream;
 }
 
+std::optional<StubReply> Soak::drawFailure(const HttpRequest &request, RouteKind kind)
+{
+    if (this->plan != SoakPlan::AllFaults || this->drawInt(1, 50) != 1)
+        return std::nullopt;
+    // Routes whose requests may be repeated may pass on an upstream's own status unchanged.
+    static constexpr auto Statuses = std::to_array({500, 504, 503, 429, 408});
+    const int last = runsOnce(kind) ? static_cast<int>(Statuses.size()) - 1 : 1;
+    const int status = Statuses[static_cast<size_t>(this->drawInt(0, last))];
+    StubReply reply;
+    reply.bytes = StubUpstream::sealedAnswer(request, status, "failed");
+    if (this->drawInt(1, 2) == 1)
+        reply.delay = milliseconds(this->drawInt(100, 1500));
+    return reply;
+}
+
+std::optional<StubReply> Soak::drawLateRefusal(const HttpRequest &request)
+{
+    const std::string left(findHeader(request.headers, "Marjoramtray-Deadline-Ms"));
+    if (this->plan != SoakPlan::AllFaults || left.empty() || this->drawInt(1, 200) != 1)
+        return std::nullopt;
+    auto reply = notExecuted(503, findHeader(request.headers, "Marjoramtray-Request-Id"));
+    reply.delay = milliseconds(std::stoi(left));
+    return reply;
+}
+
 StubReply Soak::streamFor(const HttpRequest &request)
 {
     StubReply reply;
@@ -300,27 +337,42 @@
         const auto kind = static_cast<RouteKind>(this->drawInt(
             static_cast<int>(onlyModels ? RouteKind::ModelStream : RouteKind::Idempotent),
             RouteKindCount - 1));
-        co_await this->callOnce(client, gateway, kind);
+        const auto operation = this->makeOperation(kind);
+        const bool mayRepeat = co_await this->callOnce(client, gateway, operation);
+        // With DeadlyPart each request has a prompt of its own.
+        if (mayRepeat && runsOnce(kind) && this->plan != SoakPlan::DeadlyPart)
+            co_await this->callOnce(client, this->drawInt(0, Gateways - 1), operation);
         co_await pauseFor(milliseconds(this->drawInt(1, 25)));
     }
 }
 
-asio::awaitable<void> Soak::callOnce(HttpClient &client, int gateway, RouteKind kind,
-                                     std::string model)
+Soak::Operation Soak::makeOperation(RouteKind kind, std::string model)
+{
+    Operation operation{fmt::format("r{}", this->nextRequest++), kind, std::move(model)};
+    if (isModelRoute(kind) && operation.model.empty())
+        operation.model = this->drawModel();
+    return operation;
+}
+
+asio::awaitable<bool> Soak::callOnce(HttpClient &client, int gateway, Operation operation)
 {
-    const std::string id = fmt::format("r{}", this->nextRequest++);
+    const RouteKind kind = operation.kind;
+    // The first request names the operation.
+    const bool isFirst = !this->requestsByOperation.contains(operation.id);
+    const std::string id = isFirst ? operation.id : fmt::format("r{}", this->nextRequest++);
+    if (runsOnce(kind))
+        this->requestsByOperation[operation.id].push_back(id);
     HttpRequest request;
     request.method = "POST";
-    request.target = fmt::format("/{}/{}", nameOf(kind), id);
+    request.target = fmt::format("/{}/{}", nameOf(kind), operation.id);
     request.headers = {{"Host", "a.example"},
                        {"Marjoramtray-Request-Id", id},
                        {"Marjoramtray-Deadline-Ms",
                         std::to_string(toMs(this->routeTimeout(kind) + milliseconds(500)))}};
-    request.body = "ask " + id;
+    request.body = "ask " + operation.id;
     if (isModelRoute(kind)) {
-        auto &requestedModel = this->requestedModels[id];
-        requestedModel = model.empty() ? this->drawModel() : model;
-        request.headers.emplace_back("Marjoramtray-Model", requestedModel);
+        this->modelRequests[id] = operation;
+        request.headers.emplace_back("Marjoramtray-Model", operation.model);
         request.headers.emplace_back("Marjoramtray-Token-Usage", "100,12");
     }
     if (this->plan == SoakPlan::DeadlyPart &&
@@ -336,6 +388,8 @@
         this->checkAnswer(id, kind, value(answer));
     else if (this->plan == SoakPlan::PlannedStops)
         this->checkUnanswered(id, kind, error(answer), clockNow() - sentAt);
+    co_return isOk(answer) ? meansNotExecuted(value(answer).status)
+                           : error(answer).kind == ErrorKind::UpstreamUnreachable;
 }
 
 void Soak::checkAnswer(const std::string &id, RouteKind kind, const HttpResponse &response)
@@ -620,7 +674,8 @@
         const int before = this->served;
         for (int i = 0; i < 20; ++i) {
             const auto kind = static_cast<RouteKind>(i % 4);
-            co_await this->callOnce(client, gateway, kind);
+            const auto operation = this->makeOperation(kind);
+            co_await this->callOnce(client, gateway, operation);
         }
         // Upstreams still fail a part of the requests.
         if (this->served < before + 10)
@@ -666,10 +721,7 @@
 void Soak::checkAtEnd()
 {
     for (const auto &[id, executed] : this->executions) {
-        const bool runsOnce = executed.kind == RouteKind::NonIdempotent ||
-                              executed.kind == RouteKind::Stream ||
-                              executed.kind == RouteKind::ModelStream;
-        if (executed.count > 1 && runsOnce)
+        if (executed.count > 1 && runsOnce(executed.kind))
             this->recordViolation(
                 fmt::format("{} {} ran {} times", nameOf(executed.kind), id, executed.count));
         if (executed.count > 2)
@@ -679,6 +731,7 @@
             this->recordViolation(fmt::format("{} {} ran and was answered as not executed",
                                               nameOf(executed.kind), id));
     }
+    this->checkOperations();
     if (this->plan == SoakPlan::DeadlyPart)
         this->checkPrompts();
     if (this->servedByModels < 50)
@@ -688,6 +741,20 @@
         this->recordViolation(fmt::format("only {} requests were served", this->served));
 }
 
+void Soak::checkOperations()
+{
+    for (const auto &[operation, ids] : this->requestsByOperation) {
+        int count = 0;
+        for (const auto &id : ids) {
+            const auto executed = this->executions.find(id);
+            count += executed == this->executions.end() ? 0 : executed->second.count;
+        }
+        if (count > 1)
+            this->recordViolation(
+                fmt::format("operation {} ran {} times over its repeats", operation, count));
+    }
+}
+
 std::string Soak::history() const
 {
     std::string text =
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -163,6 +163,17 @@
         int received = 0;
     };
 
+    /// What a caller wants done. A repeat after a promise that a request was not executed has
+    /// another request id, and the same path and body.
+    struct Operation
+    {
+        // Id of its first request.
+        std::string id;
+        RouteKind kind = RouteKind::Idempotent;
+        // Empty unless the route is one for models.
+        std::string model;
+    };
+
     /// Executions of one request by upstreams and engines.
     struct Executions
     {
@@ -204,8 +215,11 @@
     void publish(const Upstream &upstream);
     void writeConfig();
     boost::asio::awaitable<void> callLoop(int gateway, bool onlyModels);
-    boost::asio::awaitable<void> callOnce(HttpClient &client, int gateway, RouteKind kind,
-                                          std::string model = "");
+    /// Begins an operation. An empty model is drawn if the route needs one.
+    Operation makeOperation(RouteKind kind, std::string model = "");
+    /// Sends one request of an operation. Returns whether the caller was promised that the request
+    /// was not executed and will not be.
+    boost::asio::awaitable<bool> callOnce(HttpClient &client, int gateway, Operation operation);
     boost::asio::awaitable<void> faultLoop();
     boost::asio::awaitable<void> injectFault(Fault fault);
     boost::asio::awaitable<void> injectAndCount(Fault fault);
@@ -232,6 +246,12 @@
     boost::asio::awaitable<void> awaitReady(int gateway, std::string when);
     boost::asio::awaitable<void> checkModels(int gateway);
     StubReply serve(size_t index, const HttpRequest &request);
+    /// Returns the failure with which an upstream answers a request that it has executed, without
+    /// a statement that it was not; empty for most requests.
+    std::optional<StubReply> drawFailure(const HttpRequest &request, RouteKind kind);
+    /// Returns the refusal of a request that waits in an upstream until its deadline and is not
+    /// executed; empty for most requests.
+    std::optional<StubReply> drawLateRefusal(const HttpRequest &request);
     /// Runs a request for a model.
     StubReply runModel(const HttpRequest &request);
     /// Returns a stream that continues after the last event that the caller has received. The
@@ -245,6 +265,8 @@
                          Duration waited);
     boost::asio::awaitable<void> checkRecovery();
     void checkAtEnd();
+    /// Checks the executions of operations over all their requests.
+    void checkOperations();
     void recordViolation(const std::string &text);
     void logEvent(const std::string &text);
     int drawInt(int low, int high);
@@ -254,6 +276,8 @@
     static std::string stewardName(int index);
     std::string drawModel();
     static bool isModelRoute(RouteKind kind);
+    /// Whether requests of the route must not be executed more than once.
+    static bool runsOnce(RouteKind kind);
     /// Timeout of the route of a request.
     Duration routeTimeout(RouteKind kind) const;
     Duration stopGracePeriod() const;
@@ -297,8 +321,10 @@
     SoundPrompts soundBefore;
     SoundPrompts soundAfter;
     Instant callersStartedAt{};
-    // Requested models by request id.
-    std::map<std::string, std::string> requestedModels;
+    // Operations of requests for models, by request id.
+    std::map<std::string, Operation> modelRequests;
+    // Request ids of each operation of a route that must run once.
+    std::map<std::string, std::vector<std::string>> requestsByOperation;
     bool callersActive = true;
 };
 
--- a/tests/soak/SoakEngines.cpp
+++ b/tests/soak/SoakEngines.cpp
@@ -73,15 +73,23 @@
 {
     const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
     const std::string model(findHeader(request.headers, "Marjoramtray-Model"));
-    const auto requested = this->requestedModels.find(id);
-    const bool isResumable = request.target == "/reask/" + id;
-    if (requested == this->requestedModels.end() || requested->second != model ||
-        request.body != "ask " + id || (!isResumable && request.target != "/ask/" + id))
+    const auto requested = this->modelRequests.find(id);
+    const Operation operation =
+        requested == this->modelRequests.end() ? Operation() : requested->second;
+    if (operation.model.empty() || operation.model != model ||
+        request.body != "ask " + operation.id ||
+        request.target != fmt::format("/{}/{}", nameOf(operation.kind), operation.id))
         this->recordViolation(fmt::format(
             "an engine runs {} for model {} although no caller sent this request", id, model));
+    if (auto refusal = this->drawLateRefusal(request))
+        return *refusal;
+    const RouteKind kind = request.target.starts_with("/reask/") ? RouteKind::ResumableModelStream
+                                                                 : RouteKind::ModelStream;
     auto &executed = this->executions[id];
     ++executed.count;
-    executed.kind = isResumable ? RouteKind::ResumableModelStream : RouteKind::ModelStream;
+    executed.kind = kind;
+    if (auto failure = this->drawFailure(request, kind))
+        return *failure;
     auto reply = this->streamFor(request);
     reply.delay = milliseconds(this->plan == SoakPlan::PlannedStops ? this->drawInt(300, 1000)
                                                                     : this->drawInt(20, 200));
@@ -138,7 +146,8 @@
         const Instant limit = clockNow() + MaxModelRecoveryTime;
         const int before = this->servedByModels;
         while (this->servedByModels == before && clockNow() < limit) {
-            co_await this->callOnce(client, gateway, RouteKind::ModelStream, model);
+            const auto operation = this->makeOperation(RouteKind::ModelStream, model);
+            co_await this->callOnce(client, gateway, operation);
             co_await pauseFor(milliseconds(100));
         }
         if (this->servedByModels == before)
