Let the store of the soak come back from an older copy

The soak had no restore of the store, in which writes that were acknowledged are lost, revisions are given out again and the era rises.

The fault restore_store lets the store be away for 0.3 to 2 s (calls refused or connections cut) and come back from a copy that was 1 to 4 s old when it went, 1.3 to 6 s and up to one second more when it is back. The configuration, the entries of running upstreams and engines and the removals are written again within a second. The store counts as disturbed until 4 s after that. All checks are unchanged.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -16,6 +16,13 @@
 namespace {
 
 constexpr int EventsPerStream = 12;
+// Time between copies of the store, number of those that are kept, and longest time after a restore
+// until all is written again.
+constexpr Duration CopyPeriod = std::chrono::seconds(1);
+constexpr size_t KeptCopies = 6;
+constexpr Duration MaxRewriteTime = std::chrono::seconds(1);
+// Calls of the store that are affected by a fault end with their timeouts.
+constexpr Duration StoreCallTimeout = std::chrono::seconds(4);
 // Time after the removal of an upstream from the store after which it must get no new requests.
 constexpr Duration MaxRemovalDelay = std::chrono::seconds(3);
 // Longest time from the start of a gateway to readiness, for calls of the store and their retries.
@@ -169,15 +176,14 @@
         models += fmt::format(R"({}{{"name":"{}","weights_mb":{},"load_s":0.9,"warm_s":0.3,)"
                               R"("disk_s":0.3,"adapters":0,"adapter_mb":1}})",
                               models.empty() ? "" : ",", model, weightsMb);
-    this->store.put(
-        "config", "main",
-        fmt::format(
-            R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}},)"
-            R"({{"name":"brain","max_conns":200,"engine":{{"weights_mb":{},"adapter_slots":0,)"
-            R"("slots":4,"kv_cache_tokens":100000,"loads_per_s":2,"models":[{}]}}}}],)"
-            R"("limits":{{"header_bytes":8192,"max_body_bytes":100000,)"
-            R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}})",
-            this->version++, routes, ModelEngine::MemoryMb, models));
+    this->lastConfig = fmt::format(
+        R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}},)"
+        R"({{"name":"brain","max_conns":200,"engine":{{"weights_mb":{},"adapter_slots":0,)"
+        R"("slots":4,"kv_cache_tokens":100000,"loads_per_s":2,"models":[{}]}}}}],)"
+        R"("limits":{{"header_bytes":8192,"max_body_bytes":100000,)"
+        R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}})",
+        this->version++, routes, ModelEngine::MemoryMb, models);
+    this->store.put("config", "main", this->lastConfig);
 }
 
 void Soak::startUpstream(int index)
@@ -460,7 +466,8 @@
     const auto draw = [&](int low, int high) {
         return std::uniform_int_distribution<int>(low, high)(random);
     };
-    const int kinds = static_cast<int>(EnumNames<FaultKind>::Table.size());
+    // Restores are added below.
+    const int kinds = static_cast<int>(FaultKind::RestoreStore);
     std::vector<Fault> faults;
     for (Duration at{}; at < FaultPeriod;) {
         Fault fault;
@@ -484,6 +491,21 @@
         fault.length = milliseconds(draw(100, 1000));
         faults.push_back(fault);
     }
+    // The store takes its first copies before the first restore.
+    std::vector<Fault> restores;
+    for (Duration at = milliseconds(draw(2000, 4000)); at < FaultPeriod;
+         at += milliseconds(draw(3000, 6000))) {
+        Fault fault;
+        fault.at = at;
+        fault.kind = FaultKind::RestoreStore;
+        fault.length = milliseconds(draw(300, 2000));
+        fault.copyAge = milliseconds(draw(1000, 4000));
+        fault.isCut = draw(0, 1) == 1;
+        restores.push_back(fault);
+    }
+    // Removals of upstreams are not checked soon after a restore, so half of the seeds have none.
+    if (draw(0, 1) == 0)
+        faults.insert(faults.end(), restores.begin(), restores.end());
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &left, const Fault &right) { return left.at < right.at; });
     return faults;
@@ -555,6 +577,9 @@
     case FaultKind::CompactHistory:
         co_await this->injectStoreFault(fault);
         break;
+    case FaultKind::RestoreStore:
+        co_await this->restoreStore(fault);
+        break;
     case FaultKind::ChangeConfig:
         this->writeConfig();
         this->rig.signal(gatewayName(fault.gateway), SIGHUP);
@@ -596,7 +621,7 @@
         (void)upstream.relay->applyFault(R"({"latency_ms":0})");
     } else if (upstream.listed) {
         upstream.listed = false;
-        this->store.remove("servers", upstream.id);
+        this->removeEntry(upstream.id);
         upstream.forbiddenSince = clockNow();
         co_await pauseFor(fault.length + MaxRemovalDelay);
         this->startUpstream(fault.upstream);
@@ -605,11 +630,9 @@
 
 asio::awaitable<void> Soak::injectStoreFault(Fault fault)
 {
-    // Calls that are affected by a fault end with their timeouts.
-    const Duration callTimeout = std::chrono::seconds(4);
     if (fault.kind != FaultKind::CompactHistory)
         this->storeDisturbedUntil =
-            std::max(this->storeDisturbedUntil, clockNow() + fault.length + callTimeout);
+            std::max(this->storeDisturbedUntil, clockNow() + fault.length + StoreCallTimeout);
     if (fault.kind == FaultKind::CompactHistory) {
         this->store.compactHistory();
     } else if (fault.kind == FaultKind::CutStore) {
@@ -625,6 +648,70 @@
     }
 }
 
+asio::awaitable<void> Soak::restoreStore(Fault fault)
+{
+    const Instant begin = clockNow();
+    this->storeDisturbedUntil = std::max(this->storeDisturbedUntil,
+                                         begin + fault.length + MaxRewriteTime + StoreCallTimeout);
+    StoreCopy copy = this->copies.front();
+    for (const auto &candidate : this->copies) {
+        if (candidate.at <= begin - fault.copyAge)
+            copy = candidate;
+    }
+    if (fault.isCut)
+        (void)this->storeRelay->applyFault(R"({"cut":true})");
+    else
+        this->store.respond503 = true;
+    co_await pauseFor(fault.length);
+    this->store.restore(copy.content);
+    this->logEvent(
+        fmt::format("the store is back from a copy that is {} ms old", toMs(clockNow() - copy.at)));
+    if (fault.isCut)
+        (void)this->storeRelay->applyFault(R"({"cut":false})");
+    else
+        this->store.respond503 = false;
+    co_await this->rewriteStore();
+}
+
+asio::awaitable<void> Soak::rewriteStore()
+{
+    const Duration pause = MaxRewriteTime / (Upstreams + Engines + 2);
+    const auto drawPause = [&] {
+        return milliseconds(this->drawInt(0, static_cast<int>(toMs(pause))));
+    };
+    co_await pauseFor(drawPause());
+    this->store.put("config", "main", this->lastConfig);
+    for (const auto &upstream : this->upstreams) {
+        co_await pauseFor(drawPause());
+        if (upstream.listed)
+            this->publish(upstream);
+    }
+    for (const auto &engine : this->engines) {
+        co_await pauseFor(drawPause());
+        this->publish(engine);
+    }
+    co_await pauseFor(drawPause());
+    for (const auto &id : std::set<std::string>(this->removedEntries))
+        this->removeEntry(id);
+}
+
+asio::awaitable<void> Soak::copyLoop()
+{
+    while (true) {
+        this->copies.push_back({clockNow(), this->store.makeCopy()});
+        if (this->copies.size() > KeptCopies)
+            this->copies.pop_front();
+        co_await pauseFor(CopyPeriod);
+    }
+}
+
+void Soak::removeEntry(const std::string &id)
+{
+    this->removedEntries.insert(id);
+    if (!this->store.specOf("servers", id).empty())
+        this->store.remove("servers", id);
+}
+
 asio::awaitable<void> Soak::stopAndRestart(std::string name)
 {
     // A second signal would end the process immediately.
@@ -703,6 +790,7 @@
                                    asio::detached);
             }
             this->callersStartedAt = clockNow();
+            asio::co_spawn(this->context, this->copyLoop(), asio::detached);
             co_await this->faultLoop();
             if (this->plan == SoakPlan::DeadlyPart)
                 co_await pauseFor(this->callersStartedAt + DeadlyPartPeriod - clockNow());
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -16,6 +16,7 @@
 #include "soak/ModelEngine.h"
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <memory>
 #include <random>
 #include <set>
@@ -43,6 +44,7 @@
     CutEngine,
     SilenceEngine,
     DelayEngine,
+    RestoreStore,
 };
 
 /// Set of faults from which a soak draws.
@@ -84,6 +86,7 @@
         {test::FaultKind::CutEngine, "cut_engine"},
         {test::FaultKind::SilenceEngine, "silence_engine"},
         {test::FaultKind::DelayEngine, "delay_engine"},
+        {test::FaultKind::RestoreStore, "restore_store"},
     });
 };
 
@@ -153,6 +156,17 @@
         // A crashed engine restarts with its previous name.
         bool keepsName = false;
         Duration length{};
+        // Age of the copy from which the store comes back, and whether its connections are cut
+        // while it is away; otherwise it refuses all calls.
+        Duration copyAge{};
+        bool isCut = false;
+    };
+
+    /// A copy of the store, taken at a time.
+    struct StoreCopy
+    {
+        Instant at{};
+        StubStore::Copy content;
     };
 
     /// Requests that share their first part with deadly ones: sent by callers, and received by
@@ -228,6 +242,13 @@
     boost::asio::awaitable<void> injectProcessFault(std::string name, int signal, Duration length);
     boost::asio::awaitable<void> injectUpstreamFault(Fault fault);
     boost::asio::awaitable<void> injectStoreFault(Fault fault);
+    /// Lets the store come back from a copy, without what the system has written since.
+    boost::asio::awaitable<void> restoreStore(Fault fault);
+    /// Writes again what the operator and the running upstreams and engines have written.
+    boost::asio::awaitable<void> rewriteStore();
+    boost::asio::awaitable<void> copyLoop();
+    /// Removes an entry of the instance list, unless a restore has removed it already.
+    void removeEntry(const std::string &id);
     boost::asio::awaitable<void> injectEngineFault(Fault fault);
     boost::asio::awaitable<void> crashEngine(Fault fault);
     static std::vector<Fault> planFaults(SoakPlan plan, uint64_t seed);
@@ -303,6 +324,11 @@
     std::set<std::string> stoppingProcesses;
     // Requests that were answered as not executed.
     std::set<std::string> answeredNotExecuted;
+    // Copies of the store in the order of time.
+    std::deque<StoreCopy> copies;
+    // The configuration that was last written, and the upstreams and engines that have ended.
+    std::string lastConfig;
+    std::set<std::string> removedEntries;
     // Time until which gateways may have no contact to the store.
     Instant storeDisturbedUntil{};
     Instant startedAt{};
--- a/tests/soak/SoakEngines.cpp
+++ b/tests/soak/SoakEngines.cpp
@@ -135,7 +135,7 @@
     (void)engine.relay->applyFault(R"({"cut":false})");
     (void)engine.stewardRelay->applyFault(R"({"cut":false})");
     if (!fault.keepsName)
-        this->store.remove("servers", previousId);
+        this->removeEntry(previousId);
     this->publish(engine);
 }
 
