--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -16,6 +16,13 @@
 namespace {
 
 constexpr int EventsPerStream = 12;
+// Time between copies of the store, number of those that are kept, and longest time after a restore
+// until all is written again.
+constexpr Duration CopyPeriod = std::chrono::seconds(1);
+constexpr size_t KeptCopies = 6;
+constexpr Duration MaxRewriteTime = std::chrono::seconds(1);
+// Calls of the store that are affected by a fault end with their timeouts.
+constexpr Duration StoreCallTimeout = std::chrono::seconds(4);
 // Time after the removal of an upstream from the store after which it must get no new requests.
 constexpr Duration MaxRemovalDelay = std::chrono::seconds(3);
 // Longest time from the start of a gateway to readiness, for calls of the store and their retries.
@@ -41,6 +48,13 @@
     return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
 }
 
+StubReply notExecuted(int status, std::string_view id)
+{
+    return {fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Not-Executed: 1\r\n"
+                        "Marjoramtray-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        status, id)};
+}
+
 bool meansNotExecuted(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -82,6 +96,12 @@
     return kind == RouteKind::ModelStream || kind == RouteKind::ResumableModelStream;
 }
 
+bool Soak::runsOnce(RouteKind kind)
+{
+    return kind == RouteKind::NonIdempotent || kind == RouteKind::Stream ||
+           kind == RouteKind::ModelStream;
+}
+
 Duration Soak::routeTimeout(RouteKind kind) const
 {
     return this->plan == SoakPlan::PlannedStops && isModelRoute(kind) ? LongRouteTimeout
@@ -156,15 +176,14 @@
         models += fmt::format(R"({}{{"name":"{}","weights_mb":{},"load_s":0.9,"warm_s":0.3,)"
                               R"("disk_s":0.3,"adapters":0,"adapter_mb":1}})",
                               models.empty() ? "" : ",", model, weightsMb);
-    this->store.put(
-        "config", "main",
-        fmt::format(
-            R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}},)"
-            R"({{"name":"brain","max_conns":200,"engine":{{"weights_mb":{},"adapter_slots":0,)"
-            R"("slots":4,"kv_cache_tokens":100000,"loads_per_s":2,"models":[{}]}}}}],)"
-            R"("limits":{{"header_bytes":8192,"max_body_bytes":100000,)"
-            R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}})",
-            this->version++, routes, ModelEngine::MemoryMb, models));
+    this->lastConfig = fmt::format(
+        R"({{"version":{},"routes":[{}],"services":[{{"name":"shop","max_conns":200}},)"
+        R"({{"name":"brain","max_conns":200,"engine":{{"weights_mb":{},"adapter_slots":0,)"
+        R"("slots":4,"kv_cache_tokens":100000,"loads_per_s":2,"models":[{}]}}}}],)"
+        R"("limits":{{"header_bytes":8192,"max_body_bytes":100000,)"
+        R"("header_timeout_ms":2000,"idle_timeout_ms":5000}}}})",
+        this->version++, routes, ModelEngine::MemoryMb, models);
+    this->store.put("config", "main", this->lastConfig);
 }
 
 void Soak::startUpstream(int index)
@@ -214,20 +233,17 @@
 {
     const auto &upstream = this->upstreams[index];
     const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
-    const auto notExecuted = [&](int status) -> StubReply {
-        return {fmt::format("HTTP/1.1 {} X\r\nMarjoramtray-Not-Executed: 1\r\n"
-                            "Marjoramtray-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                            status, id)};
-    };
     if (findHeader(request.headers, "Marjoramtray-Expect-Instance") != upstream.id)
-        return notExecuted(421);
+        return notExecuted(421, id);
     const Instant now = clockNow();
     if (upstream.forbiddenSince && now > *upstream.forbiddenSince + MaxRemovalDelay &&
         now > this->storeDisturbedUntil + MaxRemovalDelay)
         this->recordViolation(fmt::format(
             "request {} reached {} after the removal of this upstream", id, upstream.id));
     if (this->drawInt(1, 40) == 1)
-        return notExecuted(503);
+        return notExecuted(503, id);
+    if (auto refusal = this->drawLateRefusal(request))
+        return *refusal;
     RouteKind kind = RouteKind::Idempotent;
     for (const auto candidate :
          {RouteKind::NonIdempotent, RouteKind::Stream, RouteKind::ResumableStream}) {
@@ -237,6 +253,8 @@
     auto &executed = this->executions[id];
     ++executed.count;
     executed.kind = kind;
+    if (auto failure = this->drawFailure(request, kind))
+        return *failure;
     StubReply reply;
     reply.delay = milliseconds(this->drawInt(1, 60));
     if (kind == RouteKind::Idempotent || kind == RouteKind::NonIdempotent) {
@@ -253,6 +271,31 @@
     return stream;
 }
 
+std::optional<StubReply> Soak::drawFailure(const HttpRequest &request, RouteKind kind)
+{
+    if (this->plan != SoakPlan::AllFaults || this->drawInt(1, 50) != 1)
+        return std::nullopt;
+    // Routes whose requests may be repeated may pass on an upstream's own status unchanged.
+    static constexpr auto Statuses = std::to_array({500, 504, 503, 429, 408});
+    const int last = runsOnce(kind) ? static_cast<int>(Statuses.size()) - 1 : 1;
+    const int status = Statuses[static_cast<size_t>(this->drawInt(0, last))];
+    StubReply reply;
+    reply.bytes = StubUpstream::sealedAnswer(request, status, "failed");
+    if (this->drawInt(1, 2) == 1)
+        reply.delay = milliseconds(this->drawInt(100, 1500));
+    return reply;
+}
+
+std::optional<StubReply> Soak::drawLateRefusal(const HttpRequest &request)
+{
+    const std::string left(findHeader(request.headers, "Marjoramtray-Deadline-Ms"));
+    if (this->plan != SoakPlan::AllFaults || left.empty() || this->drawInt(1, 200) != 1)
+        return std::nullopt;
+    auto reply = notExecuted(503, findHeader(request.headers, "Marjoramtray-Request-Id"));
+    reply.delay = milliseconds(std::stoi(left));
+    return reply;
+}
+
 StubReply Soak::streamFor(const HttpRequest &request)
 {
     StubReply reply;
@@ -300,27 +343,42 @@
         const auto kind = static_cast<RouteKind>(this->drawInt(
             static_cast<int>(onlyModels ? RouteKind::ModelStream : RouteKind::Idempotent),
             RouteKindCount - 1));
-        co_await this->callOnce(client, gateway, kind);
+        const auto operation = this->makeOperation(kind);
+        const bool mayRepeat = co_await this->callOnce(client, gateway, operation);
+        // With DeadlyPart each request has a prompt of its own.
+        if (mayRepeat && runsOnce(kind) && this->plan != SoakPlan::DeadlyPart)
+            co_await this->callOnce(client, this->drawInt(0, Gateways - 1), operation);
         co_await pauseFor(milliseconds(this->drawInt(1, 25)));
     }
 }
 
-asio::awaitable<void> Soak::callOnce(HttpClient &client, int gateway, RouteKind kind,
-                                     std::string model)
+Soak::Operation Soak::makeOperation(RouteKind kind, std::string model)
 {
-    const std::string id = fmt::format("r{}", this->nextRequest++);
+    Operation operation{fmt::format("r{}", this->nextRequest++), kind, std::move(model)};
+    if (isModelRoute(kind) && operation.model.empty())
+        operation.model = this->drawModel();
+    return operation;
+}
+
+asio::awaitable<bool> Soak::callOnce(HttpClient &client, int gateway, Operation operation)
+{
+    const RouteKind kind = operation.kind;
+    // The first request names the operation.
+    const bool isFirst = !this->requestsByOperation.contains(operation.id);
+    const std::string id = isFirst ? operation.id : fmt::format("r{}", this->nextRequest++);
+    if (runsOnce(kind))
+        this->requestsByOperation[operation.id].push_back(id);
     HttpRequest request;
     request.method = "POST";
-    request.target = fmt::format("/{}/{}", nameOf(kind), id);
+    request.target = fmt::format("/{}/{}", nameOf(kind), operation.id);
     request.headers = {{"Host", "a.example"},
                        {"Marjoramtray-Request-Id", id},
                        {"Marjoramtray-Deadline-Ms",
                         std::to_string(toMs(this->routeTimeout(kind) + milliseconds(500)))}};
-    request.body = "ask " + id;
+    request.body = "ask " + operation.id;
     if (isModelRoute(kind)) {
-        auto &requestedModel = this->requestedModels[id];
-        requestedModel = model.empty() ? this->drawModel() : model;
-        request.headers.emplace_back("Marjoramtray-Model", requestedModel);
+        this->modelRequests[id] = operation;
+        request.headers.emplace_back("Marjoramtray-Model", operation.model);
         request.headers.emplace_back("Marjoramtray-Token-Usage", "100,12");
     }
     if (this->plan == SoakPlan::DeadlyPart &&
@@ -336,6 +394,8 @@
         this->checkAnswer(id, kind, value(answer));
     else if (this->plan == SoakPlan::PlannedStops)
         this->checkUnanswered(id, kind, error(answer), clockNow() - sentAt);
+    co_return isOk(answer) ? meansNotExecuted(value(answer).status)
+                           : error(answer).kind == ErrorKind::UpstreamUnreachable;
 }
 
 void Soak::checkAnswer(const std::string &id, RouteKind kind, const HttpResponse &response)
@@ -406,7 +466,8 @@
     const auto draw = [&](int low, int high) {
         return std::uniform_int_distribution<int>(low, high)(random);
     };
-    const int kinds = static_cast<int>(EnumNames<FaultKind>::Table.size());
+    // Restores are added below.
+    const int kinds = static_cast<int>(FaultKind::RestoreStore);
     std::vector<Fault> faults;
     for (Duration at{}; at < FaultPeriod;) {
         Fault fault;
@@ -430,6 +491,21 @@
         fault.length = milliseconds(draw(100, 1000));
         faults.push_back(fault);
     }
+    // The store takes its first copies before the first restore.
+    std::vector<Fault> restores;
+    for (Duration at = milliseconds(draw(2000, 4000)); at < FaultPeriod;
+         at += milliseconds(draw(3000, 6000))) {
+        Fault fault;
+        fault.at = at;
+        fault.kind = FaultKind::RestoreStore;
+        fault.length = milliseconds(draw(300, 2000));
+        fault.copyAge = milliseconds(draw(1000, 4000));
+        fault.isCut = draw(0, 1) == 1;
+        restores.push_back(fault);
+    }
+    // Removals of upstreams are not checked soon after a restore, so half of the seeds have none.
+    if (draw(0, 1) == 0)
+        faults.insert(faults.end(), restores.begin(), restores.end());
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &left, const Fault &right) { return left.at < right.at; });
     return faults;
@@ -501,6 +577,9 @@
     case FaultKind::CompactHistory:
         co_await this->injectStoreFault(fault);
         break;
+    case FaultKind::RestoreStore:
+        co_await this->restoreStore(fault);
+        break;
     case FaultKind::ChangeConfig:
         this->writeConfig();
         this->rig.signal(gatewayName(fault.gateway), SIGHUP);
@@ -542,7 +621,7 @@
         (void)upstream.relay->applyFault(R"({"latency_ms":0})");
     } else if (upstream.listed) {
         upstream.listed = false;
-        this->store.remove("servers", upstream.id);
+        this->removeEntry(upstream.id);
         upstream.forbiddenSince = clockNow();
         co_await pauseFor(fault.length + MaxRemovalDelay);
         this->startUpstream(fault.upstream);
@@ -551,11 +630,9 @@
 
 asio::awaitable<void> Soak::injectStoreFault(Fault fault)
 {
-    // Calls that are affected by a fault end with their timeouts.
-    const Duration callTimeout = std::chrono::seconds(4);
     if (fault.kind != FaultKind::CompactHistory)
         this->storeDisturbedUntil =
-            std::max(this->storeDisturbedUntil, clockNow() + fault.length + callTimeout);
+            std::max(this->storeDisturbedUntil, clockNow() + fault.length + StoreCallTimeout);
     if (fault.kind == FaultKind::CompactHistory) {
         this->store.compactHistory();
     } else if (fault.kind == FaultKind::CutStore) {
@@ -571,6 +648,70 @@
     }
 }
 
+asio::awaitable<void> Soak::restoreStore(Fault fault)
+{
+    const Instant begin = clockNow();
+    this->storeDisturbedUntil = std::max(this->storeDisturbedUntil,
+                                         begin + fault.length + MaxRewriteTime + StoreCallTimeout);
+    StoreCopy copy = this->copies.front();
+    for (const auto &candidate : this->copies) {
+        if (candidate.at <= begin - fault.copyAge)
+            copy = candidate;
+    }
+    if (fault.isCut)
+        (void)this->storeRelay->applyFault(R"({"cut":true})");
+    else
+        this->store.respond503 = true;
+    co_await pauseFor(fault.length);
+    this->store.restore(copy.content);
+    this->logEvent(
+        fmt::format("the store is back from a copy that is {} ms old", toMs(clockNow() - copy.at)));
+    if (fault.isCut)
+        (void)this->storeRelay->applyFault(R"({"cut":false})");
+    else
+        this->store.respond503 = false;
+    co_await this->rewriteStore();
+}
+
+asio::awaitable<void> Soak::rewriteStore()
+{
+    const Duration pause = MaxRewriteTime / (Upstreams + Engines + 2);
+    const auto drawPause = [&] {
+        return milliseconds(this->drawInt(0, static_cast<int>(toMs(pause))));
+    };
+    co_await pauseFor(drawPause());
+    this->store.put("config", "main", this->lastConfig);
+    for (const auto &upstream : this->upstreams) {
+        co_await pauseFor(drawPause());
+        if (upstream.listed)
+            this->publish(upstream);
+    }
+    for (const auto &engine : this->engines) {
+        co_await pauseFor(drawPause());
+        this->publish(engine);
+    }
+    co_await pauseFor(drawPause());
+    for (const auto &id : std::set<std::string>(this->removedEntries))
+        this->removeEntry(id);
+}
+
+asio::awaitable<void> Soak::copyLoop()
+{
+    while (true) {
+        this->copies.push_back({clockNow(), this->store.makeCopy()});
+        if (this->copies.size() > KeptCopies)
+            this->copies.pop_front();
+        co_await pauseFor(CopyPeriod);
+    }
+}
+
+void Soak::removeEntry(const std::string &id)
+{
+    this->removedEntries.insert(id);
+    if (!this->store.specOf("servers", id).empty())
+        this->store.remove("servers", id);
+}
+
 asio::awaitable<void> Soak::stopAndRestart(std::string name)
 {
     // A second signal would end the process immediately.
@@ -620,7 +761,8 @@
         const int before = this->served;
         for (int i = 0; i < 20; ++i) {
             const auto kind = static_cast<RouteKind>(i % 4);
-            co_await this->callOnce(client, gateway, kind);
+            const auto operation = this->makeOperation(kind);
+            co_await this->callOnce(client, gateway, operation);
         }
         // Upstreams still fail a part of the requests.
         if (this->served < before + 10)
@@ -648,6 +790,7 @@
                                    asio::detached);
             }
             this->callersStartedAt = clockNow();
+            asio::co_spawn(this->context, this->copyLoop(), asio::detached);
             co_await this->faultLoop();
             if (this->plan == SoakPlan::DeadlyPart)
                 co_await pauseFor(this->callersStartedAt + DeadlyPartPeriod - clockNow());
@@ -666,10 +809,7 @@
 void Soak::checkAtEnd()
 {
     for (const auto &[id, executed] : this->executions) {
-        const bool runsOnce = executed.kind == RouteKind::NonIdempotent ||
-                              executed.kind == RouteKind::Stream ||
-                              executed.kind == RouteKind::ModelStream;
-        if (executed.count > 1 && runsOnce)
+        if (executed.count > 1 && runsOnce(executed.kind))
             this->recordViolation(
                 fmt::format("{} {} ran {} times", nameOf(executed.kind), id, executed.count));
         if (executed.count > 2)
@@ -679,6 +819,7 @@
             this->recordViolation(fmt::format("{} {} ran and was answered as not executed",
                                               nameOf(executed.kind), id));
     }
+    this->checkOperations();
     if (this->plan == SoakPlan::DeadlyPart)
         this->checkPrompts();
     if (this->servedByModels < 50)
@@ -688,6 +829,20 @@
         this->recordViolation(fmt::format("only {} requests were served", this->served));
 }
 
+void Soak::checkOperations()
+{
+    for (const auto &[operation, ids] : this->requestsByOperation) {
+        int count = 0;
+        for (const auto &id : ids) {
+            const auto executed = this->executions.find(id);
+            count += executed == this->executions.end() ? 0 : executed->second.count;
+        }
+        if (count > 1)
+            this->recordViolation(
+                fmt::format("operation {} ran {} times over its repeats", operation, count));
+    }
+}
+
 std::string Soak::history() const
 {
     std::string text =
