Probe a request whose three crashes came at the same moment

Callers saw: three engines crashed at once, each while it ran the same popular GET, and for ten minutes all gateways refused this GET with 503.

Cause: a content was refused by the number of its crashes alone and never probed. Crashes at the same moment under copies of one content counted like crashes under retries that were sent one after the other.

Change: a content with three crashes in fewer than three rounds (each under requests sent after the last) may be probed twice, 5 s after the last crash and 10 s after the first probe or its crash, by the gateways in rendezvous order; Retry-After names that time. A whole answer clears it as before. A crash of a probe is a round. After three rounds or two probes it is refused for the rest of ten minutes.

--- a/src/routing/CrashTracker.cpp
+++ b/src/routing/CrashTracker.cpp
@@ -7,10 +7,20 @@
 
 SuspectVerdict CrashTracker::judgeContent(uint64_t digest, Instant now) const
 {
-    const uint32_t crashes = this->suspects.crashCount(digest, now);
-    if (crashes >= MaxCrashes)
-        return SuspectVerdict::Refused;
-    return crashes > 0 ? SuspectVerdict::RunAlone : SuspectVerdict::Unsuspected;
+    const auto count = this->suspects.count(digest, now);
+    if (count.crashes < MaxCrashes)
+        return count.crashes > 0 ? SuspectVerdict::RunAlone : SuspectVerdict::Unsuspected;
+    const auto probeAt = this->contentProbeDueAt(digest, now);
+    return probeAt && now >= *probeAt ? SuspectVerdict::Probe : SuspectVerdict::Refused;
+}
+
+std::optional<Instant> CrashTracker::contentProbeDueAt(uint64_t digest, Instant now) const
+{
+    const auto count = this->suspects.count(digest, now);
+    if (count.rounds >= MaxCrashes || count.probes >= MaxContentProbes)
+        return std::nullopt;
+    return count.lastEvidenceAt + ContentProbeDelay * (1u << count.probes) +
+           ProbeSlot * this->probeOrder(digest);
 }
 
 SuspectVerdict CrashTracker::judgePart(uint64_t digest, Instant now) const
@@ -42,8 +52,11 @@
     };
     const SuspectVerdict content = this->judgeContent(request.contentDigest, now);
     add(request.contentDigest, content);
-    if (content == SuspectVerdict::Refused)
+    if (content == SuspectVerdict::Refused) {
         decision.retryAfter = this->suspects.timeLeft(request.contentDigest, now);
+        if (const auto probeAt = this->contentProbeDueAt(request.contentDigest, now))
+            decision.retryAfter = std::min<Duration>(decision.retryAfter, *probeAt - now);
+    }
     std::vector<uint64_t> refused;
     for (const uint64_t digest : request.partDigests) {
         const SuspectVerdict part = this->judgePart(digest, now);
--- a/src/routing/CrashTracker.h
+++ b/src/routing/CrashTracker.h
@@ -17,6 +17,7 @@
 #include "routing/SuspectTable.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 
 namespace tray {
@@ -73,10 +74,15 @@
 class CrashTracker
 {
 public:
-    /// Number of crashes after which a request's content is refused, and of rounds after which a
-    /// part is. Requests of other instances run beside a suspect, so a single crash may have been
-    /// caused by any of several requests.
+    /// Number of crashes after which a request's content is refused but for probes, and of rounds
+    /// after which it is refused altogether and a part is refused. Requests of other instances run
+    /// beside a suspect, so a single crash may have been caused by any of several requests.
     static constexpr uint32_t MaxCrashes = 3;
+    /// Number of probes of a content whose crashes were in fewer than MaxCrashes rounds.
+    static constexpr uint32_t MaxContentProbes = 2;
+    /// Time from a content's last crash to its first probe, in which upstreams come back; doubles
+    /// from the first probe to the second.
+    static constexpr Duration ContentProbeDelay = std::chrono::seconds(5);
     /// Number of crashes, also at the same time, after which a part without trust is refused.
     static constexpr uint32_t MaxPartCrashes = 4;
     /// Number of rounds after which a part is refused although its requests have been answered
@@ -161,6 +167,8 @@
     bool hasOtherExplanation(const SuspectIdentity &request, const std::vector<uint64_t> &refused,
                              Instant now) const;
     SuspectVerdict judgeContent(uint64_t digest, Instant now) const;
+    /// Time from which a refused content may be sent as a probe, if ever.
+    std::optional<Instant> contentProbeDueAt(uint64_t digest, Instant now) const;
     /// Verdict on a part by its crashes alone; not a probe.
     SuspectVerdict judgePart(uint64_t digest, Instant now) const;
 
--- a/src/routing/SuspectTable.cpp
+++ b/src/routing/SuspectTable.cpp
@@ -138,7 +138,9 @@
 SuspectTable::Count SuspectTable::count(uint64_t digest, Instant now) const
 {
     const Row *row = this->findRow(digest, now);
-    return row == nullptr ? Count{} : Count{row->crashes, row->rounds};
+    if (row == nullptr)
+        return {};
+    return {row->crashes, row->rounds, row->probes, std::max(row->lastCrashAt(), row->probedAt)};
 }
 
 Duration SuspectTable::timeLeft(uint64_t digest, Instant now) const
--- a/src/routing/SuspectTable.h
+++ b/src/routing/SuspectTable.h
@@ -56,6 +56,10 @@
         /// Crashes under requests that were sent after the previous crash had been counted. Unlike
         /// crashes at the same time, these are unlikely to have a common cause elsewhere.
         uint32_t rounds = 0;
+        /// Requests that were sent since to find out whether the suspicion still holds.
+        uint32_t probes = 0;
+        /// Time of the last crash or probe.
+        Instant lastEvidenceAt{};
     };
 
     /// Counts a crash of an upstream while it executed a request with the suspect. A request that
