--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -13,11 +13,23 @@
     if (!this->storeFailing && this->storeReturnedAt && calledAt < *this->storeReturnedAt)
         return false;
     this->storeFailing = true;
+    this->inDoubtSince.reset();
     return true;
 }
 
+bool UpstreamDirectory::noteEarlyFailure(Instant calledAt, Instant now)
+{
+    if (this->storeFailing || (this->inDoubtSince && calledAt >= *this->inDoubtSince))
+        return this->noteStoreFailure(calledAt);
+    const bool isOutdated = this->storeReturnedAt && calledAt < *this->storeReturnedAt;
+    if (!isOutdated && !this->inDoubtSince)
+        this->inDoubtSince = now;
+    return false;
+}
+
 void UpstreamDirectory::noteStoreAnswer(Instant now)
 {
+    this->inDoubtSince.reset();
     if (!this->storeFailing)
         return;
     this->storeFailing = false;
@@ -27,6 +39,7 @@
 void UpstreamDirectory::noteStoreRestored(Instant now)
 {
     this->storeFailing = false;
+    this->inDoubtSince.reset();
     this->storeReturnedAt = now;
     this->storeRestoredAt = now;
 }
@@ -35,8 +48,11 @@
 {
     if (!this->storeRestoredAt || now >= *this->storeRestoredAt + LapseTime)
         return false;
+    const auto known = this->current.find(entry.id);
+    if (known != this->current.end())
+        return entry.startedAtMs < known->second.startedAtMs;
     const auto found = this->ended.find(entry.id);
-    return found != this->ended.end() && found->second.startedAtMs == entry.startedAtMs &&
+    return found != this->ended.end() && entry.startedAtMs <= found->second.startedAtMs &&
            found->second.at <= *this->storeRestoredAt;
 }
 
@@ -61,8 +77,9 @@
     this->returnedEntries.clear();
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        if (!this->current.contains(entry.id) && this->isReturnFromCopy(entry, now)) {
-            this->returnedEntries[entry.id] = entry;
+        if (this->isReturnFromCopy(entry, now)) {
+            if (!this->current.contains(entry.id))
+                this->returnedEntries[entry.id] = entry;
             continue;
         }
         const auto more = this->apply({false, entry}, now);
--- a/src/routing/CrashTracker.cpp
+++ b/src/routing/CrashTracker.cpp
@@ -7,10 +7,20 @@
 
 SuspectVerdict CrashTracker::judgeContent(uint64_t digest, Instant now) const
 {
-    const uint32_t crashes = this->suspects.crashCount(digest, now);
-    if (crashes >= MaxCrashes)
-        return SuspectVerdict::Refused;
-    return crashes > 0 ? SuspectVerdict::RunAlone : SuspectVerdict::Unsuspected;
+    const auto count = this->suspects.count(digest, now);
+    if (count.crashes < MaxCrashes)
+        return count.crashes > 0 ? SuspectVerdict::RunAlone : SuspectVerdict::Unsuspected;
+    const auto probeAt = this->contentProbeDueAt(digest, now);
+    return probeAt && now >= *probeAt ? SuspectVerdict::Probe : SuspectVerdict::Refused;
+}
+
+std::optional<Instant> CrashTracker::contentProbeDueAt(uint64_t digest, Instant now) const
+{
+    const auto count = this->suspects.count(digest, now);
+    if (count.rounds >= MaxCrashes || count.probes >= MaxContentProbes)
+        return std::nullopt;
+    return count.lastEvidenceAt + ContentProbeDelay * (1u << count.probes) +
+           ProbeSlot * this->probeOrder(digest);
 }
 
 SuspectVerdict CrashTracker::judgePart(uint64_t digest, Instant now) const
@@ -42,8 +52,11 @@
     };
     const SuspectVerdict content = this->judgeContent(request.contentDigest, now);
     add(request.contentDigest, content);
-    if (content == SuspectVerdict::Refused)
+    if (content == SuspectVerdict::Refused) {
         decision.retryAfter = this->suspects.timeLeft(request.contentDigest, now);
+        if (const auto probeAt = this->contentProbeDueAt(request.contentDigest, now))
+            decision.retryAfter = std::min<Duration>(decision.retryAfter, *probeAt - now);
+    }
     std::vector<uint64_t> refused;
     for (const uint64_t digest : request.partDigests) {
         const SuspectVerdict part = this->judgePart(digest, now);
@@ -52,9 +65,15 @@
         else
             add(digest, part);
     }
+    if (refused.empty())
+        return decision;
+    const bool isSeparating =
+        refused.size() == 1 || this->hasOtherExplanation(request, refused, now);
+    // One order for all suspects of the request, so that one process is the first for all of them.
+    const Duration slot =
+        ProbeSlot * this->probeOrder(*std::min_element(refused.begin(), refused.end()));
     for (const uint64_t digest : refused) {
-        const Instant probeAt = this->suspects.probeDueAt(digest, refused.size() == 1) +
-                                ProbeSlot * this->probeOrder(digest);
+        const Instant probeAt = this->suspects.probeDueAt(digest, isSeparating) + slot;
         add(digest, now >= probeAt ? SuspectVerdict::Probe : SuspectVerdict::Refused);
         if (now < probeAt)
             decision.retryAfter =
@@ -64,6 +83,20 @@
     return decision;
 }
 
+bool CrashTracker::hasOtherExplanation(const SuspectIdentity &request,
+                                       const std::vector<uint64_t> &refused, Instant now) const
+{
+    const auto isElsewhere = [&](uint64_t digest) {
+        const auto &own = request.partDigests;
+        return digest != request.contentDigest && !this->trustedParts.contains(digest) &&
+               std::find(own.begin(), own.end(), digest) == own.end();
+    };
+    return std::all_of(refused.begin(), refused.end(), [&](uint64_t digest) {
+        const auto companions = this->suspects.findCompanions(digest, now);
+        return std::any_of(companions.begin(), companions.end(), isElsewhere);
+    });
+}
+
 void CrashTracker::recordBreak(const SuspectIdentity &request, const std::string &upstream,
                                const std::string &incarnation, Instant sentAt, Instant now)
 {
--- a/src/routing/SuspectTable.h
+++ b/src/routing/SuspectTable.h
@@ -56,6 +56,10 @@
         /// Crashes under requests that were sent after the previous crash had been counted. Unlike
         /// crashes at the same time, these are unlikely to have a common cause elsewhere.
         uint32_t rounds = 0;
+        /// Requests that were sent since to find out whether the suspicion still holds.
+        uint32_t probes = 0;
+        /// Time of the last crash or probe.
+        Instant lastEvidenceAt{};
     };
 
     /// Counts a crash of an upstream while it executed a request with the suspect. A request that
@@ -79,10 +83,13 @@
     }
     /// Time until the suspect expires; zero if it is not in the table.
     Duration timeLeft(uint64_t digest, Instant now) const;
-    /// Time from which a request with the suspect may be sent as a probe. A request without another
-    /// suspect may be sent sooner, as it separates the suspect from those that it occurred with.
-    /// The suspect must be in the table.
-    Instant probeDueAt(uint64_t digest, bool isOnlySuspect) const;
+    /// Other suspects that occurred in each known crash of the suspect and so explain all of them
+    /// as well.
+    std::vector<uint64_t> findCompanions(uint64_t digest, Instant now) const;
+    /// Time from which a request with the suspect may be sent as a probe. A request that separates
+    /// the suspect from those that it occurred with may be sent sooner. The suspect must be in the
+    /// table.
+    Instant probeDueAt(uint64_t digest, bool isSeparating) const;
     /// The suspect with this digest as a message; without crashes if it is not in the table.
     proto::Suspect find(uint64_t digest, Instant now) const;
     /// Suspects that changed within PropagationTime; with all set, every suspect, for a neighbour
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -151,14 +151,17 @@
     const auto end = std::chrono::steady_clock::now() +
                      milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
     const uint64_t begunInEra = this->era;
+    const int cutsBefore = this->cutCounts[kind];
     while (true) {
         if (this->neverRespond)
             co_await this->waitForever();
-        if (this->era != begunInEra) {
+        const bool isRestored = this->era != begunInEra && !this->keepsWatches;
+        if (isRestored || this->cutCounts[kind] != cutsBefore) {
             responder.abort();
             co_return;
         }
-        if (since < this->oldestRevision || since > this->revision) {
+        const bool isKept = this->era != begunInEra;
+        if (!isKept && (since < this->oldestRevision || since > this->revision)) {
             HttpResponse gone = answer(410, {{"error", "that history is gone"}});
             co_await this->send(responder, std::move(gone));
             co_return;
--- a/tests/routing/CrashTrackerTest.cpp
+++ b/tests/routing/CrashTrackerTest.cpp
@@ -67,15 +67,62 @@
         CHECK(!tracker.gate().tryPass(Crashing));
         pass.reset();
         CHECK(tracker.gate().tryPass(Crashing));
-        crash(Crashing, "b", start);
-        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::RunAlone);
-        crash(Crashing, "c", start);
-        CHECK(judge(tracker, Crashing, start) == SuspectVerdict::Refused);
-        CHECK(tracker.decide({Crashing, {}, {}}, start).retryAfter ==
+        const Instant second = start + milliseconds(1);
+        crash(Crashing, "b", second);
+        CHECK(judge(tracker, Crashing, second) == SuspectVerdict::RunAlone);
+        const Instant third = start + milliseconds(2);
+        crash(Crashing, "c", third);
+        CHECK(judge(tracker, Crashing, third) == SuspectVerdict::Refused);
+        CHECK(tracker.decide({Crashing, {}, {}}, third).retryAfter ==
               SuspectTable::SuspectLifetime);
-        CHECK(judge(tracker, Crashing, start + SuspectTable::SuspectLifetime) ==
+        CHECK(judge(tracker, Crashing, third + SuspectTable::SuspectLifetime - milliseconds(1)) ==
+              SuspectVerdict::Refused);
+        CHECK(judge(tracker, Crashing, third + SuspectTable::SuspectLifetime) ==
               SuspectVerdict::Unsuspected);
     }
+    SUBCASE("but after crashes at the same moment, one that is sound is served soon")
+    {
+        for (const std::string upstream : {"a", "b", "c"})
+            crash(Innocent, upstream, start);
+        CrashTracker peer([](uint64_t) { return size_t{1}; });
+        peer.merge(makeReport(tracker.recentChanges(start, true)), start);
+        const Duration wait = tracker.decide({Innocent, {}, {}}, start).retryAfter;
+        CHECK(judge(tracker, Innocent, start) == SuspectVerdict::Refused);
+        REQUIRE(wait <= std::chrono::seconds(6));
+        const Instant due = start + wait;
+        const auto decision = tracker.decide({Innocent, {}, {}}, due);
+        REQUIRE(decision.probes == std::vector<uint64_t>{Innocent});
+        CHECK(judge(peer, Innocent, due) == SuspectVerdict::Refused);
+        peer.merge(makeReport(tracker.recordProbes(decision.probes, due)), due);
+        CHECK(judge(tracker, Innocent, due + std::chrono::seconds(1)) == SuspectVerdict::Refused);
+        CHECK(judge(peer, Innocent, due + std::chrono::seconds(1)) == SuspectVerdict::Refused);
+        tracker.recordCompletion(Innocent, due + std::chrono::seconds(1));
+        CHECK(judge(tracker, Innocent, due + std::chrono::seconds(1)) ==
+              SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("but after crashes at the same moment, one that crashes upstreams is sent twice more")
+    {
+        bool isCrashKnown = true;
+        SUBCASE("and each crash is counted") {}
+        SUBCASE("and no further crash is counted")
+        {
+            isCrashKnown = false;
+        }
+        for (const std::string upstream : {"a", "b", "c"})
+            crash(Crashing, upstream, start);
+        int sent = 0;
+        for (int64_t ms = 0; ms < 590000; ms += 100) {
+            const Instant at = start + milliseconds(ms);
+            const auto decision = tracker.decide({Crashing, {}, {}}, at);
+            if (decision.verdict == SuspectVerdict::Refused)
+                continue;
+            ++sent;
+            tracker.recordProbes(decision.probes, at);
+            if (isCrashKnown)
+                crash(Crashing, "d" + std::to_string(sent), at + milliseconds(50));
+        }
+        CHECK(sent == 2);
+    }
     SUBCASE("an upstream that restarts under its name is counted again")
     {
         for (int born = 1; born <= 3; ++born) {
@@ -190,6 +237,66 @@
         CHECK(judgeParts({First}, after(700)) == SuspectVerdict::Unsuspected);
         CHECK(judgeParts({First, Deadly}, after(700)) != SuspectVerdict::Unsuspected);
     }
+    SUBCASE("with two parts that were never answered, until one request tells them apart")
+    {
+        constexpr uint64_t Second = 14;
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        CHECK(judgeParts({First, Second, Deadly}, after(100)) == SuspectVerdict::Refused);
+        const auto decision = tracker.decide(identify({First, Second}), after(100));
+        REQUIRE(decision.verdict == SuspectVerdict::Probe);
+        tracker.recordProbes(decision.probes, after(100));
+        CHECK(judgeParts({First, Second}, after(150)) == SuspectVerdict::Refused);
+        tracker.recordSoundAnswer({First, Second}, after(200));
+        CHECK(judgeParts({First, Second}, after(200)) == SuspectVerdict::Unsuspected);
+        CHECK(judgeParts({First, Second, Deadly}, after(200)) != SuspectVerdict::Unsuspected);
+    }
+    SUBCASE("with two parts whose requests crash without it, too, but once")
+    {
+        constexpr uint64_t Second = 14;
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        int probes = 0;
+        for (int64_t ms = 100; ms < 29000; ms += 100) {
+            auto request = identify({Second, Deadly});
+            const auto decision = tracker.decide(request, after(ms));
+            if (decision.verdict != SuspectVerdict::Probe)
+                continue;
+            ++probes;
+            tracker.recordProbes(decision.probes, after(ms));
+            request.probes = decision.probes;
+            crash({request}, after(ms), after(ms + 50));
+        }
+        CHECK(probes == 1);
+    }
+    SUBCASE("and a trusted part that is missing tells nothing apart")
+    {
+        constexpr uint64_t Second = 14;
+        tracker.recordSoundAnswer({First}, start);
+        for (int i = 0; i < 6; ++i)
+            crash({identify({First, Second, Deadly})}, start, after(i * 10));
+        CHECK(judgeParts({Second, Deadly}, after(200)) == SuspectVerdict::Refused);
+    }
+    SUBCASE("two gateways send one request that tells parts apart, the first in order")
+    {
+        constexpr uint64_t Second = 14;
+        // The order of the parts differs, that of the request must not.
+        CrashTracker front([](uint64_t digest) { return size_t{digest == First ? 0u : 1u}; });
+        CrashTracker peer([](uint64_t digest) { return size_t{digest == First ? 1u : 0u}; });
+        for (int i = 0; i < 6; ++i) {
+            const auto report =
+                makeReport(crash({identify({First, Second, Deadly})}, start, after(i * 10)));
+            front.merge(report, after(i * 10));
+            peer.merge(report, after(i * 10));
+        }
+        const auto decision = front.decide(identify({Second, First}), after(100));
+        REQUIRE(decision.verdict == SuspectVerdict::Probe);
+        CHECK(peer.decide(identify({First, Second}), after(100)).verdict ==
+              SuspectVerdict::Refused);
+        peer.merge(makeReport(front.recordProbes(decision.probes, after(100))), after(100));
+        CHECK(peer.decide(identify({First, Second}), after(700)).verdict ==
+              SuspectVerdict::Refused);
+    }
     SUBCASE("one that is alone is let through at once, but after its crash not for long")
     {
         for (int i = 0; i < 3; ++i)
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -16,6 +16,7 @@
 #include "soak/ModelEngine.h"
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <memory>
 #include <random>
 #include <set>
@@ -43,6 +44,7 @@
     CutEngine,
     SilenceEngine,
     DelayEngine,
+    RestoreStore,
 };
 
 /// Set of faults from which a soak draws.
@@ -84,6 +86,7 @@
         {test::FaultKind::CutEngine, "cut_engine"},
         {test::FaultKind::SilenceEngine, "silence_engine"},
         {test::FaultKind::DelayEngine, "delay_engine"},
+        {test::FaultKind::RestoreStore, "restore_store"},
     });
 };
 
@@ -153,6 +156,17 @@
         // A crashed engine restarts with its previous name.
         bool keepsName = false;
         Duration length{};
+        // Age of the copy from which the store comes back, and whether its connections are cut
+        // while it is away; otherwise it refuses all calls.
+        Duration copyAge{};
+        bool isCut = false;
+    };
+
+    /// A copy of the store, taken at a time.
+    struct StoreCopy
+    {
+        Instant at{};
+        StubStore::Copy content;
     };
 
     /// Requests that share their first part with deadly ones: sent by callers, and received by
@@ -163,6 +177,17 @@
         int received = 0;
     };
 
+    /// What a caller wants done. A repeat after a promise that a request was not executed has
+    /// another request id, and the same path and body.
+    struct Operation
+    {
+        // Id of its first request.
+        std::string id;
+        RouteKind kind = RouteKind::Idempotent;
+        // Empty unless the route is one for models.
+        std::string model;
+    };
+
     /// Executions of one request by upstreams and engines.
     struct Executions
     {
@@ -204,8 +229,11 @@
     void publish(const Upstream &upstream);
     void writeConfig();
     boost::asio::awaitable<void> callLoop(int gateway, bool onlyModels);
-    boost::asio::awaitable<void> callOnce(HttpClient &client, int gateway, RouteKind kind,
-                                          std::string model = "");
+    /// Begins an operation. An empty model is drawn if the route needs one.
+    Operation makeOperation(RouteKind kind, std::string model = "");
+    /// Sends one request of an operation. Returns whether the caller was promised that the request
+    /// was not executed and will not be.
+    boost::asio::awaitable<bool> callOnce(HttpClient &client, int gateway, Operation operation);
     boost::asio::awaitable<void> faultLoop();
     boost::asio::awaitable<void> injectFault(Fault fault);
     boost::asio::awaitable<void> injectAndCount(Fault fault);
@@ -214,6 +242,13 @@
     boost::asio::awaitable<void> injectProcessFault(std::string name, int signal, Duration length);
     boost::asio::awaitable<void> injectUpstreamFault(Fault fault);
     boost::asio::awaitable<void> injectStoreFault(Fault fault);
+    /// Lets the store come back from a copy, without what the system has written since.
+    boost::asio::awaitable<void> restoreStore(Fault fault);
+    /// Writes again what the operator and the running upstreams and engines have written.
+    boost::asio::awaitable<void> rewriteStore();
+    boost::asio::awaitable<void> copyLoop();
+    /// Removes an entry of the instance list, unless a restore has removed it already.
+    void removeEntry(const std::string &id);
     boost::asio::awaitable<void> injectEngineFault(Fault fault);
     boost::asio::awaitable<void> crashEngine(Fault fault);
     static std::vector<Fault> planFaults(SoakPlan plan, uint64_t seed);
@@ -232,6 +267,12 @@
     boost::asio::awaitable<void> awaitReady(int gateway, std::string when);
     boost::asio::awaitable<void> checkModels(int gateway);
     StubReply serve(size_t index, const HttpRequest &request);
+    /// Returns the failure with which an upstream answers a request that it has executed, without
+    /// a statement that it was not; empty for most requests.
+    std::optional<StubReply> drawFailure(const HttpRequest &request, RouteKind kind);
+    /// Returns the refusal of a request that waits in an upstream until its deadline and is not
+    /// executed; empty for most requests.
+    std::optional<StubReply> drawLateRefusal(const HttpRequest &request);
     /// Runs a request for a model.
     StubReply runModel(const HttpRequest &request);
     /// Returns a stream that continues after the last event that the caller has received. The
@@ -245,6 +286,8 @@
                          Duration waited);
     boost::asio::awaitable<void> checkRecovery();
     void checkAtEnd();
+    /// Checks the executions of operations over all their requests.
+    void checkOperations();
     void recordViolation(const std::string &text);
     void logEvent(const std::string &text);
     int drawInt(int low, int high);
@@ -254,6 +297,8 @@
     static std::string stewardName(int index);
     std::string drawModel();
     static bool isModelRoute(RouteKind kind);
+    /// Whether requests of the route must not be executed more than once.
+    static bool runsOnce(RouteKind kind);
     /// Timeout of the route of a request.
     Duration routeTimeout(RouteKind kind) const;
     Duration stopGracePeriod() const;
@@ -279,6 +324,11 @@
     std::set<std::string> stoppingProcesses;
     // Requests that were answered as not executed.
     std::set<std::string> answeredNotExecuted;
+    // Copies of the store in the order of time.
+    std::deque<StoreCopy> copies;
+    // The configuration that was last written, and the upstreams and engines that have ended.
+    std::string lastConfig;
+    std::set<std::string> removedEntries;
     // Time until which gateways may have no contact to the store.
     Instant storeDisturbedUntil{};
     Instant startedAt{};
@@ -297,8 +347,10 @@
     SoundPrompts soundBefore;
     SoundPrompts soundAfter;
     Instant callersStartedAt{};
-    // Requested models by request id.
-    std::map<std::string, std::string> requestedModels;
+    // Operations of requests for models, by request id.
+    std::map<std::string, Operation> modelRequests;
+    // Request ids of each operation of a route that must run once.
+    std::map<std::string, std::vector<std::string>> requestsByOperation;
     bool callersActive = true;
 };
 
