--- a/src/routing/SuspectTable.cpp
+++ b/src/routing/SuspectTable.cpp
@@ -155,15 +155,16 @@
     const Row *row = this->findRow(digest, now);
     if (row == nullptr || row->upstreams.empty())
         return companions;
-    for (const auto &[other, candidate] : this->rows) {
-        if (other == digest || candidate.expiresAt <= now || candidate.crashes < row->crashes)
+    for (const auto &item : this->rows) {
+        const Row &candidate = item.second;
+        if (item.first == digest || candidate.expiresAt <= now || candidate.crashes < row->crashes)
             continue;
         const bool hasAll =
             std::all_of(row->upstreams.begin(), row->upstreams.end(), [&](const auto &upstream) {
                 return candidate.upstreams.contains(upstream.first);
             });
         if (hasAll)
-            companions.push_back(other);
+            companions.push_back(item.first);
     }
     return companions;
 }
--- a/tests/platform/LargeRequestTest.cpp
+++ b/tests/platform/LargeRequestTest.cpp
@@ -202,9 +202,10 @@
     int served = 0;
     int refused = 0;
     REQUIRE(outcomes.size() == LargeRequests);
-    for (const auto &[id, outcome] : outcomes) {
+    for (const auto &item : outcomes) {
+        const std::string &id = item.first;
         CAPTURE(id);
-        const auto &[large, after] = outcome;
+        const auto &[large, after] = item.second;
         served += large.status == 200 ? 1 : 0;
         refused += large.status == 503 ? 1 : 0;
         CHECK(upstream.complete.contains(id) == (large.status == 200));
