Measure the memory that tests hold by what is allocated in sanitizer builds

The test is wrong there, not the client: freed memory stays resident in the sanitizer's quarantine, and the resident size was measured. The same would have failed in BodyMemoryTest (448 MB of growth, 67 allowed) and LargeRequestTest (155 MB, 101 allowed) of that build.

One function for the three tests, which asks the sanitizer for the allocated bytes in its builds and the kernel otherwise; the bounds are as they were.

--- a/tests/net/RequestMemoryTest.cpp
+++ b/tests/net/RequestMemoryTest.cpp
@@ -2,6 +2,7 @@
 // and of a client.
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "support/HeldMemory.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,8 +15,6 @@
 #include <boost/beast/http.hpp>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
-#include <fstream>
-#include <unistd.h>
 
 using namespace tray;
 namespace asio = boost::asio;
@@ -29,16 +28,6 @@
 // Large bodies may use half of the budget, which is one large body.
 constexpr size_t BudgetBytes = 2 * LargeBytes;
 
-/// Memory of this process that is not swapped out, in bytes.
-size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 std::string makeRequest(const std::string &target, const std::string &body, bool isChunked)
 {
     const std::string head = "POST " + target + " HTTP/1.1\r\nHost: a\r\n";
@@ -206,7 +195,7 @@
     size_t received = 0;
     bool isAnswered = false;
     std::vector<char> room(64u << 10);
-    const size_t before = residentBytes();
+    const size_t before = test::heldBytes();
     size_t waiting = 0;
     const auto serve = [&]() -> asio::awaitable<void> {
         auto [code, socket] = co_await acceptor.async_accept(Await);
@@ -218,7 +207,7 @@
         }
         asio::steady_timer timer(context, milliseconds(300));
         co_await timer.async_wait(Await);
-        waiting = residentBytes();
+        waiting = test::heldBytes();
         const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         co_await asio::async_write(socket, asio::buffer(answer), Await);
         co_await socket.async_read_some(asio::buffer(room), Await);
--- a/tests/platform/BodyMemoryTest.cpp
+++ b/tests/platform/BodyMemoryTest.cpp
@@ -1,9 +1,7 @@
 // Bodies without an end at many requests at once: they hold bounded memory together, and other
 // requests go on.
 #include "GatewayFixture.h"
-
-#include <fstream>
-#include <unistd.h>
+#include "support/HeldMemory.h"
 
 using namespace tray;
 using namespace tray::test;
@@ -15,16 +13,6 @@
 constexpr size_t MaxGrowthBytes = 64u << 20;
 constexpr int EndlessAnswers = 40;
 
-/// Memory of this process that is not swapped out, in bytes.
-size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 } // namespace
 
 TEST_CASE("Error answers without an end hold bounded memory together, and others are served")
@@ -40,7 +28,7 @@
     });
     fixture.store.remove("servers", "i-2");
     REQUIRE(fixture.statusOf("/take/sound") == 200);
-    const size_t before = residentBytes();
+    const size_t before = heldBytes();
     size_t peak = before;
     int errors = 0;
     for (int i = 0; i < EndlessAnswers; ++i)
@@ -57,7 +45,7 @@
             asio::detached);
     for (int i = 0; i < 10; ++i) {
         fixture.runFor(milliseconds(100));
-        peak = std::max(peak, residentBytes());
+        peak = std::max(peak, heldBytes());
         CHECK(fixture.statusOf("/take/sound") == 200);
     }
     fixture.runFor(std::chrono::seconds(1));
--- a/tests/platform/LargeRequestTest.cpp
+++ b/tests/platform/LargeRequestTest.cpp
@@ -1,12 +1,11 @@
 // Large bodies of many requests at once: their memory is bounded, requests for which none is left
 // are refused before they reach an upstream, and small requests go on.
 #include "GatewayFixture.h"
+#include "support/HeldMemory.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <fstream>
 #include <set>
-#include <unistd.h>
 
 using namespace tray;
 using namespace tray::test;
@@ -32,16 +31,6 @@
 // Time that the upstream works on a large request.
 constexpr Duration WorkTime = std::chrono::seconds(2);
 
-/// Memory of this process that is not swapped out, in bytes.
-size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 /// Upstream that works long on large requests and does not keep their bodies.
 class SlowUpstream
 {
@@ -177,7 +166,7 @@
     fixture.runFor(std::chrono::seconds(4));
     REQUIRE(fixture.statusOf("/take/small") == 200);
     const std::string body(LargeBytes, 'b');
-    const size_t before = residentBytes();
+    const size_t before = heldBytes();
     size_t peak = before;
     std::map<std::string, std::pair<Outcome, Outcome>> outcomes;
     for (int i = 0; i < LargeRequests; ++i) {
@@ -193,7 +182,7 @@
     for (int i = 0; i < 20; ++i) {
         for (int step = 0; step < 20; ++step) {
             fixture.runFor(milliseconds(5));
-            peak = std::max(peak, residentBytes());
+            peak = std::max(peak, heldBytes());
         }
         CHECK(fixture.statusOf("/take/small") == 200);
     }
