Let the endless answers of a test use up their memory on slow builds, too

In the thread build the forty answers of BodyMemoryTest reached their deadline (504) before they had used up the 32 MiB that large bodies may have, and the test waits for 502. The test now gives the gateway 4 MiB for bodies, and the bound on the growth falls from 67 to 34 MB.

--- a/tests/platform/BodyMemoryTest.cpp
+++ b/tests/platform/BodyMemoryTest.cpp
@@ -8,24 +8,26 @@
 
 namespace {
 
-// Half of the fixture's memory for bodies, which large bodies may use, and as much again for what
-// the connections and copies of them hold.
-constexpr size_t MaxGrowthBytes = 64u << 20;
+// Large bodies may use half of this.
+constexpr size_t BodyMemoryBytes = 4u << 20;
+// A multiple of it, for what the connections and copies of the bodies hold, on both of their ends.
+constexpr size_t MaxGrowthBytes = 8 * BodyMemoryBytes;
 constexpr int EndlessAnswers = 40;
 
 } // namespace
 
 TEST_CASE("Error answers without an end hold bounded memory together, and others are served")
 {
-    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+    const auto answer = [](const HttpRequest &request) -> StubReply {
         if (request.target == "/take/sound")
             return {StubUpstream::sealedAnswer(request, 200, "sound")};
         StubReply reply;
         reply.bytes = "HTTP/1.1 500 X\r\nMarjoramtray-Request-Id: r1\r\n\r\n";
-        reply.repeatedBytes = std::string(256u << 10, 'x');
+        reply.repeatedBytes = std::string(64u << 10, 'x');
         reply.pieceDelay = milliseconds(10);
         return reply;
-    });
+    };
+    GatewayFixture fixture(answer, {}, std::chrono::seconds(8), BodyMemoryBytes);
     fixture.store.remove("servers", "i-2");
     REQUIRE(fixture.statusOf("/take/sound") == 200);
     const size_t before = heldBytes();
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -43,7 +43,8 @@
 {
 public:
     explicit GatewayFixture(StubUpstream::Behaviour first, StubUpstream::Behaviour second = {},
-                            Duration stopGrace = std::chrono::seconds(8))
+                            Duration stopGrace = std::chrono::seconds(8),
+                            size_t bodyMemoryBytes = GatewaySettings().bodyMemoryBytes)
         : store(this->context), http(this->context), caller(this->context),
           client(this->http, this->store.listen()), first(this->context, std::move(first)),
           second(
@@ -62,6 +63,7 @@
         this->stewardPort = value(stewardAddress).port;
         GatewaySettings settings = this->makeSettings("front-1", "here");
         settings.shutdownGracePeriod = stopGrace;
+        settings.bodyMemoryBytes = bodyMemoryBytes;
         this->datagrams = settings.datagramAddress;
         this->address = settings.callerAddress;
         this->readiness = settings.readinessAddress;
