--- a/tests/platform/BodyMemoryTest.cpp
+++ b/tests/platform/BodyMemoryTest.cpp
@@ -1,46 +1,36 @@
 // Bodies without an end at many requests at once: they hold bounded memory together, and other
 // requests go on.
 #include "GatewayFixture.h"
-
-#include <fstream>
-#include <unistd.h>
+#include "support/HeldMemory.h"
 
 using namespace tray;
 using namespace tray::test;
 
 namespace {
 
-// Half of the fixture's memory for bodies, which large bodies may use, and as much again for what
-// the connections and copies of them hold.
-constexpr size_t MaxGrowthBytes = 64u << 20;
+// Large bodies may use half of this.
+constexpr size_t BodyMemoryBytes = 4u << 20;
+// A multiple of it, for what the connections and copies of the bodies hold, on both of their ends.
+constexpr size_t MaxGrowthBytes = 8 * BodyMemoryBytes;
 constexpr int EndlessAnswers = 40;
 
-/// Memory of this process that is not swapped out, in bytes.
-size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<size_t>(::sysconf(_SC_PAGESIZE));
-}
-
 } // namespace
 
 TEST_CASE("Error answers without an end hold bounded memory together, and others are served")
 {
-    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+    const auto answer = [](const HttpRequest &request) -> StubReply {
         if (request.target == "/take/sound")
             return {StubUpstream::sealedAnswer(request, 200, "sound")};
         StubReply reply;
         reply.bytes = "HTTP/1.1 500 X\r\nMarjoramtray-Request-Id: r1\r\n\r\n";
-        reply.repeatedBytes = std::string(256u << 10, 'x');
+        reply.repeatedBytes = std::string(64u << 10, 'x');
         reply.pieceDelay = milliseconds(10);
         return reply;
-    });
+    };
+    GatewayFixture fixture(answer, {}, std::chrono::seconds(8), BodyMemoryBytes);
     fixture.store.remove("servers", "i-2");
     REQUIRE(fixture.statusOf("/take/sound") == 200);
-    const size_t before = residentBytes();
+    const size_t before = heldBytes();
     size_t peak = before;
     int errors = 0;
     for (int i = 0; i < EndlessAnswers; ++i)
@@ -57,7 +47,7 @@
             asio::detached);
     for (int i = 0; i < 10; ++i) {
         fixture.runFor(milliseconds(100));
-        peak = std::max(peak, residentBytes());
+        peak = std::max(peak, heldBytes());
         CHECK(fixture.statusOf("/take/sound") == 200);
     }
     fixture.runFor(std::chrono::seconds(1));
