Log how late a stop reaches each of its deadlines

What a stop's log did not show: whether requests were left because the loop ran late or because they waited where the stop does not reach them. stop_drain_over and stop_end name the requests in flight and the delay, as essential lines, so that the lines of hundreds of requests do not displace them.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -230,14 +230,19 @@
                                          this->shutdownSchedule.drainDeadline() - clockNow()));
     this->callerServer.drain();
     co_await this->waitUntilDrained(this->shutdownSchedule.drainDeadline());
+    logDecision(LogPriority::Essential, clockNow(),
+                fmt::format("event=stop_drain_over in_flight={} late_ms={}",
+                            this->callerServer.inFlight(),
+                            toMs(clockNow() - this->shutdownSchedule.drainDeadline())));
     for (auto *exchange : *this->activeExchanges)
         exchange->abortForShutdown(clockNow());
     this->callerServer.refuseIncompleteRequests();
     this->capacityChanged.notifyAll();
     this->snapshotArrived.notifyAll();
     co_await this->waitUntilDrained(this->shutdownSchedule.finalResponseDeadline());
-    logDecision(LogPriority::Notable, clockNow(),
-                fmt::format("event=stop_end in_flight={}", this->callerServer.inFlight()));
+    logDecision(LogPriority::Essential, clockNow(),
+                fmt::format("event=stop_end in_flight={} late_ms={}", this->callerServer.inFlight(),
+                            toMs(clockNow() - this->shutdownSchedule.finalResponseDeadline())));
     this->plannerCoordinator.stop();
     this->datagrams.close();
 }
