Answer all requests in flight at the end of a stop, however slow the instance

Cause: the time for final responses was 200 ms of wall time whatever the number of requests in flight and the share of a core that the process has, and the process ended after it with requests in flight, 400 ms before it had to. Class: a fixed reserve of wall time for work whose amount and speed vary.

Change: ShutdownSchedule reserves processor time for each request in flight, divided by the instance's share of a core, at most half of the grace period, and the process ends 100 ms before the grace time unless all are answered before. A usual stop with a few requests in flight begins its final responses 0.6 s before the end, as before.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -218,7 +218,8 @@
 
 asio::awaitable<void> Gateway::stop()
 {
-    this->shutdownSchedule.begin(clockNow(), this->settings.shutdownGracePeriod);
+    this->shutdownSchedule.begin(clockNow(), this->settings.shutdownGracePeriod,
+                                 this->settings.cpuCores);
     this->callerServer.disableKeepAlive();
     logDecision(LogPriority::Notable, clockNow(),
                 fmt::format("event=stop_begin in_flight={}", this->callerServer.inFlight()));
@@ -229,7 +230,10 @@
     co_await pauseFor(std::min<Duration>(BalancerDetectionTime,
                                          this->shutdownSchedule.drainDeadline() - clockNow()));
     this->callerServer.drain();
-    co_await this->waitUntilDrained(this->shutdownSchedule.drainDeadline());
+    while (!this->callerServer.isDrained() && !this->shutdownSchedule.isDrainOver(clockNow())) {
+        co_await pauseFor(DrainCheckInterval);
+        this->shutdownSchedule.reserveFinalResponses(this->callerServer.inFlight());
+    }
     logDecision(LogPriority::Essential, clockNow(),
                 fmt::format("event=stop_drain_over in_flight={} late_ms={}",
                             this->callerServer.inFlight(),
--- a/src/gateway/ShutdownSchedule.cpp
+++ b/src/gateway/ShutdownSchedule.cpp
@@ -1,13 +1,25 @@
 // Computes the deadlines of a graceful shutdown and the expected durations of responses.
 #include "gateway/ShutdownSchedule.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tray {
 
-void ShutdownSchedule::begin(Instant now, Duration grace)
+void ShutdownSchedule::begin(Instant now, Duration grace, double cpuCores)
 {
-    this->drainDeadlineAt = now + grace - ExitMargin - FinalResponseTime;
+    this->finalResponseDeadlineAt = now + grace - ExitMargin;
+    this->maxFinalResponseTime = grace / 2;
+    this->cpuCores = cpuCores;
+    this->reserveFinalResponses(0);
+}
+
+void ShutdownSchedule::reserveFinalResponses(size_t inFlight)
+{
+    const auto needed = std::chrono::duration_cast<Duration>(static_cast<double>(inFlight) *
+                                                             FinalResponseCpuTime / this->cpuCores);
+    this->drainDeadlineAt = this->finalResponseDeadlineAt -
+                            std::min(MinFinalResponseTime + needed, this->maxFinalResponseTime);
 }
 
 void ShutdownSchedule::DurationEstimate::add(Duration sample)
--- a/src/gateway/ShutdownSchedule.h
+++ b/src/gateway/ShutdownSchedule.h
@@ -17,10 +17,12 @@
 {
 public:
     /// Time at the end of the grace period that is reserved for the exit of the process.
-    static constexpr Duration ExitMargin = milliseconds(400);
-    /// Time before the exit margin that is reserved for writing final responses to the requests
-    /// that are still in flight.
-    static constexpr Duration FinalResponseTime = milliseconds(200);
+    static constexpr Duration ExitMargin = milliseconds(100);
+    /// Least time before the exit margin that is reserved for writing final responses to the
+    /// requests that are still in flight.
+    static constexpr Duration MinFinalResponseTime = milliseconds(500);
+    /// Processor time of one final response, with the cancellation of its attempt.
+    static constexpr Duration FinalResponseCpuTime = std::chrono::microseconds(250);
     /// Retry-After of refusals during a shutdown. It is short because other instances can take the
     /// request immediately.
     static constexpr Duration DrainRetryAfter = milliseconds(50);
@@ -30,8 +32,12 @@
     /// retransmission timeout of TCP (RFC 6298).
     static constexpr double UpperDeviations = 4;
 
-    /// Begins a shutdown. The process ends after the grace period.
-    void begin(Instant now, Duration grace);
+    /// Begins a shutdown. The process ends after the grace period; its processor time is given in
+    /// cores.
+    void begin(Instant now, Duration grace, double cpuCores);
+    /// Reserves the time that the process needs to write final responses to this number of
+    /// requests, but at most half of the grace period.
+    void reserveFinalResponses(size_t inFlight);
     bool isStopping() const { return this->drainDeadlineAt.has_value(); }
     /// Returns whether requests that are still in flight must get their final response now.
     bool isDrainOver(Instant now) const
@@ -42,7 +48,7 @@
     /// time by which the final responses must have been written. Both may be called only after
     /// begin().
     Instant drainDeadline() const { return *this->drainDeadlineAt; }
-    Instant finalResponseDeadline() const { return *this->drainDeadlineAt + FinalResponseTime; }
+    Instant finalResponseDeadline() const { return this->finalResponseDeadlineAt; }
 
     /// Records the duration of a response on this route: from its first bytes to its end, and from
     /// the sending of the request to its end.
@@ -76,6 +82,10 @@
     };
 
     std::optional<Instant> drainDeadlineAt;
+    Instant finalResponseDeadlineAt{};
+    // Half of the grace period.
+    Duration maxFinalResponseTime{};
+    double cpuCores = 1;
     std::map<std::string, RouteDurations> durations;
 };
 
--- a/tests/gateway/ShutdownScheduleTest.cpp
+++ b/tests/gateway/ShutdownScheduleTest.cpp
@@ -11,7 +11,8 @@
     const Instant start{std::chrono::hours(1)};
     constexpr Duration Grace = std::chrono::seconds(8);
     constexpr Duration Left =
-        Grace - ShutdownSchedule::ExitMargin - ShutdownSchedule::FinalResponseTime;
+        Grace - ShutdownSchedule::ExitMargin - ShutdownSchedule::MinFinalResponseTime;
+    constexpr double Cores = 0.1;
 
     SUBCASE("every request is accepted without a shutdown")
     {
@@ -21,7 +22,7 @@
     }
     SUBCASE("a response must begin before the final responses are written")
     {
-        window.begin(start, Grace);
+        window.begin(start, Grace, Cores);
         CHECK(window.canFinish("tell", Left, start));
         CHECK_FALSE(window.canFinish("tell", Left + milliseconds(1), start));
         CHECK_FALSE(window.canFinish("tell", Left, start + milliseconds(1)));
@@ -29,11 +30,25 @@
         CHECK(window.isDrainOver(start + Left));
         CHECK(window.finalResponseDeadline() < start + Grace);
     }
+    SUBCASE("more requests in flight need more time for their final responses")
+    {
+        window.begin(start, Grace, Cores);
+        constexpr size_t InFlight = 200;
+        constexpr Duration Needed = 10 * InFlight * ShutdownSchedule::FinalResponseCpuTime;
+        window.reserveFinalResponses(InFlight);
+        CHECK(window.drainDeadline() == start + Left - Needed);
+        CHECK_FALSE(window.canFinish("tell", Left, start));
+        window.reserveFinalResponses(0);
+        CHECK(window.drainDeadline() == start + Left);
+        window.reserveFinalResponses(1000000);
+        CHECK(window.drainDeadline() == start + Grace / 2 - ShutdownSchedule::ExitMargin);
+        CHECK(window.finalResponseDeadline() == start + Grace - ShutdownSchedule::ExitMargin);
+    }
     SUBCASE("the mean time from first byte to end of the route's responses is added")
     {
         for (int i = 0; i < 50; ++i)
             window.recordResponse("tell", std::chrono::seconds(3), std::chrono::seconds(3));
-        window.begin(start, Grace);
+        window.begin(start, Grace, Cores);
         CHECK(window.canFinish("tell", Left - std::chrono::seconds(3), start));
         CHECK_FALSE(window.canFinish("tell", Left - std::chrono::seconds(2), start));
         CHECK(window.canFinish("ask", Left - std::chrono::seconds(2), start));
@@ -43,14 +58,14 @@
         window.recordResponse("tell", std::chrono::seconds(30), std::chrono::seconds(30));
         for (int i = 0; i < 100; ++i)
             window.recordResponse("tell", milliseconds(100), milliseconds(100));
-        window.begin(start, Grace);
+        window.begin(start, Grace, Cores);
         CHECK(window.canFinish("tell", Left - milliseconds(200), start));
     }
     SUBCASE("a request is sent only if most answers of its route are short enough")
     {
         const Instant far = start + std::chrono::hours(1);
         CHECK(window.canStart("take", far, start));
-        window.begin(start, Grace);
+        window.begin(start, Grace, Cores);
         CHECK_FALSE(window.canStart("take", far, start));
         for (int i = 0; i < 40; ++i)
             window.recordResponse("take", Duration::zero(),
@@ -61,7 +76,7 @@
     }
     SUBCASE("or if its deadline passes before the final responses are due")
     {
-        window.begin(start, Grace);
+        window.begin(start, Grace, Cores);
         CHECK(window.canStart("take", start + Left, start));
         CHECK_FALSE(window.canStart("take", start + Left + milliseconds(1), start));
     }
