Continue a stream only at the software version that began it

Cause: the version of an entry of the instance list was not decoded and the header Resumes not read, so that any upstream with the model could continue any stream. Class: work is continued without what binds it.

Change: UpstreamEntry and the list updates carry the software version. Exchange binds a stream to the version that is listed for the incarnation whose first event it passes on, and the dispatcher chooses only upstreams of that version from then on. A caller that takes the stream up names the attempt that began it; its origin is looked up, and if no upstream can continue the stream or its origin is not known, the caller gets 503 (cannot_continue) at once and may begin anew. A continuation waits for its upstreams longer than a new request waits for its first event.

--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -40,6 +40,7 @@
     {ErrorKind::Internal, 500, "server_error", false, Ran::Unknown, 0},
     {ErrorKind::OutOfMemory, 503, "overloaded_error", true, Ran::No, 2000},
     {ErrorKind::SuspectQuarantined, 503, "server_error", false, Ran::No, 0},
+    {ErrorKind::CannotContinue, 503, "server_error", false, Ran::No, 0},
 });
 
 constexpr bool isTableComplete()
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -40,6 +40,8 @@
     Internal = 28,
     OutOfMemory = 29,
     SuspectQuarantined = 30,
+    /// A stream that the caller has in part cannot be continued; it may be requested anew.
+    CannotContinue = 31,
 };
 
 /// Whether a request that ended with an error was executed by an upstream.
@@ -97,6 +99,7 @@
         {ErrorKind::Internal, "internal"},
         {ErrorKind::OutOfMemory, "out_of_memory"},
         {ErrorKind::SuspectQuarantined, "suspect_quarantined"},
+        {ErrorKind::CannotContinue, "cannot_continue"},
     });
 };
 
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -79,6 +79,11 @@
            one.can_order() == other.can_order() && one.leaving() == other.leaving();
 }
 
+bool hasVersion(const UpstreamEntry &entry, const std::optional<std::string> &softwareVersion)
+{
+    return !softwareVersion || entry.softwareVersion == *softwareVersion;
+}
+
 } // namespace
 
 void Dispatcher::setUpstreams(const std::map<std::string, UpstreamEntry> &entries)
@@ -161,6 +166,7 @@
 bool Dispatcher::isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const
 {
     if (upstream.entry.service != query.service || upstream.entry.phase != UpstreamPhase::Ready ||
+        !hasVersion(upstream.entry, query.softwareVersion) ||
         query.tried.contains(upstream.entry.id) || upstream.health.isBackingOff(now))
         return false;
     const bool fresh = this->hasFreshSnapshot(upstream, now);
@@ -356,8 +362,7 @@
 DispatchRefusal Dispatcher::makeRefusal(const DispatchQuery &query, Instant now) const
 {
     const auto soonest = this->soonestAllowed(query, now);
-    const auto loadedIn =
-        query.model.empty() ? std::nullopt : this->timeUntilLoaded(query.model, now);
+    const auto loadedIn = query.model.empty() ? std::nullopt : this->timeUntilLoaded(query, now);
     if (soonest.allowedIn && (!loadedIn || *soonest.allowedIn < *loadedIn)) {
         Duration retryAfter = std::max<Duration>(*soonest.allowedIn, MinDirectiveRetryDelay);
         // Another instance may have a larger share of the limit.
@@ -366,20 +371,40 @@
         return {ErrorKind::Overloaded, "the upstreams take no more requests now", retryAfter,
                 soonest.allowedIn, soonest.forbiddenBy};
     }
+    if (query.softwareVersion &&
+        !this->isVersionServing(query.service, *query.softwareVersion, now))
+        return {ErrorKind::CannotContinue, "no upstream of the stream's software version is left"};
+    // The only upstreams that can continue the stream come back, or load the model, within the time
+    // after which callers ask again for a model that engines lack.
+    const auto expectedIn =
+        query.softwareVersion ? std::optional<Duration>(MissingModelRetryDelay) : std::nullopt;
     if (query.model.empty())
         return {ErrorKind::NoReplica, "no upstream of the service can be used",
-                MissingModelRetryDelay};
-    const Duration retryAfter = this->retryForMissing(query.model, now);
+                MissingModelRetryDelay, expectedIn};
+    const Duration retryAfter = this->retryForMissing(query, now);
     if (loadedIn)
         return {ErrorKind::NoReplica, "the model is being loaded", retryAfter, retryAfter};
-    return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter};
+    return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter, expectedIn};
+}
+
+bool Dispatcher::isVersionServing(const std::string &service, const std::string &softwareVersion,
+                                  Instant now) const
+{
+    return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &item) {
+        const Upstream &upstream = item.second;
+        return upstream.entry.service == service &&
+               upstream.entry.softwareVersion == softwareVersion &&
+               upstream.entry.phase == UpstreamPhase::Ready &&
+               !(this->hasFreshSnapshot(upstream, now) && upstream.snapshot->leaving());
+    });
 }
 
-std::optional<Duration> Dispatcher::timeUntilLoaded(const std::string &model, Instant now) const
+std::optional<Duration> Dispatcher::timeUntilLoaded(const DispatchQuery &query, Instant now) const
 {
     std::optional<Duration> least;
     for (const auto &[id, upstream] : this->upstreams) {
-        if (!this->hasFreshSnapshot(upstream, now) || upstream.snapshot->loading() != model)
+        if (!hasVersion(upstream.entry, query.softwareVersion) ||
+            !this->hasFreshSnapshot(upstream, now) || upstream.snapshot->loading() != query.model)
             continue;
         const Duration left = std::max<Duration>(
             Duration::zero(),
@@ -474,9 +499,9 @@
     return false;
 }
 
-Duration Dispatcher::retryForMissing(const std::string &model, Instant now) const
+Duration Dispatcher::retryForMissing(const DispatchQuery &query, Instant now) const
 {
-    const auto left = this->timeUntilLoaded(model, now);
+    const auto left = this->timeUntilLoaded(query, now);
     return left ? *left + LoadVisibilityDelay : MissingModelRetryDelay;
 }
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -29,6 +29,9 @@
     /// other's prefill work on one engine.
     uint64_t sharedPrefixKey = 0;
     uint32_t sharedPrefixTokens = 0;
+    /// Software version of the upstream that began the stream; not set if any version may serve the
+    /// request.
+    std::optional<std::string> softwareVersion;
     /// Upstreams that earlier attempts of the request were sent to; none of them is chosen again.
     std::set<std::string> tried;
 };
@@ -141,7 +144,10 @@
     bool noteModelMissing(const std::string &upstreamId, const std::string &model,
                           const std::string &adapter, Instant now);
     /// Time after which a caller should retry a request for a model that the engines lack.
-    Duration retryForMissing(const std::string &model, Instant now) const;
+    Duration retryForMissing(const DispatchQuery &query, Instant now) const;
+    /// Whether the service has an upstream of this software version that is not leaving.
+    bool isVersionServing(const std::string &service, const std::string &softwareVersion,
+                          Instant now) const;
 
     /// Models and adapters of an upstream, from a fresh snapshot or else from the instance list.
     std::vector<HeldModel> heldModels(const std::string &upstreamId, Instant now) const;
@@ -196,7 +202,7 @@
     static uint64_t pendingPromptTokens(const Upstream &upstream);
     static int overdueAttempts(const Upstream &upstream, Instant now);
     DispatchRefusal makeRefusal(const DispatchQuery &query, Instant now) const;
-    std::optional<Duration> timeUntilLoaded(const std::string &model, Instant now) const;
+    std::optional<Duration> timeUntilLoaded(const DispatchQuery &query, Instant now) const;
 
     const ProximityLookup proximityOf;
     std::map<std::string, Upstream> upstreams;
--- a/src/fleet/ListRelay.cpp
+++ b/src/fleet/ListRelay.cpp
@@ -23,6 +23,7 @@
     row.set_draining(entry.phase == UpstreamPhase::Draining);
     row.set_born_ms(entry.startedAtMs);
     row.set_sequence(entry.sequence);
+    row.set_software_version(entry.softwareVersion);
     for (const auto &model : entry.models) {
         auto *held = row.add_models();
         held->set_name(model.name);
@@ -52,6 +53,7 @@
     entry.phase = row.draining() ? UpstreamPhase::Draining : UpstreamPhase::Ready;
     entry.startedAtMs = row.born_ms();
     entry.sequence = row.sequence();
+    entry.softwareVersion = row.software_version();
     for (const auto &model : row.models())
         entry.models.push_back({model.name(), {model.adapters().begin(), model.adapters().end()}});
     if (row.has_leaves_in_ms())
--- a/src/fleet/Upstream.h
+++ b/src/fleet/Upstream.h
@@ -47,6 +47,9 @@
     /// Orders that the engine has accepted since its start.
     uint64_t sequence = 0;
     std::vector<HeldModel> models;
+    /// Version of the upstream's software; empty if it reports none. Only upstreams of the same
+    /// version can continue each other's streams.
+    std::string softwareVersion;
     /// Time until the upstream ends, if it has announced that.
     std::optional<Duration> remainingLifetime;
 };
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -47,6 +47,9 @@
 // two round trips between regions.
 constexpr Duration CrashVerdictTimeout = milliseconds(150);
 constexpr int GatewayTimeoutStatus = 504;
+// Longest wait for an upstream that can continue a stream. It covers a restart of an engine and
+// loads of its models from copies on its host.
+constexpr Duration MaxContinuationWait = std::chrono::seconds(10);
 // Most parts of a prompt that a log line names.
 constexpr size_t MaxLoggedParts = 8;
 // Requests with a latency goal of at least this time have a lower priority
@@ -114,7 +117,11 @@
     const Duration timeout = this->properties.timeout.value_or(this->route->timeout);
     this->deadline = this->arrived + std::min(timeout, this->route->timeout);
     this->responder.setDeadline(this->deadline);
-    this->service = chooseService(*this->route, hash64(this->properties.requestId));
+    // All attempts of a caller on one stream get the same service.
+    const auto &firstRequestId = this->properties.resumedRequestId.empty()
+                                     ? this->properties.requestId
+                                     : this->properties.resumedRequestId;
+    this->service = chooseService(*this->route, hash64(firstRequestId));
     this->responder.onPeerGone([this] {
         this->isCallerGone = true;
         if (this->attemptCancel)
@@ -125,6 +132,8 @@
     this->suspectIdentity = makeSuspectIdentity(this->request, this->properties);
     if (!this->properties.model.empty())
         this->recordDemand();
+    if (!co_await this->resolveStreamVersion())
+        co_return;
     co_await this->dispatchWithRetries();
 }
 
@@ -176,8 +185,8 @@
         if (const auto *refusal = std::get_if<DispatchRefusal>(&choice)) {
             // An earlier attempt that may have been executed, or that got a response, determines
             // the final response. Otherwise nothing was executed, and the refusal states why.
-            if (this->executions.possibleExecutions() > 0 || last.upstreamError ||
-                this->hasStreamBegun)
+            if (!this->isContinuation() && (this->executions.possibleExecutions() > 0 ||
+                                            last.upstreamError || this->hasStreamBegun))
                 break;
             if (last.outcome == AttemptOutcome::Full)
                 break;
@@ -187,7 +196,7 @@
             // Several requests wait for the same upstream, and each needs time to be served.
             const int factor = refusal->forbiddenBy == DirectiveKind::None ? 1 : 2;
             const bool isOnTime =
-                refusal->readyIn && factor * *refusal->readyIn <= this->timeUntilLatencyLimit(now);
+                refusal->readyIn && factor * *refusal->readyIn <= this->timeUntilRefusal(now);
             if (isOnTime && !this->gateway.shutdownSchedule.canFinish(this->route->name,
                                                                       *refusal->readyIn, now)) {
                 co_await this->refuseForShutdown(
@@ -195,6 +204,8 @@
                 co_return;
             }
             if (isOnTime) {
+                if (this->isContinuation() && !this->continuationWaitBeganAt)
+                    this->continuationWaitBeganAt = now;
                 this->phase = refusal->forbiddenBy == DirectiveKind::None
                                   ? ExchangePhase::LoadingModel
                                   : ExchangePhase::Queued;
@@ -203,6 +214,8 @@
                                                                this->priority());
                 continue;
             }
+            if (this->executions.possibleExecutions() > 0 || last.upstreamError)
+                break;
             this->gateway.demand.recordRefusal(this->properties.model, clockNow());
             co_await this->finishWithError(refusal->kind, refusal->reason, refusal->retryAfter);
             co_return;
@@ -211,7 +224,7 @@
             // An earlier attempt that may have been executed, or that got a response, determines
             // the final response.
             const bool mayHaveRun =
-                !this->hasStreamBegun &&
+                !this->isContinuation() && !this->hasStreamBegun &&
                 (this->executions.possibleExecutions() > 0 || last.upstreamError);
             const bool worthwhile = co_await this->waitInPrefillQueue(*wait, mayHaveRun);
             if (worthwhile)
@@ -386,6 +399,15 @@
                               this->timeUntilCallerTimeout(now));
 }
 
+Duration Exchange::timeUntilRefusal(Instant now) const
+{
+    if (!this->isContinuation())
+        return this->timeUntilLatencyLimit(now);
+    const Instant waitBegan = this->continuationWaitBeganAt.value_or(now);
+    return std::min<Duration>(waitBegan + MaxContinuationWait - now,
+                              this->timeUntilCallerTimeout(now));
+}
+
 asio::awaitable<bool> Exchange::waitInPrefillQueue(DispatchWait wait, bool mayHaveRun)
 {
     const Instant now = clockNow();
@@ -401,8 +423,9 @@
         isNew ? prefillQueue.predictFirstAnswer(this->properties.model, this->priority(), engines,
                                                 now)
               : prefillQueue.predictFirstAnswer(*this->queueTicket, engines, now);
-    const Duration limit = isNew && !this->hasStreamBegun ? this->timeUntilLatencyLimit(now)
-                                                          : this->timeUntilCallerTimeout(now);
+    const Duration limit = isNew && !this->hasStreamBegun && !this->isContinuation()
+                               ? this->timeUntilLatencyLimit(now)
+                               : this->timeUntilCallerTimeout(now);
     if (predicted > limit) {
         this->leavePrefillQueue();
         if (mayHaveRun)
@@ -448,6 +471,7 @@
     query.model = this->properties.model;
     query.adapter = this->properties.adapter;
     query.promptTokens = this->properties.promptTokens;
+    query.softwareVersion = this->streamVersion;
     query.tried = this->triedUpstreams;
     // The last part is excluded because it belongs to this request alone.
     for (size_t i = 0; i + 1 < this->properties.promptParts.size(); ++i) {
@@ -462,7 +486,7 @@
     const int relaxedPenalty = this->route->latencyGoal >= RelaxedGoalThreshold ? 1 : 0;
     // A stream that resumes is served earlier: its caller has already waited and been served in
     // part.
-    const int resumed = this->hasStreamBegun ? FirstRankPriority : 0;
+    const int resumed = this->hasStreamBegun || this->isContinuation() ? FirstRankPriority : 0;
     return std::clamp(FirstRankPriority + 2 * this->route->rank + relaxedPenalty - resumed, 0, 9);
 }
 
@@ -477,7 +501,7 @@
     if (result.mayHaveRun() && (!this->route->isRepeatable() ||
                                 this->executions.possibleExecutions() >= this->route->maxAttempts))
         return false;
-    if (this->hasStreamBegun && !this->eventSplitter.canContinue())
+    if (this->hasStreamBegun && (!this->eventSplitter.canContinue() || this->isStreamVersionLost))
         return false;
     return this->gateway.retryBudgetOf(this->service)
         .tryConsume(this->gateway.countGateways(), now);
@@ -539,6 +563,9 @@
     const auto &entries = this->gateway.directory.entries();
     const auto entry = entries.find(target.upstreamId);
     const uint64_t startedAtMs = entry == entries.end() ? 0 : entry->second.startedAtMs;
+    this->attemptStartedAtMs = startedAtMs;
+    this->attemptVersion = entry == entries.end() ? "" : entry->second.softwareVersion;
+    this->isAttemptContinuation = this->isContinuation();
     const AttemptTicket ticket =
         dispatcher.beginAttempt(target.upstreamId, this->makeQuery(), began);
     if (!this->properties.model.empty())
@@ -604,7 +631,7 @@
 
 void Exchange::recordPrefillTime(Duration timeToFirstResponse)
 {
-    if (this->properties.promptParts.empty() || this->hasStreamBegun)
+    if (this->properties.promptParts.empty() || this->hasStreamBegun || this->isContinuation())
         return;
     // Only the last part is counted, since the shared parts may already be in the engine's memory.
     const uint32_t ownTokens = this->properties.promptParts.back().tokens;
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -46,6 +46,8 @@
 
     /// Serves the request until its final response has been sent or the caller has disconnected.
     boost::asio::awaitable<void> run();
+    /// Records that an upstream has restarted, which may be the one that answers.
+    void handleUpstreamRestart(const std::string &upstreamId, Instant now);
     /// Logs the request as unanswered and cancels its current attempt, because the shutdown
     /// deadline has passed. A wait for capacity or for a snapshot ends when the gateway wakes the
     /// waiters.
@@ -74,6 +76,16 @@
 
     /// Sends attempts until one of them is final or no further attempt is allowed.
     boost::asio::awaitable<void> dispatchWithRetries();
+    /// Finds out which software version must continue the stream that the caller takes up again.
+    /// Returns false if that cannot be known; the request has then been refused.
+    boost::asio::awaitable<bool> resolveStreamVersion();
+    /// Records the software version of the upstream whose first event is about to be passed on.
+    void bindStream(Instant now);
+    /// Returns the software version of the upstream that answers the present attempt, or nothing if
+    /// the upstream has restarted with another version since the attempt began.
+    std::optional<std::string> findAnsweringVersion() const;
+    /// Whether the caller holds events of the stream, from this response or an earlier attempt.
+    bool isContinuation() const { return this->streamVersion.has_value(); }
     /// Waits once for a change of capacity. Returns false if the predicted time to the first
     /// response exceeds the limit or leaves too little time before the shutdown deadline. The
     /// request has then been refused; but if mayHaveRun is set, no response was sent and the
@@ -84,6 +96,10 @@
     void noteDirectives(const std::string &upstreamId, uint64_t startedAtMs,
                         const ResponseProperties &answer, int status);
     Duration timeUntilCallerTimeout(Instant now) const;
+    /// Time until the request is refused if no upstream can take it: until the latency limit or, if
+    /// the caller holds a part of the stream, for as long as an upstream that can continue it may
+    /// take to come back.
+    Duration timeUntilRefusal(Instant now) const;
     /// Time until the latency goal of the route or the expected timeout of the caller, whichever is
     /// earlier.
     Duration timeUntilLatencyLimit(Instant now) const;
@@ -161,6 +177,20 @@
     Instant sentAt{};
     // Whether the present attempt has shown that upstreams can answer the prompt's parts.
     bool hasSoundAnswer = false;
+    // Software version of the upstreams that may send further events of the stream. Not set until
+    // the caller holds an event, which it does from the start if it takes up a stream.
+    std::optional<std::string> streamVersion;
+    // The upstream may have changed its software version while it answered, so that the version of
+    // the events is not known and no other upstream may add to them.
+    bool isStreamVersionLost = false;
+    // Software version and start time of the upstream in the instance list as the present attempt
+    // began.
+    std::string attemptVersion;
+    uint64_t attemptStartedAtMs = 0;
+    // Whether the stream was a continuation as the present attempt began.
+    bool isAttemptContinuation = false;
+    // Time from which the request waits for an upstream that can continue its stream.
+    std::optional<Instant> continuationWaitBeganAt;
     std::set<std::string> triedUpstreams;
     // Memory of the body of the present attempt's response.
     MemoryBudget::Share responseMemory;
--- /dev/null
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -0,0 +1,87 @@
+// Binds a stream to the software version that began it, within one response and over the attempts
+// of a caller.
+#include "gateway/Exchange.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace tray {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Longest search for the software version that began a stream. It covers two questions to peers in
+// other regions.
+constexpr Duration OriginSearchTimeout = milliseconds(600);
+
+} // namespace
+
+asio::awaitable<bool> Exchange::resolveStreamVersion()
+{
+    if (!this->properties.continuesStream || !this->route->resumable)
+        co_return true;
+    const Instant beganAt = clockNow();
+    const Instant limit = std::min<Instant>(this->deadline, beganAt + OriginSearchTimeout);
+    const auto origin = co_await this->gateway.streamOrigins.findOrigin(
+        this->properties.resumedRequestId, this->service, limit);
+    const bool isUsable =
+        origin && std::any_of(this->route->services.begin(), this->route->services.end(),
+                              [&](const auto &share) { return share.service == origin->service; });
+    logDecision(
+        LogPriority::Notable, clockNow(),
+        fmt::format("event=stream_taken_up id={} resumes={} service={} software={} known={} "
+                    "usable={} ms={}",
+                    this->properties.requestId, this->properties.resumedRequestId,
+                    origin ? origin->service : "", origin ? origin->softwareVersion : "",
+                    origin.has_value(), isUsable, toMs(clockNow() - beganAt)));
+    if (!isUsable) {
+        co_await this->finishWithError(ErrorKind::CannotContinue,
+                                       "it is not known which upstreams can continue the stream");
+        co_return false;
+    }
+    this->service = origin->service;
+    this->streamVersion = origin->softwareVersion;
+    co_return true;
+}
+
+std::optional<std::string> Exchange::findAnsweringVersion() const
+{
+    const auto &entries = this->gateway.directory.entries();
+    const auto entry = entries.find(this->lastUpstream);
+    if (entry != entries.end() && entry->second.startedAtMs != this->attemptStartedAtMs &&
+        entry->second.softwareVersion != this->attemptVersion)
+        return std::nullopt;
+    return this->attemptVersion;
+}
+
+void Exchange::bindStream(Instant now)
+{
+    if (this->isContinuation() || this->isStreamVersionLost || !this->eventSplitter.hasEvents())
+        return;
+    this->streamVersion = this->findAnsweringVersion();
+    this->isStreamVersionLost = !this->streamVersion.has_value();
+    if (this->route->resumable)
+        this->gateway.streamOrigins.record(
+            this->properties.requestId,
+            {this->service, this->streamVersion.value_or(""), this->deadline}, now);
+}
+
+void Exchange::handleUpstreamRestart(const std::string &upstreamId, Instant now)
+{
+    if (this->phase != ExchangePhase::RelayingResponse || this->lastUpstream != upstreamId ||
+        !this->isContinuation() || this->findAnsweringVersion())
+        return;
+    logDecision(LogPriority::Notable, now,
+                fmt::format("event=stream_version_lost id={} upstream={} software={}",
+                            this->properties.requestId, upstreamId, *this->streamVersion));
+    this->isStreamVersionLost = true;
+    if (this->route->resumable && !this->properties.continuesStream)
+        this->gateway.streamOrigins.record(this->properties.requestId,
+                                           {this->service, "", this->deadline}, now);
+    // Events of this attempt may not fit the earlier ones.
+    if (this->isAttemptContinuation && this->attemptCancel)
+        this->attemptCancel->cancel();
+}
+
+} // namespace tray
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -135,6 +135,7 @@
         }
         if (!whole.empty()) {
             this->lastEventAt = clockNow();
+            this->bindStream(this->lastEventAt);
             this->recordAnswerProgress(this->lastEventAt);
         }
         if (!whole.empty() && !co_await this->responder.write(std::move(whole))) {
@@ -242,8 +243,7 @@
             result.outcome == AttemptOutcome::Misdirected && !this->properties.model.empty();
         Duration retryAfter = OverloadRetryAfter;
         if (missing)
-            retryAfter =
-                this->gateway.dispatcher.retryForMissing(this->properties.model, clockNow());
+            retryAfter = this->gateway.dispatcher.retryForMissing(this->makeQuery(), clockNow());
         co_await this->finishWithError(missing ? ErrorKind::NoReplica : ErrorKind::Overloaded,
                                        result.reason, retryAfter);
         co_return;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -534,6 +534,10 @@
         const auto entry = this->directory.entries().find(notice.id);
         if (notice.event == UpstreamEvent::Restarted || notice.event == UpstreamEvent::Removed)
             this->suspectExchange.handleUpstreamEnd(notice.id, clockNow());
+        if (notice.event == UpstreamEvent::Restarted) {
+            for (auto *exchange : *this->activeExchanges)
+                exchange->handleUpstreamRestart(notice.id, clockNow());
+        }
         if (notice.event == UpstreamEvent::Added)
             this->plannerCoordinator.recordListGrowth(clockNow());
         if ((notice.event == UpstreamEvent::Added || notice.event == UpstreamEvent::Restarted) &&
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/PlannerCoordinator.h"
 #include "gateway/RequestCodec.h"
 #include "gateway/ShutdownSchedule.h"
+#include "gateway/StreamOriginExchange.h"
 #include "gateway/SuspectExchange.h"
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
@@ -146,6 +147,7 @@
     std::map<std::string, SharedRetryBudget> retryBudgets;
     PlannerCoordinator plannerCoordinator;
     SuspectExchange suspectExchange;
+    StreamOriginExchange streamOrigins;
     bool upstreamsKnown = false;
     // Era of the store in which the list was read last; empty before the first time.
     std::optional<uint64_t> listEra;
--- a/src/gateway/RequestCodec.h
+++ b/src/gateway/RequestCodec.h
@@ -36,6 +36,11 @@
     /// Number of output tokens that the caller estimates; often inaccurate.
     uint32_t expectedOutputTokens = 0;
     std::vector<PromptPart> promptParts;
+    /// Whether the caller has events of the stream already and asks for those that come after.
+    bool continuesStream = false;
+    /// Id of the caller's attempt that brought the first event of the stream that it continues;
+    /// empty if it names none.
+    std::string resumedRequestId;
 };
 
 /// Parameters of a request that is sent to an upstream.
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -152,7 +152,7 @@
             snapshot.set_loading("m1");
             snapshot.set_loading_left_ms(1700);
             dispatcher.noteSnapshot(snapshot, Start);
-            CHECK(dispatcher.retryForMissing("m1", Start) == milliseconds(2000));
+            CHECK(dispatcher.retryForMissing(queryOf(), Start) == milliseconds(2000));
             dispatcher.noteSnapshot(snapshotOf("a"), Start + milliseconds(100));
             CHECK(chosen(dispatcher, queryOf(), Start + milliseconds(100)) == "a");
         }
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -57,7 +57,8 @@
         // The first upstream is in the gateway's data centre and so gets the first attempt.
         this->firstAddress = this->first.listen();
         this->addUpstream("i-1", "here", this->firstAddress);
-        this->addUpstream("i-2", "there", this->second.listen());
+        this->secondAddress = this->second.listen();
+        this->addUpstream("i-2", "there", this->secondAddress);
         const auto stewardAddress = this->steward.listen({"127.0.0.1", 0});
         REQUIRE(isOk(stewardAddress));
         this->stewardPort = value(stewardAddress).port;
@@ -210,6 +211,7 @@
     std::string requestId = "r1";
     Address datagrams;
     Address firstAddress;
+    Address secondAddress;
     uint16_t stewardPort = 0;
     std::optional<Gateway> gateway;
 
