Give up a continuation at once if no untried upstream of its version is left

A stream whose only upstreams of its version had broken it off waited for 10 s for an upstream that no attempt may choose again, and a request that may have run could be answered 429.

Cause: the question whether an upstream can still come did not leave out those that were tried, and a continuation was taken for a request that has not run. Evidence: DispatcherTest, "A stream is continued only by engines of the software version that began it".

Change: Dispatcher::canContinue looks at the query as a whole; the answer of an earlier attempt decides as for other requests.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -371,8 +371,7 @@
         return {ErrorKind::Overloaded, "the upstreams take no more requests now", retryAfter,
                 soonest.allowedIn, soonest.forbiddenBy};
     }
-    if (query.softwareVersion &&
-        !this->isVersionServing(query.service, *query.softwareVersion, now))
+    if (query.softwareVersion && !this->canContinue(query, now))
         return {ErrorKind::CannotContinue, "no upstream of the stream's software version is left"};
     // The only upstreams that can continue the stream come back, or load the model, within the time
     // after which callers ask again for a model that engines lack.
@@ -387,14 +386,13 @@
     return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter, expectedIn};
 }
 
-bool Dispatcher::isVersionServing(const std::string &service, const std::string &softwareVersion,
-                                  Instant now) const
+bool Dispatcher::canContinue(const DispatchQuery &query, Instant now) const
 {
     return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &item) {
         const Upstream &upstream = item.second;
-        return upstream.entry.service == service &&
-               upstream.entry.softwareVersion == softwareVersion &&
-               upstream.entry.phase == UpstreamPhase::Ready &&
+        return upstream.entry.service == query.service &&
+               hasVersion(upstream.entry, query.softwareVersion) &&
+               upstream.entry.phase == UpstreamPhase::Ready && !query.tried.contains(item.first) &&
                !(this->hasFreshSnapshot(upstream, now) && upstream.snapshot->leaving());
     });
 }
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -145,9 +145,6 @@
                           const std::string &adapter, Instant now);
     /// Time after which a caller should retry a request for a model that the engines lack.
     Duration retryForMissing(const DispatchQuery &query, Instant now) const;
-    /// Whether the service has an upstream of this software version that is not leaving.
-    bool isVersionServing(const std::string &service, const std::string &softwareVersion,
-                          Instant now) const;
 
     /// Models and adapters of an upstream, from a fresh snapshot or else from the instance list.
     std::vector<HeldModel> heldModels(const std::string &upstreamId, Instant now) const;
@@ -201,6 +198,9 @@
     bool hasPrefillCapacity(const Upstream &upstream, const DispatchQuery &query) const;
     static uint64_t pendingPromptTokens(const Upstream &upstream);
     static int overdueAttempts(const Upstream &upstream, Instant now);
+    /// Whether an upstream of the query's software version that was not tried is there to stay,
+    /// even if it cannot take the request now.
+    bool canContinue(const DispatchQuery &query, Instant now) const;
     DispatchRefusal makeRefusal(const DispatchQuery &query, Instant now) const;
     std::optional<Duration> timeUntilLoaded(const DispatchQuery &query, Instant now) const;
 
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -224,7 +224,7 @@
             // An earlier attempt that may have been executed, or that got a response, determines
             // the final response.
             const bool mayHaveRun =
-                !this->isContinuation() && !this->hasStreamBegun &&
+                !this->hasStreamBegun &&
                 (this->executions.possibleExecutions() > 0 || last.upstreamError);
             const bool worthwhile = co_await this->waitInPrefillQueue(*wait, mayHaveRun);
             if (worthwhile)
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -59,6 +59,67 @@
 
 } // namespace
 
+TEST_CASE("A stream is continued only by engines of the software version that began it")
+{
+    Dispatcher dispatcher(proximityOf);
+    auto older = engineNamed("older");
+    older.softwareVersion = "v1";
+    auto newer = engineNamed("newer");
+    newer.softwareVersion = "v2";
+    dispatcher.setUpstreams({{"newer", newer}, {"older", older}});
+    auto query = queryOf();
+    query.softwareVersion = "v2";
+    const auto refusalOf = [&] {
+        const auto choice = dispatcher.choose(query, Start);
+        REQUIRE(std::holds_alternative<DispatchRefusal>(choice));
+        return std::get<DispatchRefusal>(choice);
+    };
+
+    SUBCASE("by the only one that fits")
+    {
+        CHECK(chosen(dispatcher, query, Start) == "newer");
+        query.softwareVersion = "v1";
+        CHECK(chosen(dispatcher, query, Start) == "older");
+    }
+    SUBCASE("one that has restarted without the model may load it again")
+    {
+        newer.models.clear();
+        dispatcher.setUpstreams({{"newer", newer}, {"older", older}});
+        CHECK(refusalOf().kind == ErrorKind::NoReplica);
+        CHECK(refusalOf().readyIn);
+    }
+    SUBCASE("a load of the model at another version does not count")
+    {
+        newer.models.clear();
+        older.models.clear();
+        dispatcher.setUpstreams({{"newer", newer}, {"older", older}});
+        auto loading = snapshotOf("older");
+        loading.mutable_models()->Clear();
+        loading.set_loading("m1");
+        loading.set_loading_left_ms(300);
+        dispatcher.noteSnapshot(loading, Start);
+        CHECK(*refusalOf().readyIn > std::chrono::seconds(1));
+    }
+    SUBCASE("if all of them are gone, leave, or have broken off the stream, none will")
+    {
+        SUBCASE("gone")
+        {
+            dispatcher.setUpstreams({{"older", older}});
+        }
+        SUBCASE("leaving")
+        {
+            newer.phase = UpstreamPhase::Draining;
+            dispatcher.setUpstreams({{"newer", newer}, {"older", older}});
+        }
+        SUBCASE("tried")
+        {
+            query.tried.insert("newer");
+        }
+        CHECK(refusalOf().kind == ErrorKind::CannotContinue);
+        CHECK_FALSE(refusalOf().readyIn);
+    }
+}
+
 TEST_CASE("A model request goes to an engine that holds the model")
 {
     Dispatcher dispatcher(proximityOf);
