Tell stewards and peers which software version began a stream

Callers saw: a stream that one gateway had begun was refused with 503 (cannot_continue) at each other gateway, and at the same one after its restart, although engines of its version served.

Cause: the origin of a stream was kept by the gateway that began it only. Class: what binds work dies with one process.

Change: as a stream begins, its origin is sent to the stewards of two engines of each software version and to two peer gateways, chosen by rendezvous hashing of the stream's digest. Who does not know a stream that is taken up asks three of each, twice as often as needed within the search's limit. A stream that nobody knows goes on only if one version of its service can have begun it: the versions that are listed or were listed within the longest wait of a caller, by the list and by a record of each service in the store, for processes that start after a version has left. Before that record was read, and while the list was not confirmed for 3.2 s, several versions are assumed.

--- /dev/null
+++ b/src/fleet/ServiceVersions.h
@@ -0,0 +1,72 @@
+// Knows which software versions of each service may have begun the streams that callers still take
+// up. A process that has just started cannot know what left before, so this rests on a record in
+// the store beside the instance list.
+#pragma once
+
+#include "fleet/FleetConfig.h"
+#include "fleet/Upstream.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace tray {
+
+/// Returns the text of a service's record: its versions, each as "v" and hexadecimal digits.
+std::string formatVersionRecord(const std::set<std::string> &versions);
+/// Returns the versions in a record, or nothing if it is malformed.
+std::optional<std::set<std::string>> parseVersionRecord(std::string_view text);
+
+/// The versions of all services. Does no I/O: what was read and the time are arguments.
+class ServiceVersions
+{
+public:
+    /// Time for which a version may have live streams after it left, in addition to the longest
+    /// time for which callers wait for a stream.
+    static constexpr Duration LifetimeMargin = std::chrono::seconds(10);
+    /// Time after which the list must be confirmed again: a process out of touch does not see a new
+    /// version, which may begin streams elsewhere.
+    static constexpr Duration ListLifetime = milliseconds(3200);
+
+    /// Handles a configuration; the longest timeout of a resumable route in any of them counts.
+    void handleConfig(const FleetConfig &config);
+    /// Handles the complete present list.
+    void handleList(const std::map<std::string, UpstreamEntry> &entries, Instant now);
+    /// Records that the list is known to be complete now.
+    void confirmList(Instant now) { this->listConfirmedAt = now; }
+    /// Handles the text of a service's record. If it is malformed, versions that it named may have
+    /// live streams for a whole lifetime from now on.
+    void handleRecord(const std::string &service, std::string_view text, Instant now);
+    /// Call this when all records have been read.
+    void handleRecordsRead() { this->recordsRead = true; }
+    /// Forgets the versions that this process has seen absent for a whole lifetime.
+    void expire(Instant now);
+
+    /// Returns the only version of the service that can have begun a live stream; nothing if there
+    /// are several or none, or if that is not known.
+    std::optional<std::string> soleVersion(const std::string &service, Instant now) const;
+    /// Services with versions or a record.
+    std::vector<std::string> services() const;
+    /// Versions that may have live streams, as far as they are known.
+    std::set<std::string> versionsOf(const std::string &service) const;
+    /// Whether the service's record can be written without losing what a malformed one named.
+    bool mayWriteRecord(const std::string &service) const;
+
+private:
+    struct Service
+    {
+        // Time since which a version is absent from the list; empty while it is listed.
+        std::map<std::string, std::optional<Instant>> absentSince;
+        // Time at which a malformed record was read.
+        std::optional<Instant> malformedAt;
+    };
+
+    std::map<std::string, Service> known;
+    // Longest timeout of a resumable route; not set before the first configuration.
+    std::optional<Duration> longestTimeout;
+    bool listRead = false;
+    bool recordsRead = false;
+    Instant listConfirmedAt{};
+};
+
+} // namespace tray
--- a/src/fleet/StreamOrigins.h
+++ b/src/fleet/StreamOrigins.h
@@ -4,6 +4,8 @@
 
 #include "base/Time.h"
 
+#include "fleet.pb.h"
+
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -29,6 +31,9 @@
 /// event.
 uint64_t streamDigest(std::string_view requestId);
 
+/// Returns the row that tells another process the origin of a stream.
+proto::StreamOriginRow makeOriginRow(uint64_t stream, const StreamOrigin &origin, Instant now);
+
 /// Bounded table of the origins of streams; the oldest are evicted first.
 class StreamOrigins
 {
@@ -39,11 +44,19 @@
 
     /// Records the origin of a stream, in place of an earlier record of the same stream.
     void record(uint64_t stream, StreamOrigin origin, Instant now);
+    /// Records the origins that another process has reported, and logs each one. What this process
+    /// knows already stays if no upstream fits the stream any more: the report may be older.
+    void merge(const std::string &sender, const proto::StreamOriginReport &report, Instant now);
+    /// Returns the answer to a query, also if the origin is not known.
+    proto::StreamOriginReport answer(const proto::StreamOriginQuery &query, Instant now) const;
     /// Returns the origin of a stream unless it is unknown or has expired.
     std::optional<StreamOrigin> find(uint64_t stream, Instant now) const;
     size_t size() const { return this->origins.size(); }
 
 private:
+    /// Longest names of a service and a version together that are taken from a report, in bytes.
+    static constexpr size_t MaxNameBytes = 512;
+
     void evict(Instant now);
 
     std::unordered_map<uint64_t, StreamOrigin> origins;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -162,7 +162,34 @@
                            return this->plannerCoordinator.isDataCentrePeer(peer);
                        },
                        [this](uint64_t digest) { return this->countBeforeInProbes(digest); },
-                       [this] { this->capacityChanged.notifyAll(); }})
+                       [this] { this->capacityChanged.notifyAll(); }}),
+      versionRecords(context, store, [this] { return this->listRelay.isReader(); }),
+      streamOrigins(context,
+                    {[this]() -> const std::map<std::string, UpstreamEntry> & {
+                         return this->directory.entries();
+                     },
+                     [this](const std::string &service) {
+                         const auto *spec =
+                             this->config ? this->config->findService(service) : nullptr;
+                         return spec != nullptr && spec->engine != nullptr;
+                     },
+                     [this](const UpstreamEntry &entry) { return this->stewardAddress(entry); },
+                     [this](Instant now) {
+                         std::vector<std::string> names;
+                         for (auto &[name, dataCentre] : this->plannerCoordinator.livePeers(now))
+                             names.push_back(std::move(name));
+                         return names;
+                     },
+                     [this](const proto::Datagram &datagram, const Address &target) {
+                         this->datagrams.send(target, datagram);
+                     },
+                     [this](const proto::Datagram &datagram, const std::string &peer) {
+                         this->plannerCoordinator.sendTo(peer, datagram);
+                     },
+                     [this](const std::string &service, Instant now) {
+                         return this->versionRecords.soleVersion(service, now);
+                     },
+                     [this](Instant now) { return this->shutdownSchedule.isDrainOver(now); }})
 {}
 
 Gateway::~Gateway() = default;
@@ -207,6 +234,7 @@
     keepRunning(this->context, "relay_loop", [this] { return this->listUpdateLoop(); });
     keepRunning(this->context, "subscribe_loop", [this] { return this->subscribeLoop(); });
     this->plannerCoordinator.start();
+    this->versionRecords.start();
     return Unit{};
 }
 
@@ -243,11 +271,13 @@
     this->callerServer.refuseIncompleteRequests();
     this->capacityChanged.notifyAll();
     this->snapshotArrived.notifyAll();
+    this->streamOrigins.handleDrainOver();
     co_await this->waitUntilDrained(this->shutdownSchedule.finalResponseDeadline());
     logDecision(LogPriority::Essential, clockNow(),
                 fmt::format("event=stop_end in_flight={} late_ms={}", this->callerServer.inFlight(),
                             toMs(clockNow() - this->shutdownSchedule.finalResponseDeadline())));
     this->plannerCoordinator.stop();
+    this->versionRecords.stop();
     this->datagrams.close();
 }
 
@@ -260,8 +290,10 @@
 {
     const Instant now = clockNow();
     this->directory.noteStoreAnswer(now);
-    if (!std::exchange(this->storeReachable, true))
+    if (!std::exchange(this->storeReachable, true)) {
         logDecision(LogPriority::Notable, now, "event=store_regained");
+        this->versionRecords.requestRead();
+    }
 }
 
 void Gateway::recordListEra()
@@ -311,6 +343,7 @@
         return;
     }
     this->config = reading.config;
+    this->versionRecords.handleConfig(*this->config);
     this->callerServer.setLimits(toServerLimits(this->config->limits));
     logDecision(LogPriority::Notable, clockNow(),
                 fmt::format("event=config_in_force version={} revision={} routes={}",
@@ -391,8 +424,11 @@
         this->recordStoreSuccess();
         this->recordListEra();
         this->listRelay.handleFullRead(value(reading).revision, now);
+        auto notices = this->directory.replaceAll(value(reading).entries, now);
         this->upstreamsKnown = true;
-        co_return this->directory.replaceAll(value(reading).entries, now);
+        this->versionRecords.handleList(this->directory.entries(), now);
+        this->versionRecords.confirmList(now);
+        co_return notices;
     }
     const uint64_t seenBefore = this->listRelay.highestSeenRevision();
     auto reading = co_await this->store.awaitUpstreams(this->listRelay.revision(), wait);
@@ -400,6 +436,7 @@
         co_return error(reading);
     const Instant now = clockNow();
     this->recordStoreSuccess();
+    this->versionRecords.confirmList(now);
     // A reader can only have reported what the store contained at that time. Either the report was
     // wrong, or the store has lost its latest changes.
     if (value(reading).revision < seenBefore)
@@ -503,6 +540,10 @@
         this->peerConfigReportedAt = now;
     }
     const auto changes = this->listRelay.handleUpdate(update, now);
+    // A reader sends updates only while the store answers it.
+    if (this->upstreamsKnown && !update.resigns() &&
+        this->listRelay.revision() >= update.revision())
+        this->versionRecords.confirmList(now);
     // Entries that vanished while the store was unreachable for the reader may be listed again.
     if (update.disturbed() && !changes.empty()) {
         this->directory.noteStoreFailure(now);
@@ -528,6 +569,8 @@
                 fmt::format("event=upstream_{} upstream={}", enumName(notice.event), notice.id));
     }
     this->dispatcher.setUpstreams(this->directory.entries());
+    if (this->upstreamsKnown)
+        this->versionRecords.handleList(this->directory.entries(), clockNow());
     // A steward may send orders to its engine only once it knows the engine's identity, so the
     // subscription, which contains it, is sent immediately for a new engine.
     for (const auto &notice : notices) {
@@ -592,7 +635,7 @@
     }
 }
 
-void Gateway::handleDatagram(const proto::Datagram &datagram, const Address &)
+void Gateway::handleDatagram(const proto::Datagram &datagram, const Address &sender)
 {
     if (datagram.has_snapshot()) {
         if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow()))
@@ -602,6 +645,11 @@
         this->handleListUpdate(datagram.list_word());
     } else if (datagram.has_suspects()) {
         this->suspectExchange.handleReport(datagram.sender(), datagram.suspects(), clockNow());
+    } else if (datagram.has_stream_origins()) {
+        this->streamOrigins.handleReport(datagram.sender(), sender, datagram.stream_origins(),
+                                         clockNow());
+    } else if (datagram.has_stream_origin_query()) {
+        this->streamOrigins.handleQuery(datagram.stream_origin_query(), sender, clockNow());
     } else if (datagram.has_demand()) {
         this->plannerCoordinator.handleDemandReport(datagram.sender(), datagram.demand(),
                                                     clockNow());
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/DemandMeter.h"
 #include "gateway/PlannerCoordinator.h"
 #include "gateway/RequestCodec.h"
+#include "gateway/ServiceVersionRecords.h"
 #include "gateway/ShutdownSchedule.h"
 #include "gateway/StreamOriginExchange.h"
 #include "gateway/SuspectExchange.h"
@@ -147,6 +148,7 @@
     std::map<std::string, SharedRetryBudget> retryBudgets;
     PlannerCoordinator plannerCoordinator;
     SuspectExchange suspectExchange;
+    ServiceVersionRecords versionRecords;
     StreamOriginExchange streamOrigins;
     bool upstreamsKnown = false;
     // Era of the store in which the list was read last; empty before the first time.
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -1,28 +1,142 @@
-// Implements the records of the streams that began at this gateway.
+// Implements the records of streams and the search among their witnesses.
 #include "gateway/StreamOriginExchange.h"
 
 #include "observe/DecisionLog.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace tray {
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Time after which a query is sent again to the witnesses that have not answered; more than a round
+// trip between regions.
+constexpr Duration QueryResendInterval = milliseconds(150);
+
+} // namespace
+
+StreamOriginExchange::Witnesses StreamOriginExchange::selectWitnesses(uint64_t stream,
+                                                                      const std::string &service,
+                                                                      const WitnessCounts &counts,
+                                                                      Instant now) const
+{
+    Witnesses selected;
+    if (this->peers.hasStewards(service)) {
+        for (const auto *entry : selectWitnessEngines(stream, service, this->peers.upstreams(),
+                                                      counts.stewardsPerVersion)) {
+            const Address address = this->peers.stewardAddress(*entry);
+            if (std::find(selected.stewards.begin(), selected.stewards.end(), address) ==
+                selected.stewards.end())
+                selected.stewards.push_back(address);
+        }
+    }
+    selected.peers = selectWitnessPeers(stream, this->peers.livePeers(now), counts.peers);
+    return selected;
+}
+
+void StreamOriginExchange::send(const proto::Datagram &datagram, const Witnesses &targets)
+{
+    for (const auto &steward : targets.stewards)
+        this->peers.sendTo(datagram, steward);
+    for (const auto &peer : targets.peers)
+        this->peers.sendToPeer(datagram, peer);
+}
+
 void StreamOriginExchange::record(const std::string &requestId, const StreamOrigin &origin,
                                   Instant now)
 {
+    const uint64_t stream = streamDigest(requestId);
+    const Witnesses told = this->selectWitnesses(stream, origin.service, ToldWitnesses, now);
     logDecision(LogPriority::Routine, now,
-                fmt::format("event=stream_origin id={} service={} software={} expires_in_ms={}",
-                            requestId, origin.service, origin.softwareVersion,
-                            toMs(origin.expiresAt - now)));
-    this->origins.record(streamDigest(requestId), origin, now);
+                fmt::format("event=stream_origin id={} digest={:016x} service={} software={} "
+                            "expires_in_ms={} stewards={} peers={}",
+                            requestId, stream, origin.service, origin.softwareVersion,
+                            toMs(origin.expiresAt - now), told.stewards.size(), told.peers.size()));
+    this->origins.record(stream, origin, now);
+    proto::Datagram datagram;
+    *datagram.mutable_stream_origins()->add_rows() = makeOriginRow(stream, origin, now);
+    this->send(datagram, told);
+}
+
+void StreamOriginExchange::handleReport(const std::string &sender, const Address &address,
+                                        const proto::StreamOriginReport &report, Instant now)
+{
+    this->origins.merge(sender, report, now);
+    bool isAwaited = false;
+    for (const auto &row : report.rows()) {
+        for (auto &search : this->searches) {
+            if (search.stream != row.digest())
+                continue;
+            isAwaited = true;
+            std::erase(search.awaited.stewards, address);
+            std::erase(search.awaited.peers, sender);
+        }
+    }
+    if (isAwaited)
+        this->reportArrived.notifyAll();
+}
+
+void StreamOriginExchange::handleQuery(const proto::StreamOriginQuery &query,
+                                       const Address &address, Instant now)
+{
+    proto::Datagram datagram;
+    *datagram.mutable_stream_origins() = this->origins.answer(query, now);
+    this->peers.sendTo(datagram, address);
+}
+
+asio::awaitable<void> StreamOriginExchange::askWitnesses(uint64_t stream, std::string service,
+                                                         Instant limit)
+{
+    const Instant began = clockNow();
+    Instant sendAt = began;
+    const auto search = this->searches.insert(
+        this->searches.end(),
+        {stream, this->selectWitnesses(stream, service, AskedWitnesses, began)});
+    const size_t asked = search->awaited.size();
+    proto::Datagram query;
+    query.mutable_stream_origin_query()->set_digest(stream);
+    for (Instant now = began; now < limit && search->awaited.size() > 0 &&
+                              !this->origins.find(stream, now) && !this->peers.isDrainOver(now);
+         now = clockNow()) {
+        if (now >= sendAt) {
+            this->send(query, search->awaited);
+            sendAt = now + QueryResendInterval;
+        }
+        const Duration wait = std::min(sendAt, limit) - now;
+        co_await this->reportArrived.waitFor(wait);
+    }
+    const Instant now = clockNow();
+    logDecision(LogPriority::Notable, now,
+                fmt::format("event=stream_origin_search digest={:016x} asked={} silent={} "
+                            "known={} ms={}",
+                            stream, asked, search->awaited.size(),
+                            this->origins.find(stream, now).has_value(), toMs(now - began)));
+    this->searches.erase(search);
 }
 
-asio::awaitable<std::optional<StreamOrigin>> StreamOriginExchange::findOrigin(std::string requestId,
-                                                                              std::string, Instant)
+asio::awaitable<std::optional<StreamOrigin>>
+StreamOriginExchange::findOrigin(std::string requestId, std::string service, Instant limit)
 {
-    co_return this->origins.find(streamDigest(requestId), clockNow());
+    if (!requestId.empty()) {
+        const uint64_t stream = streamDigest(requestId);
+        if (!this->origins.find(stream, clockNow()) && this->searches.size() < MaxSearches)
+            co_await this->askWitnesses(stream, service, limit);
+        if (auto known = this->origins.find(stream, clockNow()))
+            co_return known;
+    }
+    // Nobody knows the stream; it may go on only if no other version can have begun it.
+    const Instant now = clockNow();
+    const auto sole = this->peers.soleVersion(service, now);
+    logDecision(LogPriority::Notable, now,
+                fmt::format("event=stream_origin_unknown resumes={} service={} sole_version={} "
+                            "software={}",
+                            requestId, service, sole.has_value(), sole.value_or("")));
+    if (!sole)
+        co_return std::nullopt;
+    co_return StreamOrigin{service, *sole, limit};
 }
 
 } // namespace tray
--- a/src/gateway/StreamOriginExchange.h
+++ b/src/gateway/StreamOriginExchange.h
@@ -1,11 +1,17 @@
 // Finds out which software version began a stream that a caller takes up again, also if another
-// gateway, or this instance before a restart, has passed on its first event.
+// gateway, or this instance before a restart, has passed on its first event. Stewards and peer
+// gateways are told when a stream begins and asked when it is taken up.
 #pragma once
 
 #include "fleet/StreamOrigins.h"
+#include "fleet/WitnessSelection.h"
+#include "gateway/AsyncCondition.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <string>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+#include <vector>
 
 namespace tray {
 
@@ -13,17 +19,74 @@
 class StreamOriginExchange
 {
 public:
-    /// Records what begins a stream, before its first event is passed on. A later record of the
-    /// same stream replaces the earlier one.
+    /// Ways to reach the witnesses, and what the own gateway provides.
+    struct Peers
+    {
+        std::function<const std::map<std::string, UpstreamEntry> &()> upstreams;
+        /// Whether the upstreams of a service have stewards.
+        std::function<bool(const std::string &service)> hasStewards;
+        std::function<Address(const UpstreamEntry &entry)> stewardAddress;
+        std::function<std::vector<std::string>(Instant now)> livePeers;
+        std::function<void(const proto::Datagram &datagram, const Address &target)> sendTo;
+        std::function<void(const proto::Datagram &datagram, const std::string &peer)> sendToPeer;
+        /// Returns the only version of a service that can have begun a live stream, if that is
+        /// known.
+        std::function<std::optional<std::string>(const std::string &service, Instant now)>
+            soleVersion;
+        /// Whether all requests in flight must get their final response.
+        std::function<bool(Instant now)> isDrainOver;
+    };
+
+    StreamOriginExchange(boost::asio::io_context &context, Peers peers)
+        : peers(std::move(peers)), reportArrived(context)
+    {}
+
+    /// Records what begins a stream, before its first event is passed on, and tells its witnesses.
+    /// A later record of the same stream replaces the earlier one.
     void record(const std::string &requestId, const StreamOrigin &origin, Instant now);
     /// Returns what began the stream of an earlier attempt of a caller, or nothing if that cannot
     /// be known by the given time. The id is empty if the caller names none. The service is the one
-    /// that the route prefers for the stream.
+    /// that the route prefers for the stream; empty if the stream may be of any of several.
     boost::asio::awaitable<std::optional<StreamOrigin>>
     findOrigin(std::string requestId, std::string service, Instant limit);
+    /// Handles a witness's report, or that of a gateway at which a stream began.
+    void handleReport(const std::string &sender, const Address &address,
+                      const proto::StreamOriginReport &report, Instant now);
+    void handleQuery(const proto::StreamOriginQuery &query, const Address &address, Instant now);
+    /// Ends the searches, because the shutdown's drain is over.
+    void handleDrainOver() { this->reportArrived.notifyAll(); }
 
 private:
+    /// Searches that wait for witnesses at most; further ones know what this gateway knows.
+    static constexpr size_t MaxSearches = 1000;
+
+    /// Witnesses of one stream, each once.
+    struct Witnesses
+    {
+        std::vector<Address> stewards;
+        std::vector<std::string> peers;
+
+        size_t size() const { return this->stewards.size() + this->peers.size(); }
+    };
+
+    struct Search
+    {
+        uint64_t stream = 0;
+        // Witnesses that have not answered.
+        Witnesses awaited;
+    };
+
+    Witnesses selectWitnesses(uint64_t stream, const std::string &service,
+                              const WitnessCounts &counts, Instant now) const;
+    void send(const proto::Datagram &datagram, const Witnesses &targets);
+    /// Asks the witnesses of a stream until one of them knows it, all have answered or the time is
+    /// over. What they know is in the table afterwards.
+    boost::asio::awaitable<void> askWitnesses(uint64_t stream, std::string service, Instant limit);
+
+    const Peers peers;
     StreamOrigins origins;
+    std::list<Search> searches;
+    AsyncCondition reportArrived;
 };
 
 } // namespace tray
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -107,6 +107,8 @@
     this->metrics.gauge("tray_steward_log_lines_not_taken",
                         [] { return static_cast<double>(missingLogLines().notTaken); });
     this->metrics.gauge("tray_steward_can_order", [this] { return this->canOrder() ? 1.0 : 0.0; });
+    this->metrics.gauge("tray_steward_stream_origins",
+                        [this] { return static_cast<double>(this->streamOrigins.size()); });
     this->metrics.gauge("tray_steward_subscribers",
                         [this] { return static_cast<double>(this->subscribers.size()); });
     if (const auto bound = this->datagrams.listen(this->settings.datagramAddress); !isOk(bound))
@@ -409,6 +411,13 @@
         if (this->planner.requestModels(request.term(),
                                         {request.models().begin(), request.models().end()}, now))
             this->startOrderLoop();
+    } else if (datagram.has_stream_origins()) {
+        this->streamOrigins.merge(datagram.sender(), datagram.stream_origins(), now);
+    } else if (datagram.has_stream_origin_query()) {
+        proto::Datagram answer;
+        *answer.mutable_stream_origins() =
+            this->streamOrigins.answer(datagram.stream_origin_query(), now);
+        this->datagrams.send(sender, std::move(answer));
     }
 }
 
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -5,6 +5,7 @@
 #include "fleet/DatagramPort.h"
 #include "fleet/FleetStore.h"
 #include "fleet/OrderPort.h"
+#include "fleet/StreamOrigins.h"
 #include "observe/Metrics.h"
 #include "steward/OrderPlanner.h"
 
@@ -103,6 +104,8 @@
     // Serialized state of the last snapshot, without load figures.
     std::string lastSentState;
     std::map<std::string, Subscriber> subscribers;
+    // Origins of streams for which this steward is a witness, of its engine or of others.
+    StreamOrigins streamOrigins;
     // Whether the order loop runs. It has one order in flight at a time and also handles the
     // requests that arrive meanwhile.
     bool orderLoopRunning = false;
--- /dev/null
+++ b/tests/fleet/ServiceVersionsTest.cpp
@@ -0,0 +1,177 @@
+// Guards against streams of unknown origin that go on at a guessed software version.
+#include "fleet/ServiceVersions.h"
+
+#include <doctest/doctest.h>
+
+using namespace tray;
+
+namespace {
+
+const Instant Start{std::chrono::hours(1)};
+constexpr Duration Timeout = std::chrono::seconds(20);
+constexpr Duration Lifetime = Timeout + ServiceVersions::LifetimeMargin;
+using Sole = std::optional<std::string>;
+
+/// A process that follows the list, one service "llm" with one engine for each version.
+struct Process
+{
+    explicit Process(Duration timeout = Timeout) { this->configure(timeout); }
+
+    void configure(Duration timeout)
+    {
+        FleetConfig config;
+        config.routes.resize(2);
+        config.routes[0].timeout = std::chrono::hours(9);
+        config.routes[1].timeout = timeout;
+        config.routes[1].resumable = true;
+        this->versions.handleConfig(config);
+    }
+
+    void list(const std::vector<std::string> &listed, Instant now)
+    {
+        std::map<std::string, UpstreamEntry> entries;
+        for (const auto &version : listed) {
+            UpstreamEntry entry;
+            entry.id = "i-" + version;
+            entry.service = "llm";
+            entry.softwareVersion = version;
+            entries[entry.id] = entry;
+        }
+        this->versions.handleList(entries, now);
+        this->versions.confirmList(now);
+    }
+
+    void readRecord(const std::string &text, Instant now)
+    {
+        this->versions.handleRecord("llm", text, now);
+        this->versions.handleRecordsRead();
+    }
+
+    Sole soleAt(Instant now)
+    {
+        this->versions.expire(now);
+        this->versions.confirmList(now);
+        return this->versions.soleVersion("llm", now);
+    }
+
+    std::string record() const { return formatVersionRecord(this->versions.versionsOf("llm")); }
+
+    ServiceVersions versions;
+};
+
+} // namespace
+
+TEST_CASE("A stream of unknown origin is of the only version that has live streams")
+{
+    Process process;
+    process.list({"v1"}, Start);
+    SUBCASE("which is not known before the record was read")
+    {
+        CHECK(process.soleAt(Start) == std::nullopt);
+        process.versions.handleRecordsRead();
+        CHECK(process.soleAt(Start) == Sole("v1"));
+    }
+    SUBCASE("nor before the list was read")
+    {
+        Process early;
+        early.readRecord(formatVersionRecord({"v1"}), Start);
+        CHECK(early.soleAt(Start) == std::nullopt);
+    }
+    SUBCASE("nor while the process is out of touch with the list")
+    {
+        process.versions.handleRecordsRead();
+        const Instant later = Start + ServiceVersions::ListLifetime;
+        CHECK(process.versions.soleVersion("llm", later) == std::nullopt);
+        CHECK(process.soleAt(later) == Sole("v1"));
+    }
+    SUBCASE("nor for a service that nothing is known of")
+    {
+        process.versions.handleRecordsRead();
+        CHECK(process.versions.soleVersion("other", Start) == std::nullopt);
+        CHECK(process.versions.soleVersion("", Start) == std::nullopt);
+    }
+}
+
+TEST_CASE("A release makes two versions possible until the older one's streams have ended")
+{
+    Process process;
+    process.list({"v1"}, Start);
+    process.versions.handleRecordsRead();
+    process.list({"v1", "v2"}, Start + milliseconds(1000));
+    CHECK(process.soleAt(Start + milliseconds(1000)) == std::nullopt);
+    CHECK(process.record() == formatVersionRecord({"v1", "v2"}));
+    const Instant left = Start + std::chrono::seconds(60);
+    process.list({"v2"}, left);
+    CHECK(process.soleAt(left + Lifetime - milliseconds(1)) == std::nullopt);
+
+    SUBCASE("that is, for the longest wait of a caller")
+    {
+        CHECK(process.soleAt(left + Lifetime) == Sole("v2"));
+        CHECK(process.record() == formatVersionRecord({"v2"}));
+    }
+    SUBCASE("in any configuration")
+    {
+        process.configure(Timeout / 2);
+        CHECK(process.soleAt(left + Lifetime - milliseconds(1)) == std::nullopt);
+        process.configure(Timeout * 2);
+        CHECK(process.soleAt(left + Lifetime) == std::nullopt);
+    }
+    SUBCASE("unless it comes back")
+    {
+        process.list({"v1", "v2"}, left + milliseconds(10));
+        process.list({"v2"}, left + milliseconds(500));
+        CHECK(process.soleAt(left + Lifetime) == std::nullopt);
+        CHECK(process.soleAt(left + Lifetime + milliseconds(500)) == Sole("v2"));
+    }
+    SUBCASE("also for a process that starts after the departure and reads the record")
+    {
+        const std::string text = process.record();
+        Process next;
+        const Instant started = left + milliseconds(300);
+        SUBCASE("before the list")
+        {
+            next.readRecord(text, started - milliseconds(200));
+            next.list({"v2"}, started);
+        }
+        SUBCASE("after the list")
+        {
+            next.list({"v2"}, started - milliseconds(200));
+            next.readRecord(text, started);
+        }
+        CHECK(next.soleAt(started + Lifetime - milliseconds(1)) == std::nullopt);
+        CHECK(next.record() == text);
+        CHECK(next.soleAt(started + Lifetime) == Sole("v2"));
+    }
+}
+
+TEST_CASE("What a restored store has lost is kept by the processes that know it")
+{
+    Process process;
+    process.list({"v1", "v2"}, Start);
+    process.versions.handleRecordsRead();
+    process.list({"v2"}, Start + milliseconds(500));
+    // The copy is from before the release.
+    process.readRecord(formatVersionRecord({"v1"}), Start + milliseconds(900));
+    CHECK(process.soleAt(Start + milliseconds(900)) == std::nullopt);
+    CHECK(process.record() == formatVersionRecord({"v1", "v2"}));
+}
+
+TEST_CASE("A malformed record makes the versions unknown for a lifetime and is kept meanwhile")
+{
+    Process process;
+    process.list({"v1"}, Start);
+    process.readRecord("v31 x", Start);
+    CHECK(process.soleAt(Start) == std::nullopt);
+    CHECK_FALSE(process.versions.mayWriteRecord("llm"));
+    CHECK(process.soleAt(Start + Lifetime) == Sole("v1"));
+    CHECK(process.versions.mayWriteRecord("llm"));
+}
+
+TEST_CASE("A record holds any text as a version")
+{
+    const std::set<std::string> versions{"", "v1", "a b", "v2,\"\n", std::string("\0\xff", 2)};
+    CHECK(parseVersionRecord(formatVersionRecord(versions)) == versions);
+    CHECK(parseVersionRecord("") == std::set<std::string>());
+    for (const auto *malformed : {"31", "v3", "v3g", "v31  v32", "V31", "v31,v32"})
+        CHECK_FALSE(parseVersionRecord(malformed));
+}
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -8,6 +8,7 @@
 #include "StubUpstream.h"
 #include "gateway/Gateway.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -44,7 +45,8 @@
 public:
     explicit GatewayFixture(StubUpstream::Behaviour first, StubUpstream::Behaviour second = {},
                             Duration stopGrace = std::chrono::seconds(8),
-                            size_t bodyMemoryBytes = GatewaySettings().bodyMemoryBytes)
+                            size_t bodyMemoryBytes = GatewaySettings().bodyMemoryBytes,
+                            const std::array<std::string, 2> &versions = {})
         : store(this->context), http(this->context), caller(this->context),
           client(this->http, this->store.listen()), first(this->context, std::move(first)),
           second(
@@ -56,9 +58,9 @@
         this->store.put("config", "main", Config);
         // The first upstream is in the gateway's data centre and so gets the first attempt.
         this->firstAddress = this->first.listen();
-        this->addUpstream("i-1", "here", this->firstAddress);
+        this->addUpstream("i-1", "here", this->firstAddress, "shop", versions[0]);
         this->secondAddress = this->second.listen();
-        this->addUpstream("i-2", "there", this->secondAddress);
+        this->addUpstream("i-2", "there", this->secondAddress, "shop", versions[1]);
         const auto stewardAddress = this->steward.listen({"127.0.0.1", 0});
         REQUIRE(isOk(stewardAddress));
         this->stewardPort = value(stewardAddress).port;
@@ -101,12 +103,12 @@
     }
 
     void addUpstream(const std::string &id, const std::string &zone, const Address &address,
-                     const std::string &service = "shop")
+                     const std::string &service = "shop", const std::string &version = "")
     {
         this->store.put("servers", id,
                         fmt::format(R"({{"service":"{}","address":"{}","zone":"{}","slots":4,)"
-                                    R"("state":"ready","sequence":1,"models":[]}})",
-                                    service, toString(address), zone));
+                                    R"("state":"ready","sequence":1,"models":[],"version":"{}"}})",
+                                    service, toString(address), zone, version));
     }
 
     /// Sends the gateway a steward's snapshot in which engine "e-1" loads a model, with the time
@@ -200,11 +202,22 @@
     StubUpstream second;
     /// Placements that the gateway has requested from the steward's engine.
     std::vector<proto::PlacementWish> placementRequests;
-    DatagramPort steward{context, "side-1",
-                         [this](const proto::Datagram &datagram, const Address &) {
-                             if (datagram.has_placement_wish())
-                                 this->placementRequests.push_back(datagram.placement_wish());
-                         }};
+    /// Origins of streams that the steward was told; it answers queries as long as it is set to.
+    StreamOrigins stewardOrigins;
+    bool stewardAnswers = true;
+    DatagramPort steward{
+        context, "side-1", [this](const proto::Datagram &datagram, const Address &sender) {
+            if (datagram.has_placement_wish())
+                this->placementRequests.push_back(datagram.placement_wish());
+            if (datagram.has_stream_origins())
+                this->stewardOrigins.merge("", datagram.stream_origins(), clockNow());
+            if (datagram.has_stream_origin_query() && this->stewardAnswers) {
+                proto::Datagram answer;
+                *answer.mutable_stream_origins() =
+                    this->stewardOrigins.answer(datagram.stream_origin_query(), clockNow());
+                this->steward.send(sender, std::move(answer));
+            }
+        }};
     Address address;
     Address readiness;
     /// Id of the requests that send() sends.
--- /dev/null
+++ b/tests/platform/StreamTakeUpTest.cpp
@@ -0,0 +1,221 @@
+// Streams that callers take up at another gateway than the one that began them, also after all
+// gateways have ended. Guards against joined streams of two software versions, and against streams
+// that could go on and are refused.
+#include "VersionedUpstream.h"
+
+using namespace tray;
+using namespace tray::test;
+
+namespace {
+
+/// Two upstreams, and gateways that come and go.
+struct TakeUpFixture : VersionFixture
+{
+    TakeUpFixture(const std::string &firstVersion, const std::string &secondVersion,
+                  bool hasStewards = false)
+        : VersionFixture(firstVersion, secondVersion)
+    {
+        std::string text = Config;
+        const auto replace = [&](const std::string &part, const std::string &other) {
+            REQUIRE(text.find(part) != std::string::npos);
+            text.replace(text.find(part), part.size(), other);
+        };
+        replace(R"("version":1)", R"("version":2)");
+        // Callers wait long enough for a gateway's restart.
+        replace(R"("timeout_ms":1500,"max_attempts":2,"resumable":true)",
+                R"("timeout_ms":20000,"max_attempts":2,"resumable":true)");
+        if (hasStewards)
+            replace(R"("name":"shop",)",
+                    R"("name":"shop","engine":{"slots":64,"kv_cache_tokens":100000,)"
+                    R"("weights_mb":100000,"adapter_slots":4,"loads_per_s":1,"models":[]},)");
+        this->gateway.store.put("config", "main", text);
+        this->gateway.runFor(milliseconds(800));
+    }
+
+    /// Begins stream r1 at the present gateway; its answer breaks after two events.
+    void beginStream()
+    {
+        this->first.breaks = this->second.breaks = 2;
+        this->gateway.requestId = "r1";
+        REQUIRE_FALSE(isOk(this->gateway.send("/retell/1")));
+        this->first.breaks = this->second.breaks = 0;
+        this->gateway.first.received.clear();
+        this->gateway.second.received.clear();
+    }
+
+    void startPeer(const std::string &instance)
+    {
+        this->peers.push_back(this->gateway.startPeer(instance, "here"));
+        // The peers get to know each other.
+        this->gateway.runFor(milliseconds(1200));
+    }
+
+    void stop(Gateway &stopped)
+    {
+        asio::co_spawn(this->gateway.context, stopped.stop(), asio::detached);
+        this->gateway.runFor(milliseconds(1500));
+    }
+
+    /// Ends the only gateway and starts it anew.
+    void restart()
+    {
+        this->stop(*this->gateway.gateway);
+        this->startPeer("front-1");
+    }
+
+    /// Waits until the only gateway has recorded the software versions.
+    void awaitVersionRecord(const std::string &text)
+    {
+        for (int i = 0; i < 60 && this->recordedVersions() != text; ++i)
+            this->gateway.runFor(milliseconds(100));
+        REQUIRE(this->recordedVersions() == text);
+    }
+
+    std::string recordedVersions() const
+    {
+        return this->gateway.store.specOf("software-versions", "shop");
+    }
+
+    bool isUntouched() const
+    {
+        return this->gateway.first.received.empty() && this->gateway.second.received.empty();
+    }
+
+    std::vector<std::unique_ptr<Gateway>> peers;
+};
+
+const std::string OneVersion = R"("v7631")";
+const std::string TwoVersions = R"("v7631 v7632")";
+
+} // namespace
+
+TEST_CASE("A stream goes on at its version when another gateway takes it up")
+{
+    TakeUpFixture fixture("v1", "v2");
+    SUBCASE("which was told what began it, although the first gateway has ended")
+    {
+        const Address first = fixture.gateway.address;
+        fixture.startPeer("front-2");
+        const Address second = std::exchange(fixture.gateway.address, first);
+        fixture.beginStream();
+        fixture.gateway.address = second;
+        fixture.stop(*fixture.gateway.gateway);
+    }
+    SUBCASE("which asks the first gateway")
+    {
+        fixture.beginStream();
+        fixture.startPeer("front-2");
+    }
+    const auto answer = fixture.takeUp("r2", "r1", 2);
+    CHECK(statusOf(answer) == 200);
+    CHECK(bodyOf(answer) == wholeStream("v1", 3));
+}
+
+TEST_CASE("A stream goes on at its version after all gateways have ended")
+{
+    TakeUpFixture fixture("v1", "v2", true);
+    fixture.beginStream();
+    CHECK(fixture.gateway.stewardOrigins.size() == 1);
+    fixture.restart();
+
+    SUBCASE("since stewards know what began it")
+    {
+        const auto answer = fixture.takeUp("r2", "r1", 2);
+        CHECK(statusOf(answer) == 200);
+        CHECK(bodyOf(answer) == wholeStream("v1", 3));
+    }
+    SUBCASE("and is refused at once if they do not")
+    {
+        const Instant began = clockNow();
+        CHECK(statusOf(fixture.takeUp("r2", "r9", 2)) == 503);
+        CHECK(clockNow() - began < milliseconds(400));
+        CHECK(fixture.isUntouched());
+    }
+    SUBCASE("or within a second if they do not answer")
+    {
+        fixture.gateway.stewardAnswers = false;
+        const Instant began = clockNow();
+        CHECK(statusOf(fixture.takeUp("r2", "r1", 2)) == 503);
+        CHECK(clockNow() - began < milliseconds(1000));
+        CHECK(fixture.isUntouched());
+    }
+}
+
+TEST_CASE("A stream of unknown origin goes on if only one version can have begun it")
+{
+    TakeUpFixture fixture("v1", "v1");
+    fixture.awaitVersionRecord(OneVersion);
+
+    SUBCASE("also at a gateway that has just started")
+    {
+        fixture.beginStream();
+        fixture.restart();
+        CHECK(bodyOf(fixture.takeUp("r2", "r1", 2)) == wholeStream("v1", 3));
+    }
+    SUBCASE("also if the caller names no attempt")
+    {
+        CHECK(bodyOf(fixture.takeUp("r2", "", 2)) == wholeStream("v1", 3));
+    }
+    SUBCASE("but not before the record of versions was read")
+    {
+        fixture.stop(*fixture.gateway.gateway);
+        fixture.gateway.store.failingKinds = {"software-versions"};
+        fixture.startPeer("front-1");
+        CHECK(statusOf(fixture.takeUp("r2", "r9", 2)) == 503);
+        CHECK(fixture.isUntouched());
+        fixture.gateway.store.failingKinds.clear();
+        fixture.gateway.runFor(std::chrono::seconds(2));
+        CHECK(bodyOf(fixture.takeUp("r3", "r9", 2)) == wholeStream("v1", 3));
+    }
+    SUBCASE("nor while the gateway cannot see whether there is a new version")
+    {
+        fixture.gateway.store.respond503 = true;
+        // A watch that has begun ends as usual.
+        fixture.gateway.runFor(ServiceVersions::ListLifetime + milliseconds(2500));
+        CHECK(statusOf(fixture.takeUp("r2", "r9", 2)) == 503);
+        CHECK(fixture.isUntouched());
+    }
+}
+
+TEST_CASE("A stream of unknown origin is refused while several versions can have begun it")
+{
+    TakeUpFixture fixture("v1", "v2");
+    fixture.awaitVersionRecord(TwoVersions);
+    const auto checkRefused = [&] {
+        for (const auto *resumed : {"r9", ""}) {
+            CHECK(statusOf(fixture.takeUp("r2", resumed, 2)) == 503);
+            CHECK(fixture.isUntouched());
+        }
+    };
+
+    SUBCASE("because both serve")
+    {
+        checkRefused();
+    }
+    SUBCASE("because one has just left")
+    {
+        fixture.gateway.store.remove("servers", "i-1");
+        fixture.gateway.runFor(milliseconds(900));
+        checkRefused();
+    }
+    SUBCASE("because one left before the gateway started")
+    {
+        fixture.gateway.store.remove("servers", "i-1");
+        fixture.gateway.runFor(milliseconds(900));
+        fixture.restart();
+        checkRefused();
+        // The new gateway keeps what it has not seen absent for long enough.
+        fixture.gateway.runFor(milliseconds(2500));
+        CHECK(fixture.recordedVersions() == TwoVersions);
+    }
+    SUBCASE("because one left before the gateway started, and the store has lost the record")
+    {
+        fixture.gateway.store.remove("software-versions", "shop");
+        fixture.gateway.store.restore(fixture.gateway.store.makeCopy());
+        fixture.awaitVersionRecord(TwoVersions);
+        fixture.gateway.store.remove("servers", "i-1");
+        fixture.gateway.runFor(milliseconds(900));
+        fixture.restart();
+        checkRefused();
+    }
+}
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -195,7 +195,7 @@
     HttpResponse response;
     if (this->neverRespond)
         co_await this->waitForever();
-    if (this->respond503) {
+    if (this->respond503 || this->failingKinds.contains(kind)) {
         response = makeResponse(503, "text/plain", "");
     } else if (request.method != "GET") {
         response = this->write(kind, name, request);
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -7,6 +7,7 @@
 #include <boost/json/value.hpp>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace tray::test {
 
@@ -24,6 +25,8 @@
     size_t pageSize = 100;
     /// Answers every request with 503.
     bool respond503 = false;
+    /// Kinds of objects for which every request is answered with 503.
+    std::set<std::string> failingKinds;
     /// Accepts requests without ever answering them; pending watches are not answered, either.
     bool neverRespond = false;
     /// Cuts off the waiting watches of a kind of objects.
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -103,6 +103,8 @@
         : port(this->context, "front-1", [this](const proto::Datagram &datagram, const Address &) {
               if (datagram.has_snapshot())
                   this->snapshots.push_back(datagram.snapshot());
+              if (datagram.has_stream_origins())
+                  this->originAnswers.push_back(datagram.stream_origins());
           })
     {
         this->engine.state.startedAtMs = 5;
@@ -140,6 +142,27 @@
         this->port.send(this->address, datagram);
     }
 
+    void reportOrigin(uint64_t stream, const std::string &version, Duration remaining)
+    {
+        proto::Datagram datagram;
+        *datagram.mutable_stream_origins()->add_rows() =
+            makeOriginRow(stream, {"engines", version, Instant{} + remaining}, Instant{});
+        this->port.send(this->address, datagram);
+    }
+
+    /// Asks the steward what began a stream; returns the row that it answers with.
+    proto::StreamOriginRow askOrigin(uint64_t stream)
+    {
+        this->originAnswers.clear();
+        proto::Datagram datagram;
+        datagram.mutable_stream_origin_query()->set_digest(stream);
+        this->port.send(this->address, datagram);
+        this->runFor(milliseconds(100));
+        REQUIRE(this->originAnswers.size() == 1);
+        REQUIRE(this->originAnswers.front().rows_size() == 1);
+        return this->originAnswers.front().rows(0);
+    }
+
     void runFor(Duration duration)
     {
         this->context.restart();
@@ -164,6 +187,7 @@
     /// Era of the store that the gateway reports with its subscriptions.
     uint64_t reportedEra = 0;
     std::vector<proto::EngineSnapshot> snapshots;
+    std::vector<proto::StreamOriginReport> originAnswers;
     DatagramPort port;
     std::optional<Steward> steward;
 
@@ -398,3 +422,37 @@
     fixture.runFor(std::chrono::seconds(3));
     CHECK(fixture.store.writes == writes);
 }
+
+TEST_CASE("A steward tells gateways what began a stream")
+{
+    StewardFixture fixture;
+    // No gateway has named its engine, and it has no authority to order.
+    fixture.store.failWrites = true;
+    fixture.start();
+    fixture.reportOrigin(7, "v1", milliseconds(4000));
+    fixture.runFor(milliseconds(100));
+    const auto row = fixture.askOrigin(7);
+    CHECK_FALSE(row.unknown());
+    CHECK(row.service() == "engines");
+    CHECK(row.software_version() == "v1");
+    CHECK(row.remaining_ms() > 3000);
+    CHECK(row.remaining_ms() <= 4000);
+
+    SUBCASE("says so if it does not know it")
+    {
+        CHECK(fixture.askOrigin(8).unknown());
+    }
+    SUBCASE("and knows it no more when its time is over")
+    {
+        fixture.reportOrigin(9, "v1", milliseconds(300));
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.askOrigin(9).unknown());
+    }
+    SUBCASE("also right after a pause of its process, from a datagram that its socket kept")
+    {
+        fixture.reportOrigin(9, "v2", milliseconds(4000));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+        CHECK(fixture.askOrigin(9).software_version() == "v2");
+        CHECK(fixture.askOrigin(7).software_version() == "v1");
+    }
+}
