--- a/src/fleet/WitnessSelection.cpp
+++ b/src/fleet/WitnessSelection.cpp
@@ -39,9 +39,14 @@
         if (entry.service == service && entry.phase == UpstreamPhase::Ready)
             byVersion[entry.softwareVersion].push_back(&entry);
     }
+    size_t total = 0;
+    for (const auto &[version, engines] : byVersion)
+        total += engines.size();
     std::vector<Engines> groups;
-    for (auto &[version, engines] : byVersion)
-        groups.push_back(std::move(engines));
+    for (auto &[version, engines] : byVersion) {
+        if (engines.size() * MinWitnessShare >= total)
+            groups.push_back(std::move(engines));
+    }
     std::stable_sort(groups.begin(), groups.end(), [](const Engines &one, const Engines &other) {
         return one.size() > other.size();
     });
--- a/src/fleet/WitnessSelection.h
+++ b/src/fleet/WitnessSelection.h
@@ -10,6 +10,9 @@
 
 /// Software versions of a service whose stewards are chosen at most.
 inline constexpr size_t MaxWitnessVersions = 3;
+/// Least share of the ready engines, one in this number, that a version must have. Each steward of
+/// a smaller one would be told about nearly every stream.
+inline constexpr size_t MinWitnessShare = 100;
 
 /// Number of witnesses of a stream.
 struct WitnessCounts
@@ -26,7 +29,7 @@
 /// Returns the engines of a service whose stewards are witnesses of a stream: for each software
 /// version that has ready ones, the given number. So a whole version can leave without taking all
 /// witnesses with it. If there are more than MaxWitnessVersions, those with the most ready engines
-/// are used.
+/// are used; versions below MinWitnessShare are not.
 std::vector<const UpstreamEntry *>
 selectWitnessEngines(uint64_t stream, const std::string &service,
                      const std::map<std::string, UpstreamEntry> &entries, size_t perVersion);
--- a/tests/fleet/WitnessSelectionTest.cpp
+++ b/tests/fleet/WitnessSelectionTest.cpp
@@ -91,6 +91,18 @@
     }
 }
 
+TEST_CASE("The few engines of a version that has just come are not told about every stream")
+{
+    Entries entries;
+    addEngines(entries, "v1", 400);
+    addEngines(entries, "v2", 2);
+    const auto witnesses = told(1, entries);
+    CHECK(witnesses.size() == 2);
+    CHECK(countCommon(witnesses, {"llm-v2-0", "llm-v2-1"}) == 0);
+    addEngines(entries, "v2", 5);
+    CHECK(told(1, entries).size() == 4);
+}
+
 TEST_CASE("Streams are spread over the engines and the gateways")
 {
     Entries entries;
