Load the model that broken streams wait for at their software version

Callers saw: streams that crashed with their engines and were taken up again waited and were refused (no_replica), although engines of their version served.

Cause: nobody loaded their model there. A steward whose engine restarted beside it ordered what the planner had last requested of the crashed incarnation, also from the store, and the planner counted replicas over all versions. Waiting requests looked for changes every 100 ms only.

Change: a steward whose engine restarted drops what was requested before and restores what the last incarnation held, from copies on the host, as after a restart of both. Gateways report the models that continuations wait for with their version (at most 32, for 3 s), and the planner has such a model loaded by one engine of the version if none holds it: from a copy at once, from the store after 5 s, never at the cost of a model's last replica.

--- a/src/gateway/DemandMeter.cpp
+++ b/src/gateway/DemandMeter.cpp
@@ -1,6 +1,7 @@
 // Keeps each model's rates as sums that decay exponentially between updates.
 #include "gateway/DemandMeter.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace tray {
@@ -45,9 +46,27 @@
     rate.refusalsPerSecond += 1 / seconds(TimeConstant);
 }
 
+void DemandMeter::recordWaitingContinuation(const std::string &service, const std::string &model,
+                                            const std::string &softwareVersion, Instant now)
+{
+    this->continuations[{service, model, softwareVersion}] = now;
+    if (this->continuations.size() > MaxContinuations)
+        this->continuations.erase(std::min_element(
+            this->continuations.begin(), this->continuations.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; }));
+}
+
 proto::DemandReport DemandMeter::makeReport(Instant now)
 {
     proto::DemandReport report;
+    std::erase_if(this->continuations,
+                  [&](const auto &item) { return now >= item.second + ContinuationLifetime; });
+    for (const auto &[key, waitedAt] : this->continuations) {
+        auto *row = report.add_continuations();
+        row->set_service(key.service);
+        row->set_model(key.model);
+        row->set_software_version(key.softwareVersion);
+    }
     for (auto it = this->rates.begin(); it != this->rates.end();) {
         auto &rate = it->second;
         rate.decay(now);
--- a/src/gateway/DemandMeter.h
+++ b/src/gateway/DemandMeter.h
@@ -22,6 +22,11 @@
     /// A model is dropped when its rates of requests and of refusals are both below this value, in
     /// requests per second.
     static constexpr double MinTrackedRatePerSecond = 0.002;
+    /// Time after the last waiting continuation for which its need is reported: its caller may ask
+    /// again.
+    static constexpr Duration ContinuationLifetime = std::chrono::seconds(3);
+    /// Most needs of continuations that are kept and reported; the oldest ones are dropped first.
+    static constexpr size_t MaxContinuations = 32;
 
     /// Records the arrival of a request that is expected to occupy an engine for the given time, in
     /// milliseconds.
@@ -29,6 +34,10 @@
                        double workMs, Instant now);
     /// Records that a request was refused because no engine could serve its model.
     void recordRefusal(const std::string &model, Instant now);
+    /// Records that a stream waits for an upstream of its software version with its model. Repeated
+    /// while the stream waits.
+    void recordWaitingContinuation(const std::string &service, const std::string &model,
+                                   const std::string &softwareVersion, Instant now);
     /// Returns the current rates of all models with recent demand and drops the other models.
     proto::DemandReport makeReport(Instant now);
 
@@ -45,7 +54,17 @@
         void decay(Instant now);
     };
 
+    struct ContinuationKey
+    {
+        std::string service;
+        std::string model;
+        std::string softwareVersion;
+        auto operator<=>(const ContinuationKey &) const = default;
+    };
+
     std::map<std::string, ModelRates> rates;
+    // Time at which a continuation last waited; at most MaxContinuations rows.
+    std::map<ContinuationKey, Instant> continuations;
 };
 
 } // namespace tray
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -190,9 +190,14 @@
                 break;
             if (last.outcome == AttemptOutcome::Full)
                 break;
+            const Instant now = clockNow();
+            // The planner is told of waiting and of refused continuations: their callers ask again.
+            if (this->isContinuation() && refusal->kind == ErrorKind::NoReplica &&
+                !this->properties.model.empty())
+                this->gateway.demand.recordWaitingContinuation(
+                    this->service, this->properties.model, *this->streamVersion, now);
             // The model is still being loaded, or the upstreams take no requests now, but the
             // response will meet the latency goal.
-            const Instant now = clockNow();
             // Several requests wait for the same upstream, and each needs time to be served.
             const int factor = refusal->forbiddenBy == DirectiveKind::None ? 1 : 2;
             const bool isOnTime =
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -544,6 +544,8 @@
             entry != this->directory.entries().end())
             this->subscribe(entry->second);
     }
+    // Continuations wait for upstreams of their software version.
+    this->capacityChanged.notifyAll();
 }
 
 void Gateway::subscribe(const UpstreamEntry &entry)
@@ -595,8 +597,11 @@
 void Gateway::handleDatagram(const proto::Datagram &datagram, const Address &)
 {
     if (datagram.has_snapshot()) {
-        if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow()))
+        if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow())) {
             this->plannerCoordinator.requestPlan();
+            // Requests wait for engines that load their models.
+            this->capacityChanged.notifyAll();
+        }
         this->snapshotArrived.notifyAll();
     } else if (datagram.has_list_word()) {
         this->handleListUpdate(datagram.list_word());
--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -196,8 +196,10 @@
     if (toAll)
         this->reportedToAllAt = now;
     // The peers do not need the planner's own demand.
-    if (this->election.isPlanner())
+    if (this->election.isPlanner()) {
         report->clear_models();
+        report->clear_continuations();
+    }
     for (const auto &[name, peer] : this->peers) {
         if (toAll || name == this->knownPlanner)
             this->dependencies.datagrams.send(peer.address, datagram);
@@ -301,15 +303,17 @@
     return count;
 }
 
-std::map<std::string, PlannedDemand> PlannerCoordinator::sumDemand(Instant now)
+PlannerCoordinator::TotalDemand PlannerCoordinator::sumDemand(Instant now)
 {
-    std::map<std::string, PlannedDemand> total;
+    TotalDemand total;
     const auto add = [&](const proto::DemandReport &report) {
         for (const auto &row : report.models()) {
-            auto &demand = total[row.model()];
+            auto &demand = total.models[row.model()];
             demand.requestsPerSecond += row.requests_milli() / 1000.0;
             demand.busyEngines += row.work_ms() / 1000.0;
         }
+        for (const auto &row : report.continuations())
+            total.continuations[row.service()].insert({row.model(), row.software_version()});
     };
     add(this->dependencies.demand.makeReport(now));
     for (const auto &[name, peer] : this->peers) {
@@ -329,6 +333,7 @@
         EngineCandidate engine;
         engine.id = id;
         engine.dataCentre = entry.dataCentre;
+        engine.softwareVersion = entry.softwareVersion;
         engine.startedAtMs = entry.startedAtMs;
         for (const auto &model : this->dependencies.dispatcher.heldModels(id, now))
             engine.models.push_back(model.name);
@@ -339,6 +344,7 @@
             // so an engine is changed only if its snapshot lists its copies.
             engine.acceptsOrders =
                 snapshot->can_order() && !snapshot->leaving() && snapshot->with_copies();
+            engine.leaving = snapshot->leaving();
             engine.loading = snapshot->loading();
             engine.unloading = snapshot->unloading();
             engine.inMemory = {snapshot->models_in_memory().begin(),
@@ -357,7 +363,8 @@
     const auto config = this->dependencies.config();
     if (!config)
         return;
-    const auto demand = this->sumDemand(now);
+    const auto total = this->sumDemand(now);
+    const auto &demand = total.models;
     for (const auto &service : config->services) {
         if (!service.engine)
             continue;
@@ -368,13 +375,17 @@
         }
         auto &planner = found->second;
         planner.noteListGrowth(this->listGrewAt);
+        const auto awaited = total.continuations.find(service.name);
+        planner.noteContinuations(awaited == total.continuations.end() ? std::set<VersionedModel>{}
+                                                                       : awaited->second);
         const auto engines = this->collectEngines(service.name, now);
         for (const auto &move : planner.plan(*service.engine, engines, demand, now)) {
             const auto wanted = demand.find(move.load);
             logDecision(LogPriority::Notable, now,
                         fmt::format("event=move engine={} load={} unload={} gain={:.3f} "
-                                    "requests_per_s={:.2f} work={:.3f} term={}",
+                                    "continuation={} requests_per_s={:.2f} work={:.3f} term={}",
                                     move.engineId, move.load, move.unload, move.gain,
+                                    move.isForContinuation,
                                     wanted == demand.end() ? 0.0 : wanted->second.requestsPerSecond,
                                     wanted == demand.end() ? 0.0 : wanted->second.busyEngines,
                                     this->election.ownTerm()));
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -104,7 +104,14 @@
     void plan(Instant now);
     void sendPlacementRequests(const std::vector<EngineCandidate> &engines,
                                const ReplicaPlanner &planner, Instant now);
-    std::map<std::string, PlannedDemand> sumDemand(Instant now);
+    /// Demand of all gateways.
+    struct TotalDemand
+    {
+        std::map<std::string, PlannedDemand> models;
+        // Models that continuations wait for, by service.
+        std::map<std::string, std::set<VersionedModel>> continuations;
+    };
+    TotalDemand sumDemand(Instant now);
     std::vector<EngineCandidate> collectEngines(const std::string &service, Instant now) const;
 
     boost::asio::io_context &context;
--- a/src/replicas/ReplicaPlanner.cpp
+++ b/src/replicas/ReplicaPlanner.cpp
@@ -109,6 +109,8 @@
     this->storeLoadStarts.clear();
     this->ungrantedLoads.clear();
     this->unheldSince.clear();
+    this->awaitedModels.clear();
+    this->awaitedSince.clear();
     this->restartedAt = now;
     this->firstListedAt.reset();
     this->listSettled = false;
@@ -204,14 +206,25 @@
     std::map<std::string, std::set<std::string>> dataCentres;
     // Models with a copy on the host of an engine that accepts orders.
     std::set<std::string> copied;
+    // Replicas at the engines of each software version that are not leaving; those that answer now
+    // and that no grant drops; and models with a copy on the host of such an engine.
+    std::map<VersionedModel, int> versionReplicas;
+    std::map<VersionedModel, int> versionReady;
+    std::set<VersionedModel> versionCopied;
     std::optional<EngineLoads> loads;
     std::optional<ModelSizes> sizes;
 
     int replicasOf(const std::string &model) const { return countOf(this->replicas, model); }
     int readyOf(const std::string &model) const { return countOf(this->ready, model); }
+    int replicasOf(const VersionedModel &model) const
+    {
+        return countOf(this->versionReplicas, model);
+    }
+    int readyOf(const VersionedModel &model) const { return countOf(this->versionReady, model); }
 
 private:
-    static int countOf(const std::map<std::string, int> &counts, const std::string &model)
+    template <typename Key>
+    static int countOf(const std::map<Key, int> &counts, const Key &model)
     {
         const auto found = counts.find(model);
         return found == counts.end() ? 0 : found->second;
@@ -245,12 +258,25 @@
             state.copied.insert(engine.inMemory.begin(), engine.inMemory.end());
             state.copied.insert(engine.onDisk.begin(), engine.onDisk.end());
         }
+        const auto atVersion = [&](const std::string &model) {
+            return VersionedModel{model, engine.softwareVersion};
+        };
+        if (engine.acceptsOrders) {
+            for (const auto &model : this->awaitedModels) {
+                if (model.softwareVersion == engine.softwareVersion && hasCopy(engine, model.model))
+                    state.versionCopied.insert(model);
+            }
+        }
         auto &holdings = placement[engine.id];
         for (const auto &model : models) {
             ++state.replicas[model];
             state.dataCentres[model].insert(engine.dataCentre);
             holdings.push_back({model, contains(ready, model)});
             state.ready[model] += holdings.back().ready ? 1 : 0;
+            if (!engine.leaving && this->awaitedModels.contains(atVersion(model))) {
+                ++state.versionReplicas[atVersion(model)];
+                state.versionReady[atVersion(model)] += holdings.back().ready ? 1 : 0;
+            }
         }
     }
     std::map<std::string, PlannedDemand> planned = demand;
@@ -270,6 +296,13 @@
         else
             this->unheldSince.erase(model.name);
     }
+    std::erase_if(this->awaitedSince, [&](const auto &item) {
+        return !this->awaitedModels.contains(item.first) || state.replicasOf(item.first) != 0;
+    });
+    for (const auto &model : this->awaitedModels) {
+        if (state.replicasOf(model) == 0)
+            this->awaitedSince.try_emplace(model, now);
+    }
 }
 
 std::vector<ReplicaPlanner::Victim> ReplicaPlanner::victimsOn(const EngineCandidate &engine,
@@ -279,7 +312,11 @@
     for (const auto &model : state.models.at(engine.id)) {
         // Every model keeps a ready replica, whatever its demand.
         const int replicas = state.readyOf(model);
-        if (replicas > 1 && contains(engine.models, model))
+        // Likewise at the only version whose engines may go on with streams that have just waited.
+        const VersionedModel versioned{model, engine.softwareVersion};
+        const bool isAwaited =
+            this->awaitedModels.contains(versioned) && state.readyOf(versioned) <= 1;
+        if (replicas > 1 && !isAwaited && contains(engine.models, model))
             victims.push_back(
                 {model, state.loads->replicaLoss(engine.id, model) * EvictionLossFactor, replicas});
     }
@@ -293,6 +330,7 @@
     const auto &models = state.models.at(engine.id);
     const double useful = usefulShare(engine, *state.sizes->find(model));
     PlannedMove move{engine.id, model, "", state.loads->replicaGain(engine.id, model, "") * useful};
+    move.isForContinuation = this->isAwaitedTooLong(engine, model, state, now);
     std::vector<std::string> after = models;
     after.push_back(model);
     double loss = MinGainForFreeMemory;
@@ -323,9 +361,11 @@
     const auto dataCentres = state.dataCentres.find(model);
     const bool isSpread =
         dataCentres == state.dataCentres.end() || !dataCentres->second.contains(engine.dataCentre);
-    if (move.gain <= loss && !this->isUnheldTooLong(engine, model, state, now))
+    if (move.gain <= loss && !move.isForContinuation &&
+        !this->isUnheldTooLong(engine, model, state, now))
         return std::nullopt;
-    const double value = move.gain - loss - (isSpread ? 0 : SameDataCentreCost);
+    const double value = move.gain - loss - (isSpread ? 0 : SameDataCentreCost) +
+                         (move.isForContinuation ? ContinuationGain : 0);
     return RatedMove{std::move(move), value, !hasCopy(engine, model)};
 }
 
@@ -341,6 +381,19 @@
                                                                               : UnheldTimeout);
 }
 
+bool ReplicaPlanner::isAwaitedTooLong(const EngineCandidate &engine, const std::string &model,
+                                      const PlannedState &state, Instant now) const
+{
+    const VersionedModel versioned{model, engine.softwareVersion};
+    const auto awaited = this->awaitedSince.find(versioned);
+    if (awaited == this->awaitedSince.end() || state.replicasOf(versioned) != 0)
+        return false;
+    Duration timeout = AwaitedTimeout;
+    if (!hasCopy(engine, model))
+        timeout = state.versionCopied.contains(versioned) ? UnheldStoreTimeout : UnheldTimeout;
+    return now >= awaited->second + timeout;
+}
+
 std::vector<ReplicaPlanner::RatedMove>
 ReplicaPlanner::profitableMoves(const EngineSpec &spec, const std::vector<EngineCandidate> &engines,
                                 const PlannedState &state, bool storeAllowed, Instant now) const
@@ -370,7 +423,8 @@
             const auto &name = spec.models[i].name;
             // A model that no engine holds is loaded whatever it gains, once it has been unheld for
             // too long.
-            const bool mayPay = mostGain[i] > leastLoss || state.replicasOf(name) == 0;
+            const bool mayPay = mostGain[i] > leastLoss || state.replicasOf(name) == 0 ||
+                                this->awaitedSince.contains({name, engine.softwareVersion});
             if (!mayPay || contains(models, name) || (!storeAllowed && !hasCopy(engine, name)))
                 continue;
             if (auto move = this->bestMoveFor(engine, victims, name, state, now))
--- a/src/replicas/ReplicaPlanner.h
+++ b/src/replicas/ReplicaPlanner.h
@@ -23,7 +23,10 @@
 {
     std::string id;
     std::string dataCentre;
+    std::string softwareVersion;
     uint64_t startedAtMs = 0;
+    /// The engine has announced that it leaves, and gets no more requests.
+    bool leaving = false;
     /// The engine's steward sent a snapshot lately and can order the engine.
     bool acceptsOrders = false;
     std::vector<std::string> models;
@@ -33,6 +36,14 @@
     std::set<std::string> onDisk;
 };
 
+/// A model at the engines of one software version.
+struct VersionedModel
+{
+    std::string model;
+    std::string softwareVersion;
+    auto operator<=>(const VersionedModel &) const = default;
+};
+
 /// Limit on the loads from the weight store that begin within a window, over all engines.
 struct StoreLoadLimits
 {
@@ -51,6 +62,8 @@
     std::string unload;
     /// Additional requests per second that are served well.
     double gain = 0;
+    /// The move is made for streams that only engines of this software version can continue.
+    bool isForContinuation = false;
 };
 
 class ReplicaPlanner
@@ -74,6 +87,12 @@
     /// although an engine has a copy on its host. That engine may carry out another order first,
     /// and a load from the store would take longer than the wait for that engine.
     static constexpr Duration UnheldStoreTimeout = std::chrono::seconds(12);
+    /// Time after which a model that continuations wait for, and that no engine of their software
+    /// version holds, is loaded from a copy on the host of such an engine. Loads that their
+    /// stewards have just ordered are reported sooner.
+    static constexpr Duration AwaitedTimeout = milliseconds(200);
+    /// Requests per second that a load for continuations counts as, compared with other moves.
+    static constexpr double ContinuationGain = 2;
     /// Time without growth of the instance list after which a new planner takes the list for
     /// complete. Engines that are not listed yet hold models that would look as if no engine held
     /// them.
@@ -86,6 +105,12 @@
     void takeRole(Instant now);
     /// Records when an upstream was last added to the instance list.
     void noteListGrowth(Instant grewAt) { this->listGrewAt = grewAt; }
+    /// Replaces the models that continuations wait for. One that no engine of its software version
+    /// holds or loads is loaded by one of them, whatever the gain.
+    void noteContinuations(std::set<VersionedModel> models)
+    {
+        this->awaitedModels = std::move(models);
+    }
     /// Grants the moves that pay off now; returns the new ones.
     std::vector<PlannedMove> plan(const EngineSpec &spec,
                                   const std::vector<EngineCandidate> &engines,
@@ -151,6 +176,10 @@
     /// Whether no engine has held the model for so long that this engine is to load it at any cost.
     bool isUnheldTooLong(const EngineCandidate &engine, const std::string &model,
                          const PlannedState &state, Instant now) const;
+    /// Whether continuations wait for the model at the engine's software version, none of whose
+    /// engines has held it for so long that this one is to load it at any cost.
+    bool isAwaitedTooLong(const EngineCandidate &engine, const std::string &model,
+                          const PlannedState &state, Instant now) const;
 
     const StoreLoadLimits limits;
     // Grants in progress, by engine. An engine changes one model at a time.
@@ -162,6 +191,10 @@
     std::map<std::string, std::string> ungrantedLoads;
     // Time since when each model without a replica has been without one.
     std::map<std::string, Instant> unheldSince;
+    // Models that continuations wait for, and the time since when no engine of the version has held
+    // each of them.
+    std::set<VersionedModel> awaitedModels;
+    std::map<VersionedModel, Instant> awaitedSince;
     std::optional<Instant> restartedAt;
     // Time at which this planner saw the first engine; not set while the list is empty.
     std::optional<Instant> firstListedAt;
--- a/src/steward/OrderPlanner.cpp
+++ b/src/steward/OrderPlanner.cpp
@@ -56,6 +56,13 @@
     this->adapterRequests.clear();
 }
 
+void OrderPlanner::noteEngineRestart()
+{
+    this->requestedAt = {};
+    this->adapterRequests.clear();
+    this->modelOrder.reset();
+}
+
 void OrderPlanner::requestAdapter(const std::string &model, const std::string &adapter, Instant now)
 {
     this->adapterRequests[{model, adapter}] = now;
--- a/src/steward/OrderPlanner.h
+++ b/src/steward/OrderPlanner.h
@@ -37,6 +37,9 @@
     /// kept.
     void dropRequests();
     void requestAdapter(const std::string &model, const std::string &adapter, Instant now);
+    /// Drops what was requested of, and ordered from, an earlier incarnation of the engine. Models
+    /// that are still to be restored are kept: an engine may restart again before it has them.
+    void noteEngineRestart();
     /// Records that the engine has restarted without models. The given ones are those that it held
     /// before, most wanted first. While no placement request is in force, those with copies on the
     /// engine's host are loaded again: after a loss of all processes a planner must first be
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -253,7 +253,7 @@
 {
     if (!this->report || !this->previousModels || this->previousModels->empty())
         return;
-    // Otherwise the engine has kept running since the previous process.
+    // Otherwise the engine has kept running since the previous process, or has orders already.
     if (this->report->models.empty() && this->report->sequence == 0) {
         logDecision(LogPriority::Notable, now,
                     fmt::format("event=restore models={}", fmt::join(*this->previousModels, ",")));
@@ -293,9 +293,13 @@
 {
     if (std::exchange(this->engineUnresponsive, false))
         logDecision(LogPriority::Notable, clockNow(), "event=engine_regained");
-    if (this->report && newReport.startedAtMs != this->report->startedAtMs)
+    if (this->report && newReport.startedAtMs != this->report->startedAtMs) {
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=engine_restarted born_ms={}", newReport.startedAtMs));
+        if (!this->report->models.empty())
+            this->previousModels = this->planner.heldByRequestOrder(*this->report);
+        this->planner.noteEngineRestart();
+    }
     this->report = std::move(newReport);
     this->restorePreviousModels(clockNow());
     this->recordIfChanged(clockNow());
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -90,7 +90,9 @@
     // record of an earlier era may be lost.
     uint64_t recordEra = 0;
     uint64_t reportedEra = 0;
-    // Models in the record of the previous process; cleared by the engine's first report.
+    // Models that the engine held before it restarted: those in the record of the previous process
+    // until the engine's first report, and those of the last report of an earlier incarnation.
+    // Cleared once it is decided whether to restore them.
     std::optional<std::vector<std::string>> previousModels;
     // Models in the record, and the time since which the engine holds different ones.
     std::vector<std::string> recordedModels;
--- a/tests/gateway/DemandMeterTest.cpp
+++ b/tests/gateway/DemandMeterTest.cpp
@@ -31,3 +31,40 @@
         CHECK(later.models(1).refused_milli() == 500);
     }
 }
+
+TEST_CASE("A gateway reports the models that continuations wait for, by service and version")
+{
+    DemandMeter meter;
+    const Instant now{std::chrono::hours(1)};
+    meter.recordWaitingContinuation("llm", "m1", "v1", now);
+    meter.recordWaitingContinuation("llm", "m1", "v1", now + milliseconds(100));
+    const auto report = meter.makeReport(now + milliseconds(100));
+    REQUIRE(report.continuations_size() == 1);
+    CHECK(report.continuations(0).service() == "llm");
+    CHECK(report.continuations(0).model() == "m1");
+    CHECK(report.continuations(0).software_version() == "v1");
+    CHECK(report.models_size() == 0);
+
+    SUBCASE("until some seconds after the last one has waited")
+    {
+        const Instant end = now + milliseconds(100) + DemandMeter::ContinuationLifetime;
+        CHECK(meter.makeReport(end - milliseconds(1)).continuations_size() == 1);
+        CHECK(meter.makeReport(end).continuations_size() == 0);
+    }
+    SUBCASE("apart for each version")
+    {
+        meter.recordWaitingContinuation("llm", "m1", "v2", now);
+        CHECK(meter.makeReport(now).continuations_size() == 2);
+    }
+    SUBCASE("and only the latest ones of very many")
+    {
+        for (int i = 0; i < 200; ++i)
+            meter.recordWaitingContinuation("llm", "n" + std::to_string(i), "v1",
+                                            now + milliseconds(200 + i));
+        const auto later = meter.makeReport(now + milliseconds(400));
+        CHECK(later.continuations_size() == static_cast<int>(DemandMeter::MaxContinuations));
+        for (const auto &row : later.continuations())
+            CHECK(std::stoi(row.model().substr(1)) >=
+                  200 - static_cast<int>(DemandMeter::MaxContinuations));
+    }
+}
--- a/tests/replicas/ReplicaPlannerTest.cpp
+++ b/tests/replicas/ReplicaPlannerTest.cpp
@@ -57,6 +57,18 @@
         }
     }
 
+    /// All moves of some seconds, which the engines carry out.
+    std::vector<PlannedMove> movesFor(int steps, const std::map<std::string, PlannedDemand> &demand)
+    {
+        std::vector<PlannedMove> all;
+        for (int i = 0; i < steps; ++i) {
+            const auto moves = this->step(demand);
+            this->carryOut(moves);
+            all.insert(all.end(), moves.begin(), moves.end());
+        }
+        return all;
+    }
+
     int replicas(const std::string &model) const
     {
         int count = 0;
@@ -344,3 +356,108 @@
     CHECK(fleet.step({{"m0", {50, 3}}}).empty());
     CHECK_FALSE(fleet.planner.requestedModelsFor("a").has_value());
 }
+
+TEST_CASE("A model that continuations wait for is loaded at their software version")
+{
+    // All room is taken. Only "a", of the old version, holds m3; "b" and "c" are of the new one.
+    Fleet fleet(specOf(4),
+                {engineWith("a", {"m0", "m1", "m3"}), engineWith("b", {"m0", "m1", "m2"}),
+                 engineWith("c", {"m0", "m1", "m2"})});
+    fleet.engines[0].softwareVersion = "v1";
+    fleet.engines[1].softwareVersion = "v2";
+    fleet.engines[2].softwareVersion = "v2";
+    std::map<std::string, PlannedDemand> busy;
+    for (int i = 0; i < 4; ++i)
+        busy["m" + std::to_string(i)] = {20, 0.4};
+    // Without continuations nothing moves.
+    REQUIRE(fleet.movesFor(6, busy).empty());
+
+    SUBCASE("soon, by one engine that has a copy, at the cost of a model with other replicas")
+    {
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        const auto moves = fleet.movesFor(2, busy);
+        REQUIRE(moves.size() == 1);
+        CHECK(moves.front().engineId == "c");
+        CHECK(moves.front().load == "m3");
+        CHECK(moves.front().isForContinuation);
+        // As long as continuations come, it is kept, and no other engine loads it.
+        CHECK(fleet.movesFor(20, busy).empty());
+    }
+    SUBCASE("before moves that gain a little more")
+    {
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.engines[2].models = {"m0", "m1"};
+        fleet.engines[2].onDisk = {"m2", "m3"};
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        fleet.engines[2].loading = "m0";
+        fleet.movesFor(2, busy);
+        fleet.engines[2].loading.clear();
+        const auto moves = fleet.movesFor(1, busy);
+        REQUIRE_FALSE(moves.empty());
+        CHECK(moves.front().load == "m3");
+    }
+    SUBCASE("from the weight store only once it has been missed for long")
+    {
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        CHECK(fleet.movesFor(8, busy).empty());
+        CHECK(fleet.movesFor(5, busy).size() == 1);
+    }
+    SUBCASE("and still later if a busy engine of the version has a copy")
+    {
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.engines[2].loading = "m0";
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        CHECK(fleet.movesFor(20, busy).empty());
+    }
+    SUBCASE("not if one of its engines holds or loads it")
+    {
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.engines[1].onDisk = {"m3"};
+        fleet.planner.noteContinuations({{"m3", "v1"}});
+        CHECK(fleet.movesFor(20, busy).empty());
+        fleet.engines[1].loading = "m3";
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        CHECK(fleet.movesFor(20, busy).empty());
+    }
+    SUBCASE("but although an engine that leaves holds it")
+    {
+        fleet.engines[1].models = {"m0", "m1", "m3"};
+        fleet.engines[1].leaving = true;
+        fleet.engines[1].acceptsOrders = false;
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        const auto moves = fleet.movesFor(2, busy);
+        REQUIRE(moves.size() == 1);
+        CHECK(moves.front().engineId == "c");
+    }
+    SUBCASE("not once no continuation waits any more, nor at a version without engines")
+    {
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        fleet.planner.noteContinuations({{"m3", "v9"}});
+        CHECK(fleet.movesFor(20, busy).empty());
+    }
+    SUBCASE("never at the cost of the last replica of a model")
+    {
+        fleet.engines[2].models = {"m4", "m5", "m6"};
+        fleet.engines[2].onDisk = {"m3"};
+        fleet.engines[1].acceptsOrders = false;
+        fleet.spec = specOf(7);
+        fleet.planner.noteContinuations({{"m3", "v2"}});
+        CHECK(fleet.movesFor(30, busy).empty());
+    }
+}
+
+TEST_CASE("Models that continuations wait for do not push each other out")
+{
+    // One engine of the old version is left, with room for three of four models that are awaited.
+    Fleet fleet(specOf(5),
+                {engineWith("a", {"m0", "m1", "m2"}), engineWith("b", {"m0", "m1", "m2"}),
+                 engineWith("c", {"m3", "m4", "m0"})});
+    fleet.engines[0].softwareVersion = "v1";
+    fleet.engines[0].onDisk = {"m0", "m1", "m2", "m3", "m4"};
+    fleet.planner.noteContinuations({{"m1", "v1"}, {"m2", "v1"}, {"m3", "v1"}, {"m4", "v1"}});
+    const auto moves = fleet.movesFor(60, {});
+    CHECK(moves.size() == 1);
+}
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -77,6 +77,7 @@
     {
         this->orders.push_back(order);
         this->tokens.push_back(authority.fencingToken);
+        this->upstreamIds.push_back(authority.upstreamId);
         while (this->holdOrders)
             co_await pauseFor(milliseconds(10));
         ++this->state.sequence;
@@ -91,6 +92,7 @@
     EngineReport state;
     std::vector<EngineOrder> orders;
     std::vector<uint64_t> tokens;
+    std::vector<std::string> upstreamIds;
     /// Orders are not answered while this is set.
     bool holdOrders = false;
 };
@@ -122,8 +124,8 @@
     void subscribe(uint32_t periodMs = 0, bool withCopies = false)
     {
         proto::Datagram datagram;
-        datagram.mutable_subscribe()->set_upstream_id("i-1");
-        datagram.mutable_subscribe()->set_born_ms(5);
+        datagram.mutable_subscribe()->set_upstream_id(this->upstreamId);
+        datagram.mutable_subscribe()->set_born_ms(this->listedStartedAtMs);
         datagram.mutable_subscribe()->set_period_ms(periodMs);
         datagram.mutable_subscribe()->set_with_copies(withCopies);
         datagram.mutable_subscribe()->set_store_era(this->reportedEra);
@@ -133,7 +135,7 @@
     void requestModels(uint64_t term, const std::vector<std::string> &models)
     {
         proto::Datagram datagram;
-        datagram.mutable_placement_wish()->set_upstream_id("i-1");
+        datagram.mutable_placement_wish()->set_upstream_id(this->upstreamId);
         datagram.mutable_placement_wish()->set_term(term);
         for (const auto &model : models)
             datagram.mutable_placement_wish()->add_models(model);
@@ -163,6 +165,9 @@
     Address address;
     /// Era of the store that the gateway reports with its subscriptions.
     uint64_t reportedEra = 0;
+    /// Identity and start time of the engine in the instance list of the gateway.
+    std::string upstreamId = "i-1";
+    uint64_t listedStartedAtMs = 5;
     std::vector<proto::EngineSnapshot> snapshots;
     DatagramPort port;
     std::optional<Steward> steward;
@@ -212,6 +217,72 @@
     }
 }
 
+TEST_CASE("An engine that restarts beside a steward that lives on gets its models back")
+{
+    StewardFixture fixture;
+    fixture.engine.state.models = {{"m0", {}}, {"m5", {}}, {"m1", {}}};
+    fixture.engine.state.sequence = 7;
+    fixture.start();
+    fixture.subscribe();
+    fixture.requestModels(3, {"m1", "m0", "m5"});
+    fixture.runFor(milliseconds(500));
+    REQUIRE(fixture.engine.orders.empty());
+    const auto restart = [&](uint64_t startedAtMs) {
+        fixture.engine.state.models.clear();
+        fixture.engine.state.sequence = 0;
+        fixture.engine.state.startedAtMs = startedAtMs;
+    };
+    const auto list = [&](const std::string &upstreamId, uint64_t startedAtMs) {
+        fixture.upstreamId = upstreamId;
+        fixture.listedStartedAtMs = startedAtMs;
+        fixture.subscribe();
+    };
+    restart(6);
+    fixture.runFor(milliseconds(400));
+    // The gateways have not sent the identity of the new incarnation.
+    CHECK(fixture.engine.orders.empty());
+
+    SUBCASE("as soon as the gateways send its new identity, and from copies on its host only")
+    {
+        list("i-2", 6);
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.loadedModels() == std::vector<std::string>{"m1", "m0"});
+        CHECK(fixture.engine.upstreamIds == std::vector<std::string>{"i-2", "i-2"});
+    }
+    SUBCASE("until a planner requests others")
+    {
+        list("i-2", 6);
+        fixture.requestModels(3, {"m2"});
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.loadedModels() == std::vector<std::string>{"m2"});
+    }
+    SUBCASE("also if it restarts again before it has them")
+    {
+        restart(8);
+        fixture.runFor(milliseconds(400));
+        list("i-3", 8);
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.loadedModels() == std::vector<std::string>{"m1", "m0"});
+    }
+}
+
+TEST_CASE("Nothing is restored on an engine that has had orders since its restart")
+{
+    StewardFixture fixture;
+    fixture.engine.state.models = {{"m0", {}}, {"m1", {}}};
+    fixture.engine.state.sequence = 7;
+    fixture.start();
+    fixture.subscribe();
+    fixture.runFor(milliseconds(500));
+    fixture.engine.state.startedAtMs = 6;
+    fixture.engine.state.models = {{"m3", {}}};
+    fixture.engine.state.sequence = 1;
+    fixture.listedStartedAtMs = 6;
+    fixture.subscribe();
+    fixture.runFor(milliseconds(500));
+    CHECK(fixture.loadedModels().empty());
+}
+
 TEST_CASE("A steward records the models of its engine once they no longer change")
 {
     StewardFixture fixture;
