Notice a lost answer to the watch of the configuration within four seconds

Callers saw: after a change of the configuration, requests were handled by the old one until 11 s later (CONFIG), if the answer to the watch that told of the change was lost.

Cause: a watch of the configuration waits for 10 s and is given up 1.5 s later, and nobody else tells a gateway that no peer serves beside. Class: the loss of a message is noticed by the longest wait, not by the time in which its content must be in force.

Change: the gateway that reads the instance list for its data centre watches the configuration for 2 s at a time; the others hear of the version from it, as before. One more call each two seconds and data centre.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -21,6 +21,10 @@
 constexpr Duration UpstreamWatchTimeout = std::chrono::seconds(2);
 // Maximum wait of one watch of the configuration.
 constexpr Duration ConfigWatchTimeout = std::chrono::seconds(10);
+// Maximum wait of one watch of the configuration at the gateway that reads the instance list. A
+// lost answer is noticed after this time and the timeout of a call; the other gateways of the data
+// centre hear of the version from this one.
+constexpr Duration ReaderConfigWatchTimeout = std::chrono::seconds(2);
 // Time after a failure of the store during which the loop of the instance list also reads the
 // configuration. The configuration's own watch has certainly ended by then.
 constexpr Duration ConfigWatchSuspectTime = ConfigWatchTimeout + std::chrono::seconds(2);
@@ -324,7 +328,11 @@
     bool hasFailed = false;
     while (!this->shutdownSchedule.isStopping()) {
         // A call that does not wait shows soonest whether the store works.
-        const Duration wait = hasFailed ? Duration::zero() : ConfigWatchTimeout;
+        Duration wait = ConfigWatchTimeout;
+        if (hasFailed)
+            wait = Duration::zero();
+        else if (this->listRelay.isReader())
+            wait = ReaderConfigWatchTimeout;
         // Not a single conditional expression, because g++ 12 destroys its awaited temporaries
         // twice.
         const Instant calledAt = clockNow();
--- a/tests/platform/ListUpdateTest.cpp
+++ b/tests/platform/ListUpdateTest.cpp
@@ -66,6 +66,32 @@
     CHECK(fixture.store.requestsByKind["config"] <= before + 1);
 }
 
+TEST_CASE("A configuration is in force within seconds although the answer to its watch is lost")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {StubUpstream::sealedAnswer(request, 200, "first")};
+    });
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    // The gateway has become the reader of the instance list.
+    fixture.runFor(ListRelay::ReaderTimeout + ListRelay::TakeoverJitter + milliseconds(600));
+    // A change right after the last one meets a watch that has just begun.
+    std::string config = Config;
+    const auto change = [&](const std::string &from, const std::string &to) {
+        config.replace(config.find(from), from.size(), to);
+        fixture.store.put("config", "main", config);
+    };
+    change(R"("version":1)", R"("version":2)");
+    fixture.runFor(milliseconds(700));
+    REQUIRE(fixture.statusOf("/new/1") == 404);
+    fixture.store.lostWatchAnswers["config"] = 1;
+    change(R"("version":2)", R"("version":3)");
+    change(R"("/look/")", R"("/new/")");
+    const Instant changedAt = clockNow();
+    fixture.runFor(std::chrono::seconds(4));
+    CHECK(fixture.statusOf("/new/1") == 200);
+    CHECK(clockNow() - changedAt < std::chrono::seconds(5));
+}
+
 TEST_CASE("A watch that is cut off once does not prolong the use of an upstream that is removed")
 {
     GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -172,6 +172,10 @@
                 events.push_back({{"removed", change.removed}, {"object", change.object}});
         }
         if (!events.empty() || std::chrono::steady_clock::now() >= end) {
+            if (auto &lost = this->lostWatchAnswers[kind]; lost > 0) {
+                --lost;
+                co_await this->waitForever();
+            }
             HttpResponse changed =
                 answer(200, {{"events", events}, {"current_rev", this->revision}});
             replacePlaceholders(changed.body, this->placeholders);
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -28,6 +28,8 @@
     bool neverRespond = false;
     /// Cuts off the waiting watches of a kind of objects.
     void cutWatches(const std::string &kind) { ++this->cutCounts[kind]; }
+    /// Number of answers to watches of a kind of objects that are lost: they are never sent.
+    std::map<std::string, int> lostWatchAnswers;
     /// Drops the history of changes, so that watches from older revisions are answered with 410.
     void compactHistory()
     {
