Let a hung call and a peer's word not prolong the use of upstreams that vanished

Cause, in part: a call that had hung since an outage counted as a new outage when it was given up, although other calls had been answered meanwhile; and a gateway that heard from its reader that the list was unreliable began the whole grace period anew with each word.

Evidence: UpstreamDirectoryTest, two new cases.

Change: an outage that a hung call tells of was over by the first answer to a later call; a peer's word carries the time that is left.

--- a/src/fleet/UpstreamDirectory.cpp
+++ b/src/fleet/UpstreamDirectory.cpp
@@ -1,6 +1,7 @@
 // Decides when an upstream that is missing from the instance list is removed.
 #include "fleet/UpstreamDirectory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -8,10 +9,14 @@
 
 bool UpstreamDirectory::noteStoreFailure(Instant calledAt)
 {
-    // A call that began before the store's return, such as a watch on a broken connection, fails
-    // because of the outage that is over.
-    if (!this->storeFailing && this->storeReturnedAt && calledAt < *this->storeReturnedAt)
+    // A call that began before an answer of the store, such as a watch on a broken connection,
+    // fails because of an outage that is over.
+    const auto answer =
+        std::upper_bound(this->answeredAt.begin(), this->answeredAt.end(), calledAt);
+    if (!this->storeFailing && answer != this->answeredAt.end()) {
+        this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(*answer), *answer);
         return false;
+    }
     this->storeFailing = true;
     this->inDoubtSince.reset();
     return true;
@@ -30,6 +35,9 @@
 void UpstreamDirectory::noteStoreAnswer(Instant now)
 {
     this->inDoubtSince.reset();
+    this->answeredAt.push_back(now);
+    while (this->answeredAt.front() + AnswerMemory < now)
+        this->answeredAt.pop_front();
     if (!this->storeFailing)
         return;
     this->storeFailing = false;
@@ -69,6 +77,22 @@
            (this->storeReturnedAt && now < *this->storeReturnedAt + RelistGracePeriod);
 }
 
+Duration UpstreamDirectory::unreliableTimeLeft(Instant now) const
+{
+    if (this->storeFailing)
+        return RelistGracePeriod;
+    if (!this->storeReturnedAt)
+        return Duration::zero();
+    return std::max<Duration>(*this->storeReturnedAt + RelistGracePeriod - now, Duration::zero());
+}
+
+void UpstreamDirectory::notePeerUnreliable(Duration left, Instant now)
+{
+    const Instant returnedAt =
+        now + std::min<Duration>(left, RelistGracePeriod) - RelistGracePeriod;
+    this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(returnedAt), returnedAt);
+}
+
 UpstreamDirectory::Notices UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries,
                                                          Instant now)
 {
--- a/src/fleet/UpstreamDirectory.h
+++ b/src/fleet/UpstreamDirectory.h
@@ -3,6 +3,7 @@
 
 #include "fleet/Upstream.h"
 
+#include <deque>
 #include <map>
 
 namespace tray {
@@ -54,9 +55,12 @@
 
     using Notices = std::vector<UpstreamNotice>;
 
+    /// Time for which the store's answers are remembered; longer than any call lasts.
+    static constexpr Duration AnswerMemory = std::chrono::seconds(30);
+
     /// Records that a call to the store that began at the given time was not answered, or refused.
-    /// Returns false if that is no news: the call began before the store returned from its last
-    /// failure.
+    /// Returns false if that is no news: the store has answered since the call began. An outage in
+    /// between was over by the first of these answers.
     bool noteStoreFailure(Instant calledAt);
     /// Records that a call that began at calledAt was cut off or refused before its answer was
     /// overdue. A single call may fail so although the store works, so this counts as a failure of
@@ -82,6 +86,10 @@
 
     /// Whether an entry that vanishes now may be listed again.
     bool isListUnreliable(Instant now) const;
+    /// Time for which the list stays unreliable, if the store works from now on.
+    Duration unreliableTimeLeft(Instant now) const;
+    /// Records that the list that a peer reads is unreliable for this time from now on.
+    void notePeerUnreliable(Duration left, Instant now);
 
     const std::map<std::string, UpstreamEntry> &entries() const { return this->current; }
 
@@ -109,6 +117,8 @@
     std::optional<Instant> inDoubtSince;
     // Time of the store's return after its last failure; not set if it never failed.
     std::optional<Instant> storeReturnedAt;
+    // Times of the store's recent answers, the oldest first.
+    std::deque<Instant> answeredAt;
     std::optional<Instant> storeRestoredAt;
     std::map<std::string, Ended> ended;
     // Entries of ended upstreams that the restored store lists. Invariant: no key of current.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -288,7 +288,7 @@
     const bool isNews = isOverdue ? this->directory.noteStoreFailure(calledAt)
                                   : this->directory.noteEarlyFailure(calledAt, now);
     const bool isInDoubt = this->directory.isStoreInDoubt();
-    if (isNews || isInDoubt)
+    if (isNews || isInDoubt || isOverdue)
         this->configSuspectUntil = now + ConfigWatchSuspectTime;
     if (isNews && !std::exchange(this->storeReachable, false))
         return;
@@ -497,7 +497,9 @@
 void Gateway::sendListUpdate(proto::ListWord update)
 {
     update.set_config_version(this->config ? this->config->version : 0);
-    update.set_disturbed(this->directory.isListUnreliable(clockNow()));
+    const Instant now = clockNow();
+    update.set_disturbed(this->directory.isListUnreliable(now));
+    update.set_unreliable_ms(static_cast<uint32_t>(toMs(this->directory.unreliableTimeLeft(now))));
     proto::Datagram datagram;
     *datagram.mutable_list_word() = std::move(update);
     this->plannerCoordinator.sendToDataCentrePeers(datagram);
@@ -512,10 +514,8 @@
     }
     const auto changes = this->listRelay.handleUpdate(update, now);
     // Entries that vanished while the store was unreachable for the reader may be listed again.
-    if (update.disturbed() && !changes.empty()) {
-        this->directory.noteStoreFailure(now);
-        this->directory.noteStoreAnswer(now);
-    }
+    if (update.disturbed() && !changes.empty())
+        this->directory.notePeerUnreliable(milliseconds(update.unreliable_ms()), now);
     UpstreamDirectory::Notices notices;
     for (const auto &change : changes) {
         const auto more = this->directory.apply(change, now);
--- a/tests/fleet/UpstreamDirectoryTest.cpp
+++ b/tests/fleet/UpstreamDirectoryTest.cpp
@@ -119,6 +119,54 @@
     }
 }
 
+TEST_CASE("A call that hung is given up later without prolonging the use of upstreams that vanish")
+{
+    UpstreamDirectory directory;
+    directory.replaceAll({makeEntry("a"), makeEntry("b")}, Start);
+    // A call hangs from here on; others are answered again after half a second.
+    const Instant calledAt = Start + std::chrono::seconds(1);
+    const Instant answeredAt = calledAt + milliseconds(500);
+    directory.noteStoreAnswer(Start);
+    directory.noteStoreAnswer(answeredAt);
+    directory.noteStoreAnswer(answeredAt + std::chrono::seconds(1));
+    const Instant givenUpAt = calledAt + milliseconds(3500);
+    CHECK_FALSE(directory.noteStoreFailure(calledAt));
+
+    SUBCASE("the outage was over by the first answer")
+    {
+        CHECK(directory.isListUnreliable(answeredAt + milliseconds(2200)));
+        CHECK_FALSE(directory.isListUnreliable(givenUpAt));
+        CHECK(directory.apply(makeRemoval("a"), givenUpAt).front().event == UpstreamEvent::Removed);
+    }
+    SUBCASE("an entry that vanished while it may reappear stays in use until then")
+    {
+        const Instant vanishedAt = answeredAt + milliseconds(1500);
+        CHECK(directory.apply(makeRemoval("a"), vanishedAt).front().event ==
+              UpstreamEvent::Missing);
+        CHECK(directory.unreliableTimeLeft(vanishedAt) == milliseconds(800));
+        CHECK(directory.removeExpired(vanishedAt + milliseconds(700)).empty());
+        CHECK(directory.removeExpired(vanishedAt + milliseconds(800)).size() == 1);
+    }
+    SUBCASE("a call that began after the last answer is an outage of its own")
+    {
+        CHECK(directory.noteStoreFailure(answeredAt + std::chrono::seconds(2)));
+        CHECK(directory.isListUnreliable(givenUpAt));
+    }
+}
+
+TEST_CASE("A peer's word on its list does not prolong the use of upstreams that vanish")
+{
+    UpstreamDirectory directory;
+    directory.replaceAll({makeEntry("a")}, Start);
+    directory.notePeerUnreliable(milliseconds(300), Start);
+    CHECK(directory.apply(makeRemoval("a"), Start).front().event == UpstreamEvent::Missing);
+    // It is repeated with the time that is left.
+    directory.notePeerUnreliable(milliseconds(100), Start + milliseconds(200));
+    CHECK(directory.removeExpired(Start + milliseconds(299)).empty());
+    CHECK(directory.removeExpired(Start + milliseconds(300)).size() == 1);
+    CHECK_FALSE(directory.isListUnreliable(Start + milliseconds(300)));
+}
+
 TEST_CASE("A call that was cut off is a failure of the store only if a later call confirms it")
 {
     UpstreamDirectory directory;
