--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -21,6 +21,10 @@
 constexpr Duration UpstreamWatchTimeout = std::chrono::seconds(2);
 // Maximum wait of one watch of the configuration.
 constexpr Duration ConfigWatchTimeout = std::chrono::seconds(10);
+// Maximum wait of one watch of the configuration at the gateway that reads the instance list. A
+// lost answer is noticed after this time and the timeout of a call; the other gateways of the data
+// centre hear of the version from this one.
+constexpr Duration ReaderConfigWatchTimeout = std::chrono::seconds(2);
 // Time after a failure of the store during which the loop of the instance list also reads the
 // configuration. The configuration's own watch has certainly ended by then.
 constexpr Duration ConfigWatchSuspectTime = ConfigWatchTimeout + std::chrono::seconds(2);
@@ -316,7 +320,7 @@
     const bool isNews = isOverdue ? this->directory.noteStoreFailure(calledAt)
                                   : this->directory.noteEarlyFailure(calledAt, now);
     const bool isInDoubt = this->directory.isStoreInDoubt();
-    if (isNews || isInDoubt)
+    if (isNews || isInDoubt || isOverdue)
         this->configSuspectUntil = now + ConfigWatchSuspectTime;
     if (isNews && !std::exchange(this->storeReachable, false))
         return;
@@ -357,7 +361,11 @@
     bool hasFailed = false;
     while (!this->shutdownSchedule.isStopping()) {
         // A call that does not wait shows soonest whether the store works.
-        const Duration wait = hasFailed ? Duration::zero() : ConfigWatchTimeout;
+        Duration wait = ConfigWatchTimeout;
+        if (hasFailed)
+            wait = Duration::zero();
+        else if (this->listRelay.isReader())
+            wait = ReaderConfigWatchTimeout;
         // Not a single conditional expression, because g++ 12 destroys its awaited temporaries
         // twice.
         const Instant calledAt = clockNow();
@@ -526,7 +534,9 @@
 void Gateway::sendListUpdate(proto::ListWord update)
 {
     update.set_config_version(this->config ? this->config->version : 0);
-    update.set_disturbed(this->directory.isListUnreliable(clockNow()));
+    const Instant now = clockNow();
+    update.set_disturbed(this->directory.isListUnreliable(now));
+    update.set_unreliable_ms(static_cast<uint32_t>(toMs(this->directory.unreliableTimeLeft(now))));
     proto::Datagram datagram;
     *datagram.mutable_list_word() = std::move(update);
     this->plannerCoordinator.sendToDataCentrePeers(datagram);
@@ -545,10 +555,8 @@
         this->listRelay.revision() >= update.revision())
         this->versionRecords.confirmList(now);
     // Entries that vanished while the store was unreachable for the reader may be listed again.
-    if (update.disturbed() && !changes.empty()) {
-        this->directory.noteStoreFailure(now);
-        this->directory.noteStoreAnswer(now);
-    }
+    if (update.disturbed() && !changes.empty())
+        this->directory.notePeerUnreliable(milliseconds(update.unreliable_ms()), now);
     UpstreamDirectory::Notices notices;
     for (const auto &change : changes) {
         const auto more = this->directory.apply(change, now);
