Let a continuation wait for other engines while one loads its model for long

Callers saw: a continuation that waited was refused when an engine of its version began a load from the store that takes longer than the wait, although other engines might still come back with the model.

Cause: the refusal named the end of the load alone as the time until an upstream is ready.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -382,8 +382,10 @@
         return {ErrorKind::NoReplica, "no upstream of the service can be used",
                 MissingModelRetryDelay, expectedIn};
     const Duration retryAfter = this->retryForMissing(query, now);
+    // A long load on one engine does not keep another one from coming back with the model.
     if (loadedIn)
-        return {ErrorKind::NoReplica, "the model is being loaded", retryAfter, retryAfter};
+        return {ErrorKind::NoReplica, "the model is being loaded", retryAfter,
+                std::min(retryAfter, expectedIn.value_or(retryAfter))};
     return {ErrorKind::NoReplica, "no engine can serve the model", retryAfter, expectedIn};
 }
 
--- a/tests/platform/ContinuationWaitTest.cpp
+++ b/tests/platform/ContinuationWaitTest.cpp
@@ -133,6 +133,15 @@
         CHECK(fixture.takeUp() == 200);
         CHECK(fixture.took >= milliseconds(800));
     }
+    SUBCASE("also while another engine loads it for longer than a continuation waits")
+    {
+        gateway.sendModelSnapshot("m1", 14000);
+        gateway.runAfter(milliseconds(800),
+                         [&] { fixture.list("e-3", fixture.engineAddress, "v1", "m1"); });
+        gateway.runFor(milliseconds(50));
+        CHECK(fixture.takeUp() == 200);
+        CHECK(fixture.took >= milliseconds(700));
+    }
     SUBCASE("or by an engine that comes into the list")
     {
         gateway.runAfter(milliseconds(800),
