Play streams of two software versions in the soak

Callers saw streams that went on with events of another software version (ORDER) and take-ups that were refused although their version served (LOST). No test of the whole system had upstreams of two versions, or callers that take a stream up at another gateway.

Change: the plan TwoVersions of the soak has upstreams and engines whose events name their software version, streams that often break, and callers that take them up at another gateway with Last-Event-Id and Resumes. The faults are releases, crashes with a change of version under the same id or another one, resets, kills of one gateway or all, kills of stewards, and a store that is cut, silent, refuses or comes back from an older copy. Callers check the order of the events, the versions over all tries and, after the faults, how many of the streams that are broken on purpose go on. Entries of all plans have a software version and a start time.

--- a/tests/soak/ModelEngine.cpp
+++ b/tests/soak/ModelEngine.cpp
@@ -44,6 +44,13 @@
     return Table;
 }
 
+uint64_t ModelEngine::unixMs()
+{
+    return static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                     std::chrono::system_clock::now().time_since_epoch())
+                                     .count());
+}
+
 ModelEngine::ModelEngine(asio::io_context &context, Ports ports)
     : context(context), ports(std::move(ports)),
       server(context, [this](const HttpRequest &request) { return this->serve(request); })
@@ -53,10 +60,7 @@
 {
     this->name = id;
     ++this->incarnation;
-    this->startedAtMs =
-        static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(
-                                  std::chrono::system_clock::now().time_since_epoch())
-                                  .count());
+    this->startedAtMs = unixMs();
     this->sequence = 0;
     this->highestObeyedToken = 0;
     this->held = models;
--- a/tests/soak/ModelEngine.h
+++ b/tests/soak/ModelEngine.h
@@ -31,6 +31,8 @@
     static constexpr double MemoryMb = 100;
     /// Models and the size of their weights in MB. Any two fit into the memory, three do not.
     static const std::map<std::string, int> &models();
+    /// Present time in ms since the Unix epoch, as entries and reports state start times.
+    static uint64_t unixMs();
 
     ModelEngine(boost::asio::io_context &context, Ports ports);
 
@@ -41,6 +43,7 @@
     /// Fields that the entry in the instance list and the report have in common.
     boost::json::object describe() const;
     const std::string &id() const { return this->name; }
+    const std::set<std::string> &heldModels() const { return this->held; }
     int acceptedOrderCount() const { return this->acceptedOrders; }
 
 private:
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <utility>
 
 namespace tray::test {
 
@@ -15,7 +16,6 @@
 
 namespace {
 
-constexpr int EventsPerStream = 12;
 // Time between copies of the store, number of those that are kept, and longest time after a restore
 // until all is written again.
 constexpr Duration CopyPeriod = std::chrono::seconds(1);
@@ -33,8 +33,11 @@
 constexpr Duration RequestTimeout = RouteTimeout + CallerSlack;
 // Timeout of requests that may wait for longer than a stop lasts.
 constexpr Duration LongRouteTimeout = std::chrono::seconds(10);
+constexpr Duration StreamRouteTimeout = std::chrono::seconds(6);
 constexpr Duration LongGracePeriod = std::chrono::seconds(8);
 constexpr Duration ShortGracePeriod = std::chrono::seconds(4);
+// Streams with events of two software versions that the platform's rules allow.
+constexpr int MaxJoinedStreams = 2;
 // Bound for the time of a stop, which ends within the grace period of the settings.
 constexpr Duration MaxStopTime = std::chrono::seconds(9);
 
@@ -102,8 +105,21 @@
            kind == RouteKind::ModelStream;
 }
 
+int Soak::gatewayCount() const
+{
+    return this->plan == SoakPlan::TwoVersions ? VersionsGateways : Gateways;
+}
+
+int Soak::engineCount() const
+{
+    return this->plan == SoakPlan::TwoVersions ? VersionsEngines : Engines;
+}
+
 Duration Soak::routeTimeout(RouteKind kind) const
 {
+    if (this->plan == SoakPlan::TwoVersions && kind != RouteKind::Idempotent &&
+        kind != RouteKind::NonIdempotent)
+        return StreamRouteTimeout;
     return this->plan == SoakPlan::PlannedStops && isModelRoute(kind) ? LongRouteTimeout
                                                                       : RouteTimeout;
 }
@@ -138,14 +154,16 @@
 {
     this->storeRelay = std::make_unique<Relay>(this->context, proto::RelaySection(), this->metrics);
     this->storeAddress = value(this->storeRelay->forward({"127.0.0.1", 0}, this->store.listen()));
-    this->upstreams.resize(Upstreams);
+    this->upstreams.resize(plan == SoakPlan::TwoVersions ? VersionsUpstreams : Upstreams);
     for (int index = 0; index < Upstreams; ++index)
         this->startUpstream(index);
+    for (auto index = static_cast<size_t>(Upstreams); index < this->upstreams.size(); ++index)
+        this->upstreams[index].listed = false;
     this->writeConfig();
-    for (int index = 0; index < Gateways; ++index)
+    for (int index = 0; index < this->gatewayCount(); ++index)
         this->startGateway(index);
-    this->engines.resize(Engines);
-    for (int index = 0; index < Engines; ++index) {
+    this->engines.resize(static_cast<size_t>(this->engineCount()));
+    for (int index = 0; index < this->engineCount(); ++index) {
         this->startEngine(index);
         this->startSteward(index);
     }
@@ -192,6 +210,10 @@
     upstream.id = fmt::format("i-{}", this->nextUpstream++);
     upstream.forbiddenSince.reset();
     upstream.listed = true;
+    upstream.draining = false;
+    upstream.startedAtMs = ModelEngine::unixMs();
+    if (std::exchange(upstream.isDown, false))
+        (void)upstream.relay->applyFault(R"({"cut":false})");
     if (!upstream.server) {
         upstream.server = std::make_unique<StubUpstream>(
             this->context, [this, index](const HttpRequest &request) {
@@ -209,10 +231,12 @@
 
 void Soak::publish(const Upstream &upstream)
 {
-    this->store.put("servers", upstream.id,
-                    fmt::format(R"({{"service":"shop","address":"{}","zone":"z1","slots":16,)"
-                                R"("state":"ready","sequence":1,"models":[]}})",
-                                toString(upstream.address)));
+    this->store.put(
+        "servers", upstream.id,
+        fmt::format(R"({{"service":"shop","address":"{}","zone":"z1","slots":16,)"
+                    R"("state":"{}","sequence":1,"models":[],"version":"{}","born":{}}})",
+                    toString(upstream.address), upstream.draining ? "draining" : "ready",
+                    upstream.softwareVersion, upstream.startedAtMs));
 }
 
 void Soak::startGateway(int index)
@@ -266,7 +290,8 @@
         }
         return reply;
     }
-    auto stream = this->countPrompt(request) ? this->crashOn(request) : this->streamFor(request);
+    auto stream = this->countPrompt(request) ? this->crashOn(request)
+                                             : this->streamFor(request, upstream.softwareVersion);
     stream.delay = reply.delay;
     return stream;
 }
@@ -296,8 +321,10 @@
     return reply;
 }
 
-StubReply Soak::streamFor(const HttpRequest &request)
+StubReply Soak::streamFor(const HttpRequest &request, const std::string &softwareVersion)
 {
+    if (this->plan == SoakPlan::TwoVersions)
+        return this->versionedStreamFor(request, softwareVersion);
     StubReply reply;
     const std::string last(findHeader(request.headers, "Last-Event-Id"));
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
@@ -319,21 +346,24 @@
         reply.bytes += isChunked ? frame("") : "";
         return reply;
     }
+    reply.bytes += this->drawBreak(reply, isChunked);
+    return reply;
+}
+
+std::string Soak::drawBreak(StubReply &reply, bool isChunked)
+{
     switch (this->drawInt(1, 3)) {
     case 1:
-        reply.bytes += isChunked ? "4\r\nid" : "id";
         reply.reset = true;
-        break;
+        return isChunked ? "4\r\nid" : "id";
     case 2:
         // Ends in order inside an event.
-        reply.bytes += frame("id: 99\nda") + (isChunked ? frame("") : "");
-        break;
+        return isChunked ? StubUpstream::encodeChunk("id: 99\nda") + StubUpstream::encodeChunk("")
+                         : "id: 99\nda";
     default:
-        reply.bytes += isChunked ? "4\r\nid" : "id: 99";
         reply.close = true;
-        break;
+        return isChunked ? "4\r\nid" : "id: 99";
     }
-    return reply;
 }
 
 asio::awaitable<void> Soak::callLoop(int gateway, bool onlyModels)
@@ -342,12 +372,13 @@
     while (this->callersActive) {
         const auto kind = static_cast<RouteKind>(this->drawInt(
             static_cast<int>(onlyModels ? RouteKind::ModelStream : RouteKind::Idempotent),
-            RouteKindCount - 1));
+            this->plan == SoakPlan::TwoVersions ? static_cast<int>(RouteKind::NonIdempotent)
+                                                : RouteKindCount - 1));
         const auto operation = this->makeOperation(kind);
         const bool mayRepeat = co_await this->callOnce(client, gateway, operation);
         // With DeadlyPart each request has a prompt of its own.
         if (mayRepeat && runsOnce(kind) && this->plan != SoakPlan::DeadlyPart)
-            co_await this->callOnce(client, this->drawInt(0, Gateways - 1), operation);
+            co_await this->callOnce(client, this->drawInt(0, this->gatewayCount() - 1), operation);
         co_await pauseFor(milliseconds(this->drawInt(1, 25)));
     }
 }
@@ -368,13 +399,30 @@
     const std::string id = isFirst ? operation.id : fmt::format("r{}", this->nextRequest++);
     if (runsOnce(kind))
         this->requestsByOperation[operation.id].push_back(id);
+    auto request = this->makeRequest(operation, id, this->routeTimeout(kind) + milliseconds(500));
+    const Address address{this->rig.at(10 + gateway, 1).host, 8080};
+    const Instant sentAt = clockNow();
+    ++this->requestsInFlight;
+    const auto answer = co_await client.request(address, std::move(request),
+                                                this->routeTimeout(kind) + CallerSlack);
+    --this->requestsInFlight;
+    if (isOk(answer))
+        this->checkAnswer(id, kind, value(answer));
+    else if (this->plan == SoakPlan::PlannedStops)
+        this->checkUnanswered(id, kind, error(answer), clockNow() - sentAt);
+    co_return isOk(answer) ? meansNotExecuted(value(answer).status)
+                           : error(answer).kind == ErrorKind::UpstreamUnreachable;
+}
+
+HttpRequest Soak::makeRequest(const Operation &operation, const std::string &id, Duration timeLeft)
+{
+    const RouteKind kind = operation.kind;
     HttpRequest request;
     request.method = "POST";
     request.target = fmt::format("/{}/{}", nameOf(kind), operation.id);
     request.headers = {{"Host", "a.example"},
                        {"Marjoramtray-Request-Id", id},
-                       {"Marjoramtray-Deadline-Ms",
-                        std::to_string(toMs(this->routeTimeout(kind) + milliseconds(500)))}};
+                       {"Marjoramtray-Deadline-Ms", std::to_string(toMs(timeLeft))}};
     request.body = "ask " + operation.id;
     if (isModelRoute(kind)) {
         this->modelRequests[id] = operation;
@@ -384,35 +432,31 @@
     if (this->plan == SoakPlan::DeadlyPart &&
         (kind == RouteKind::Stream || kind == RouteKind::ResumableStream))
         this->addPrompt(request);
-    const Address address{this->rig.at(10 + gateway, 1).host, 8080};
-    const Instant sentAt = clockNow();
-    ++this->requestsInFlight;
-    const auto answer = co_await client.request(address, std::move(request),
-                                                this->routeTimeout(kind) + CallerSlack);
-    --this->requestsInFlight;
-    if (isOk(answer))
-        this->checkAnswer(id, kind, value(answer));
-    else if (this->plan == SoakPlan::PlannedStops)
-        this->checkUnanswered(id, kind, error(answer), clockNow() - sentAt);
-    co_return isOk(answer) ? meansNotExecuted(value(answer).status)
-                           : error(answer).kind == ErrorKind::UpstreamUnreachable;
+    return request;
 }
 
 void Soak::checkAnswer(const std::string &id, RouteKind kind, const HttpResponse &response)
 {
-    if (response.status == 200) {
-        ++this->served;
-        this->servedByModels += isModelRoute(kind) ? 1 : 0;
-        if (response.body != expectedBody(id, kind))
-            this->recordViolation(fmt::format(
-                "{} {} got a body of {} bytes that differs from the complete expected body",
-                nameOf(kind), id, response.body.size()));
-        if (findHeader(response.headers, "Marjoramtray-Response-Seal").empty())
+    this->checkHead(id, kind, response.status, response.headers);
+    if (response.status != 200)
+        return;
+    ++this->served;
+    this->servedByModels += isModelRoute(kind) ? 1 : 0;
+    if (response.body != expectedBody(id, kind))
+        this->recordViolation(
+            fmt::format("{} {} got a body of {} bytes that differs from the complete expected body",
+                        nameOf(kind), id, response.body.size()));
+}
+
+void Soak::checkHead(const std::string &id, RouteKind kind, int status, const HttpHeaders &headers)
+{
+    if (status == 200) {
+        if (findHeader(headers, "Marjoramtray-Response-Seal").empty())
             this->recordViolation(
                 fmt::format("{} {} was answered without a seal", nameOf(kind), id));
-    } else if (meansNotExecuted(response.status)) {
+    } else if (meansNotExecuted(status)) {
         this->answeredNotExecuted.insert(id);
-    } else if (response.status == 404) {
+    } else if (status == 404) {
         this->recordViolation(
             fmt::format("{} {} got the answer that its route does not exist", nameOf(kind), id));
     }
@@ -462,6 +506,8 @@
         return planStops(seed);
     if (plan == SoakPlan::DeadlyPart)
         return planGatewayFaults(seed);
+    if (plan == SoakPlan::TwoVersions)
+        return planVersionFaults(seed);
     std::mt19937_64 random(seed);
     const auto draw = [&](int low, int high) {
         return std::uniform_int_distribution<int>(low, high)(random);
@@ -580,6 +626,15 @@
     case FaultKind::RestoreStore:
         co_await this->restoreStore(fault);
         break;
+    case FaultKind::KillAllGateways:
+        co_await this->killAllGateways(fault.length);
+        break;
+    case FaultKind::CrashUpstream:
+        co_await this->crashUpstream(fault);
+        break;
+    case FaultKind::ReleaseVersion:
+        co_await this->releaseVersion(fault);
+        break;
     case FaultKind::ChangeConfig:
         this->writeConfig();
         this->rig.signal(gatewayName(fault.gateway), SIGHUP);
@@ -612,7 +667,8 @@
     if (fault.kind == FaultKind::CutUpstream) {
         (void)upstream.relay->applyFault(R"({"cut":true})");
         co_await pauseFor(fault.length);
-        (void)upstream.relay->applyFault(R"({"cut":false})");
+        if (!upstream.isDown)
+            (void)upstream.relay->applyFault(R"({"cut":false})");
     } else if (fault.kind == FaultKind::SilenceUpstream) {
         (void)upstream.relay->applyFault(R"({"silence":true})");
     } else if (fault.kind == FaultKind::DelayUpstream) {
@@ -675,7 +731,8 @@
 
 asio::awaitable<void> Soak::rewriteStore()
 {
-    const Duration pause = MaxRewriteTime / (Upstreams + Engines + 2);
+    const Duration pause =
+        MaxRewriteTime / static_cast<int>(this->upstreams.size() + this->engines.size() + 2);
     const auto drawPause = [&] {
         return milliseconds(this->drawInt(0, static_cast<int>(toMs(pause))));
     };
@@ -778,12 +835,17 @@
     asio::co_spawn(
         this->context,
         [this]() -> asio::awaitable<void> {
-            for (int gateway = 0; gateway < Gateways; ++gateway)
+            for (int gateway = 0; gateway < this->gatewayCount(); ++gateway)
                 co_await this->awaitReady(gateway, "after its start");
-            for (int gateway = 0; gateway < Gateways; ++gateway) {
-                const int modelCallers = this->plan == SoakPlan::PlannedStops
+            for (int gateway = 0; gateway < this->gatewayCount(); ++gateway) {
+                const int modelCallers = this->plan == SoakPlan::TwoVersions ? 0
+                                         : this->plan == SoakPlan::PlannedStops
                                              ? PlannedStopsModelCallersPerGateway
                                              : ModelCallersPerGateway;
+                for (int caller = 0;
+                     this->plan == SoakPlan::TwoVersions && caller < StreamCallersPerGateway;
+                     ++caller)
+                    asio::co_spawn(this->context, this->streamLoop(), asio::detached);
                 for (int caller = 0; caller < CallersPerGateway + modelCallers; ++caller)
                     asio::co_spawn(this->context,
                                    this->callLoop(gateway, caller >= CallersPerGateway),
@@ -799,6 +861,8 @@
             co_await awaitZero(this->requestsInFlight, LongRouteTimeout + CallerSlack);
             if (this->plan == SoakPlan::AllFaults)
                 co_await this->checkRecovery();
+            if (this->plan == SoakPlan::TwoVersions)
+                co_await this->checkTakeUps();
             this->context.stop();
         },
         asio::detached);
@@ -822,7 +886,12 @@
     this->checkOperations();
     if (this->plan == SoakPlan::DeadlyPart)
         this->checkPrompts();
-    if (this->servedByModels < 50)
+    if (this->streamCounts.joined > MaxJoinedStreams)
+        this->recordViolation(fmt::format("{} streams hold events of two software versions",
+                                          this->streamCounts.joined));
+    // With TwoVersions, half of the streams break and few are requested.
+    const int minServedByModels = this->plan == SoakPlan::TwoVersions ? 20 : 50;
+    if (this->servedByModels < minServedByModels)
         this->recordViolation(
             fmt::format("only {} requests for models were served", this->servedByModels));
     if (this->served < 200)
@@ -843,14 +912,21 @@
     }
 }
 
-std::string Soak::history() const
+std::string Soak::summary() const
 {
     std::string text =
         fmt::format("seed {}, {} served ({} by models), {} refused, orders", this->seed,
                     this->served, this->servedByModels, this->answeredNotExecuted.size());
     for (const auto &engine : this->engines)
         text += fmt::format(" {}", engine.server->acceptedOrderCount());
-    text += "\n";
+    if (this->plan == SoakPlan::TwoVersions)
+        text += this->streamSummary();
+    return text;
+}
+
+std::string Soak::history() const
+{
+    std::string text = this->summary() + "\n";
     for (const auto &line : this->eventLog)
         text += line + "\n";
     return text;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -45,6 +45,11 @@
     SilenceEngine,
     DelayEngine,
     RestoreStore,
+    KillAllGateways,
+    /// An upstream or engine crashes and may come back under its id, with another software version.
+    CrashUpstream,
+    /// Upstreams and engines of a software version are listed, and those of the other one leave.
+    ReleaseVersion,
 };
 
 /// Set of faults from which a soak draws.
@@ -57,6 +62,19 @@
     /// killed, stopped and paused at first. Upstreams are called without relays, so that they
     /// refuse connections after a crash.
     DeadlyPart,
+    /// Streams that often break and that callers take up again at another gateway, while upstreams
+    /// of two software versions come and go and gateways, stewards and the store fail.
+    TwoVersions,
+};
+
+/// End of one try of a caller to get a stream.
+enum class StreamOutcome : uint8_t {
+    Complete,
+    Broken,
+    /// Answered with an error status.
+    Refused,
+    /// Ended before the answer began.
+    Unanswered,
 };
 
 } // namespace tray::test
@@ -87,6 +105,20 @@
         {test::FaultKind::SilenceEngine, "silence_engine"},
         {test::FaultKind::DelayEngine, "delay_engine"},
         {test::FaultKind::RestoreStore, "restore_store"},
+        {test::FaultKind::KillAllGateways, "kill_all_gateways"},
+        {test::FaultKind::CrashUpstream, "crash_upstream"},
+        {test::FaultKind::ReleaseVersion, "release_version"},
+    });
+};
+
+template <>
+struct EnumNames<test::StreamOutcome>
+{
+    static constexpr auto Table = std::to_array<EnumName<test::StreamOutcome>>({
+        {test::StreamOutcome::Complete, "complete"},
+        {test::StreamOutcome::Broken, "broken"},
+        {test::StreamOutcome::Refused, "refused"},
+        {test::StreamOutcome::Unanswered, "unanswered"},
     });
 };
 
@@ -103,6 +135,8 @@
     static constexpr Duration RecoveryTime = std::chrono::seconds(8);
     static constexpr Duration PlannedStopsPeriod = std::chrono::seconds(7);
     static constexpr Duration DeadlyPartPeriod = std::chrono::seconds(20);
+    static constexpr Duration VersionsPeriod = std::chrono::seconds(8);
+    static constexpr Duration VersionsRecoveryTime = std::chrono::seconds(5);
     /// Times after the start of the callers at which requests with the deadly part begin, and at
     /// which the last fault of a gateway has ended.
     static constexpr Duration DeadlyPartStart = std::chrono::seconds(3);
@@ -119,11 +153,18 @@
     const std::vector<std::string> &violations() const { return this->foundViolations; }
     /// Counters, faults and violations in the order of time, for the report of a failure.
     std::string history() const;
+    /// Counters of the run in one line.
+    std::string summary() const;
 
 private:
     static constexpr int Gateways = 2;
     static constexpr int Upstreams = 3;
     static constexpr int Engines = 3;
+    /// Numbers with SoakPlan::TwoVersions. At most half of the upstreams are of one version.
+    static constexpr int VersionsGateways = 3;
+    static constexpr int VersionsUpstreams = 6;
+    static constexpr int VersionsEngines = 4;
+    static constexpr int StreamCallersPerGateway = 8;
     /// Callers that only request models. Most requests are for the currently popular model, which
     /// changes.
     static constexpr int ModelCallersPerGateway = 4;
@@ -132,6 +173,7 @@
     static constexpr int PlannedStopsModelCallersPerGateway = 24;
     static constexpr Duration PopularModelPeriod = std::chrono::seconds(3);
     static constexpr int CallersPerGateway = 4;
+    static constexpr int EventsPerStream = 12;
 
     /// Kinds of requests. Each is a route of the configuration; the route names are in nameOf().
     enum class RouteKind : uint8_t {
@@ -153,8 +195,16 @@
         int gateway = 0;
         int upstream = 0;
         int engine = 0;
-        // A crashed engine restarts with its previous name.
+        // A crashed engine or upstream restarts with its previous name.
         bool keepsName = false;
+        // Software version that is released, or with which the crashed one restarts; empty if it
+        // keeps its version.
+        std::string softwareVersion;
+        // Whether all of the other version leave, or half of them; whether they report that they
+        // drain; and whether all gateways are killed as they leave.
+        bool isWhole = false;
+        bool isAnnounced = false;
+        bool killsGateways = false;
         Duration length{};
         // Age of the copy from which the store comes back, and whether its connections are cut
         // while it is away; otherwise it refuses all calls.
@@ -188,6 +238,46 @@
         std::string model;
     };
 
+    /// A stream that a caller requests, over all its tries.
+    struct StreamCall
+    {
+        Operation operation;
+        // Time from which the caller takes it up no more.
+        Instant deadline{};
+        int gateway = 0;
+        int tries = 0;
+        // Id of the request that brought the first event. Empty until then.
+        std::string firstRequest;
+        // Last event that the caller holds; 0 if none.
+        int lastEvent = 0;
+        // Status of the last try; 0 if it was not answered.
+        int status = 0;
+        std::set<std::string> softwareVersions;
+    };
+
+    /// What callers saw of their streams.
+    struct StreamCounts
+    {
+        int begun = 0;
+        int complete = 0;
+        // Streams with events of several software versions.
+        int joined = 0;
+        // Tries to take a stream up again, by what became of them, and the times until those that
+        // went on brought an event or the end.
+        std::map<std::string, int> takeUps;
+        std::vector<Duration> takeUpTimes;
+    };
+
+    /// New streams, and those of them that were broken on purpose and taken up again.
+    struct TakeUpProbe
+    {
+        int active = 0;
+        int started = 0;
+        int begun = 0;
+        int takenUp = 0;
+        int wentOn = 0;
+    };
+
     /// Executions of one request by upstreams and engines.
     struct Executions
     {
@@ -202,7 +292,12 @@
         std::unique_ptr<StubUpstream> server;
         std::unique_ptr<Relay> relay;
         Address address;
+        std::string softwareVersion = "v1";
+        uint64_t startedAtMs = 0;
         bool listed = true;
+        bool draining = false;
+        // Has crashed or left, and refuses connections.
+        bool isDown = false;
         // Time at which the upstream was removed from the instance list. Gateways that have contact
         // to the store must not send to it after that. Empty while it is listed.
         std::optional<Instant> forbiddenSince;
@@ -216,6 +311,8 @@
         std::unique_ptr<Relay> stewardRelay;
         Address address;
         Address stewardAddress;
+        std::string softwareVersion = "v1";
+        bool draining = false;
         bool crashed = false;
     };
 
@@ -231,6 +328,7 @@
     boost::asio::awaitable<void> callLoop(int gateway, bool onlyModels);
     /// Begins an operation. An empty model is drawn if the route needs one.
     Operation makeOperation(RouteKind kind, std::string model = "");
+    HttpRequest makeRequest(const Operation &operation, const std::string &id, Duration timeLeft);
     /// Sends one request of an operation. Returns whether the caller was promised that the request
     /// was not executed and will not be.
     boost::asio::awaitable<bool> callOnce(HttpClient &client, int gateway, Operation operation);
@@ -254,6 +352,32 @@
     static std::vector<Fault> planFaults(SoakPlan plan, uint64_t seed);
     static std::vector<Fault> planStops(uint64_t seed);
     static std::vector<Fault> planGatewayFaults(uint64_t seed);
+    static std::vector<Fault> planVersionFaults(uint64_t seed);
+    /// Requests streams and takes up those that break.
+    boost::asio::awaitable<void> streamLoop();
+    boost::asio::awaitable<void> playStream(HttpClient &client, StreamCall &call);
+    /// Requests a stream, or the rest of it if the caller holds a part.
+    boost::asio::awaitable<StreamOutcome> tryStream(HttpClient &client, StreamCall &call);
+    boost::asio::awaitable<StreamOutcome> readStream(HttpStream &stream, StreamCall &call,
+                                                     std::string id);
+    /// Checks an event against those that the caller holds.
+    void checkEvent(StreamCall &call, const std::string &id, std::string_view event);
+    void countTakeUp(const StreamCall &call, StreamOutcome outcome, bool wentOn, Duration time);
+    StreamCall makeStreamCall(RouteKind kind);
+    /// Draws a gateway other than this one.
+    int drawOtherGateway(int gateway);
+    boost::asio::awaitable<void> killAllGateways(Duration length);
+    boost::asio::awaitable<void> crashUpstream(Fault fault);
+    boost::asio::awaitable<void> releaseVersion(Fault fault);
+    boost::asio::awaitable<void> releaseEngines(Fault fault);
+    /// Ends an upstream that has this id, unless it has ended already.
+    void endUpstream(int index, const std::string &id);
+    /// Lets two upstreams and two engines of each version serve.
+    boost::asio::awaitable<void> restoreVersions();
+    boost::asio::awaitable<void> checkTakeUps();
+    boost::asio::awaitable<void> probeTakeUps(TakeUpProbe &probe);
+    std::string streamSummary() const;
+    static std::string otherVersion(const std::string &softwareVersion);
     /// Adds a prompt to a stream request, with the deadly part in some of them.
     void addPrompt(HttpRequest &request);
     /// Returns whether the request has the deadly part, and counts its arrival at an upstream.
@@ -274,12 +398,18 @@
     /// executed; empty for most requests.
     std::optional<StubReply> drawLateRefusal(const HttpRequest &request);
     /// Runs a request for a model.
-    StubReply runModel(const HttpRequest &request);
+    StubReply runModel(const HttpRequest &request, const std::string &softwareVersion);
     /// Returns a stream that continues after the last event that the caller has received. The
     /// stream may break.
-    StubReply streamFor(const HttpRequest &request);
+    StubReply streamFor(const HttpRequest &request, const std::string &softwareVersion);
+    /// As streamFor(), with SoakPlan::TwoVersions: the events name the software version.
+    StubReply versionedStreamFor(const HttpRequest &request, const std::string &softwareVersion);
+    /// Draws how a stream breaks off. Returns the bytes after its last whole event.
+    std::string drawBreak(StubReply &reply, bool isChunked);
 
     void checkAnswer(const std::string &id, RouteKind kind, const HttpResponse &response);
+    /// Checks and counts the status and headers of an answer.
+    void checkHead(const std::string &id, RouteKind kind, int status, const HttpHeaders &headers);
     /// Checks a request that ended without an answer while there were only planned stops and
     /// changes.
     void checkUnanswered(const std::string &id, RouteKind kind, const Error &reason,
@@ -302,6 +432,8 @@
     /// Timeout of the route of a request.
     Duration routeTimeout(RouteKind kind) const;
     Duration stopGracePeriod() const;
+    int gatewayCount() const;
+    int engineCount() const;
 
     const SoakPlan plan;
     const uint64_t seed;
@@ -347,6 +479,11 @@
     SoundPrompts soundBefore;
     SoundPrompts soundAfter;
     Instant callersStartedAt{};
+    StreamCounts streamCounts;
+    // Requests whose streams upstreams break off.
+    std::set<std::string> requestsToBreak;
+    // Releases take place one after the other.
+    bool isReleasing = false;
     // Operations of requests for models, by request id.
     std::map<std::string, Operation> modelRequests;
     // Request ids of each operation of a route that must run once.
--- a/tests/soak/SoakEngines.cpp
+++ b/tests/soak/SoakEngines.cpp
@@ -26,7 +26,9 @@
     auto &engine = this->engines[static_cast<size_t>(index)];
     ModelEngine::Ports ports;
     ports.drawInt = [this](int low, int high) { return this->drawInt(low, high); };
-    ports.run = [this](const HttpRequest &request) { return this->runModel(request); };
+    ports.run = [this, index](const HttpRequest &request) {
+        return this->runModel(request, this->engines[static_cast<size_t>(index)].softwareVersion);
+    };
     ports.recordViolation = [this](const std::string &text) { this->recordViolation(text); };
     ports.notifyChanged = [this, index] {
         this->publish(this->engines[static_cast<size_t>(index)]);
@@ -39,9 +41,13 @@
     engine.address =
         value(engine.relay->forward({this->rig.at(FirstStewardHost + index, 1).host, 0}, own));
     engine.stewardAddress = value(engine.stewardRelay->forward({"127.0.0.1", 0}, own));
-    engine.server->start(fmt::format("e-{}", this->nextEngine++),
-                         index == 0 ? std::set<std::string>{"m1", "m2"}
-                                    : std::set<std::string>{fmt::format("m{}", index + 2)});
+    std::set<std::string> models{fmt::format("m{}", index + 2)};
+    // With TwoVersions, each model has two copies.
+    if (index == 0 || (this->plan == SoakPlan::TwoVersions && index == 2))
+        models = {"m1", "m2"};
+    else if (this->plan == SoakPlan::TwoVersions)
+        models = {"m3", "m4"};
+    engine.server->start(fmt::format("e-{}", this->nextEngine++), models);
     this->publish(engine);
 }
 
@@ -54,6 +60,9 @@
     entry["address"] = toString(engine.address);
     entry["zone"] = "z1";
     entry["slots"] = 4;
+    entry["version"] = engine.softwareVersion;
+    if (engine.draining)
+        entry["state"] = "draining";
     this->store.put("servers", engine.server->id(), boost::json::serialize(entry));
 }
 
@@ -69,7 +78,7 @@
                                 toString(engine.stewardAddress), toString(this->storeAddress)));
 }
 
-StubReply Soak::runModel(const HttpRequest &request)
+StubReply Soak::runModel(const HttpRequest &request, const std::string &softwareVersion)
 {
     const std::string id(findHeader(request.headers, "Marjoramtray-Request-Id"));
     const std::string model(findHeader(request.headers, "Marjoramtray-Model"));
@@ -90,7 +99,7 @@
     executed.kind = kind;
     if (auto failure = this->drawFailure(request, kind))
         return *failure;
-    auto reply = this->streamFor(request);
+    auto reply = this->streamFor(request, softwareVersion);
     reply.delay = milliseconds(this->plan == SoakPlan::PlannedStops ? this->drawInt(300, 1000)
                                                                     : this->drawInt(20, 200));
     return reply;
@@ -124,10 +133,17 @@
     if (engine.crashed)
         co_return;
     engine.crashed = true;
+    engine.draining = false;
+    if (!fault.softwareVersion.empty())
+        engine.softwareVersion = fault.softwareVersion;
     const std::string previousId = engine.server->id();
-    // The engine immediately loses its models and its running order.
+    // A crashed engine immediately loses its models and its running order. An engine of a release
+    // is listed once it has loaded the models of the one that it replaces.
+    std::set<std::string> models;
+    if (fault.kind == FaultKind::ReleaseVersion)
+        models = engine.server->heldModels();
     engine.server->start(fault.keepsName ? previousId : fmt::format("e-{}", this->nextEngine++),
-                         {});
+                         models);
     (void)engine.relay->applyFault(R"({"cut":true})");
     (void)engine.stewardRelay->applyFault(R"({"cut":true})");
     co_await pauseFor(fault.length);
--- a/tests/soak/SoakTest.cpp
+++ b/tests/soak/SoakTest.cpp
@@ -32,6 +32,7 @@
     for (const auto seed : seedsFor(plan)) {
         Soak soak(plan, seed);
         soak.run();
+        MESSAGE(soak.summary());
         INFO(soak.history());
         for (const auto &violation : soak.violations())
             FAIL_CHECK(violation);
@@ -57,6 +58,13 @@
     runSoaks(SoakPlan::DeadlyPart);
 }
 
+TEST_CASE("A stream that is taken up at another gateway goes on at its software version only")
+{
+    // Guards against streams with events of two software versions, within one answer or over their
+    // callers' tries, and against broken streams that could go on and are refused.
+    runSoaks(SoakPlan::TwoVersions);
+}
+
 TEST_CASE("Requests that gateways have read are answered during overlapping stops")
 {
     // Guards against requests that a gateway has read and leaves without an answer when stops,
