--- a/tests/soak/SoakVersions.cpp
+++ b/tests/soak/SoakVersions.cpp
@@ -431,6 +431,9 @@
     std::string what(enumName(outcome));
     if (outcome == StreamOutcome::Refused)
         what += fmt::format("_{}", call.status);
+    this->logEvent(fmt::format("take-up of {} after event {} in try {} at {} ended {} in {} ms",
+                               call.operation.id, call.lastEvent, call.tries,
+                               gatewayName(call.gateway), what, toMs(time)));
     ++this->streamCounts.takeUps[what];
 }
 
