--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -664,6 +664,9 @@
 asio::awaitable<void> Soak::injectUpstreamFault(Fault fault)
 {
     auto &upstream = this->upstreams[static_cast<size_t>(fault.upstream)];
+    // With TwoVersions, it may not have been released yet.
+    if (!upstream.server)
+        co_return;
     if (fault.kind == FaultKind::CutUpstream) {
         (void)upstream.relay->applyFault(R"({"cut":true})");
         co_await pauseFor(fault.length);
