Give streams that have begun their whole time in a stop on a slow instance

On an instance with 0.09 of a core and more than some 260 requests in flight, the reserve for final responses also cut streams that had begun, up to 3.5 s before they had to end, and requests that were admitted in the first 2.3 s of a stop by a deadline that later moved forward.

Cause: one deadline for two kinds of work. A stream that has begun is cut by one reset; a request without an answer needs a response.

Change: requests whose answer has not begun to arrive get their final responses by the reserve; streams keep until 0.6 s before the grace time. The reserve is kept up to date from the first moment of a stop.

--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -163,7 +163,7 @@
             last.reason = "the deadline passed";
             break;
         }
-        if (this->gateway.shutdownSchedule.isDrainOver(clockNow())) {
+        if (this->isShutdownDue(clockNow())) {
             last.reason = "the instance stops";
             break;
         }
@@ -356,7 +356,7 @@
     const Instant limit = std::min(this->deadline, clockNow() + CrashVerdictTimeout);
     while (!this->isCallerGone && this->gateway.suspectExchange.isProbing(upstreamId)) {
         const Instant now = clockNow();
-        if (now >= limit || this->gateway.shutdownSchedule.isDrainOver(now))
+        if (now >= limit || this->isShutdownDue(now))
             co_return;
         co_await this->gateway.capacityChanged.waitFor(limit - now, this->priority());
     }
@@ -496,9 +496,15 @@
 }
 
 bool Exchange::tryConsumeRetry(const AttemptResult &result, Instant now)
+bool Exchange::isShutdownDue(Instant now) const
+{
+    const auto &schedule = this->gateway.shutdownSchedule;
+    return this->hasStreamBegun ? schedule.isDrainOver(now) : schedule.isAnswerDue(now);
+}
+
 {
     if (this->isCallerGone || this->isPastDeadline(now) || this->sendCount >= MaxSendsPerRequest ||
-        this->gateway.shutdownSchedule.isDrainOver(now))
+        this->isShutdownDue(now))
         return false;
     // The upstream received nothing, so the attempt does not count against the retry allowance.
     if (result.outcome == AttemptOutcome::Unreachable)
@@ -534,7 +540,7 @@
     Instant resendAt = clockNow() + AdapterResendInterval;
     while (!this->isCallerGone) {
         const Instant now = clockNow();
-        if (this->gateway.shutdownSchedule.isDrainOver(now))
+        if (this->isShutdownDue(now))
             co_return false;
         if (this->gateway.dispatcher.holds(target.upstreamId, this->properties.model,
                                            this->properties.adapter, now))
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -46,6 +46,11 @@
 
     /// Serves the request until its final response has been sent or the caller has disconnected.
     boost::asio::awaitable<void> run();
+    /// Whether an upstream's answer has begun to arrive or was passed on in part.
+    bool isAnswerArriving() const
+    {
+        return this->hasStreamBegun || this->phase == ExchangePhase::RelayingResponse;
+    }
     /// Records that an upstream has restarted, which may be the one that answers.
     void handleUpstreamRestart(const std::string &upstreamId, Instant now);
     /// Logs the request as unanswered and cancels its current attempt, because the shutdown
@@ -158,6 +163,8 @@
     void log(int status, const std::string &outcome, const std::string &reason) const;
     LogPriority logPriority(int status, bool isServed) const;
 
+    /// Whether the shutdown leaves the request no more time.
+    bool isShutdownDue(Instant now) const;
     Gateway &gateway;
     const HttpRequest request;
     HttpResponder &responder;
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -232,8 +232,7 @@
                                           result.reason);
         co_return;
     }
-    if (this->executions.possibleExecutions() == 0 &&
-        this->gateway.shutdownSchedule.isDrainOver(clockNow())) {
+    if (this->executions.possibleExecutions() == 0 && this->isShutdownDue(clockNow())) {
         co_await this->refuseForShutdown(result.reason);
         co_return;
     }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -193,7 +193,7 @@
                      [this](const std::string &service, Instant now) {
                          return this->versionRecords.soleVersion(service, now);
                      },
-                     [this](Instant now) { return this->shutdownSchedule.isDrainOver(now); }})
+                     [this](Instant now) { return this->shutdownSchedule.isAnswerDue(now); }})
 {}
 
 Gateway::~Gateway() = default;
@@ -255,17 +255,29 @@
     this->callerServer.disableKeepAlive();
     logDecision(LogPriority::Notable, clockNow(),
                 fmt::format("event=stop_begin in_flight={}", this->callerServer.inFlight()));
+    this->reserveFinalResponses();
     // Waiting requests check again whether they may continue.
     this->capacityChanged.notifyAll();
     // Callers still connect until the load balancer has noticed. They are served with "Connection:
     // close", so that they reconnect elsewhere.
-    co_await pauseFor(std::min<Duration>(BalancerDetectionTime,
-                                         this->shutdownSchedule.drainDeadline() - clockNow()));
-    this->callerServer.drain();
+    const Instant drainFrom =
+        std::min(clockNow() + BalancerDetectionTime, this->shutdownSchedule.drainDeadline());
+    bool isDraining = false;
+    bool isAnswering = false;
     while (!this->callerServer.isDrained() && !this->shutdownSchedule.isDrainOver(clockNow())) {
+        if (!isDraining && clockNow() >= drainFrom) {
+            isDraining = true;
+            this->callerServer.drain();
+        }
+        if (!isAnswering) {
+            this->reserveFinalResponses();
+            isAnswering = this->shutdownSchedule.isAnswerDue(clockNow());
+            if (isAnswering)
+                this->answerWaitingRequests();
+        }
         co_await pauseFor(DrainCheckInterval);
-        this->shutdownSchedule.reserveFinalResponses(this->callerServer.inFlight());
     }
+    this->callerServer.drain();
     logDecision(LogPriority::Essential, clockNow(),
                 fmt::format("event=stop_drain_over in_flight={} late_ms={}",
                             this->callerServer.inFlight(),
@@ -275,7 +287,6 @@
     this->callerServer.refuseIncompleteRequests();
     this->capacityChanged.notifyAll();
     this->snapshotArrived.notifyAll();
-    this->streamOrigins.handleDrainOver();
     co_await this->waitUntilDrained(this->shutdownSchedule.finalResponseDeadline());
     logDecision(LogPriority::Essential, clockNow(),
                 fmt::format("event=stop_end in_flight={} late_ms={}", this->callerServer.inFlight(),
@@ -285,6 +296,33 @@
     this->datagrams.close();
 }
 
+void Gateway::reserveFinalResponses()
+{
+    const auto unanswered =
+        std::count_if(this->activeExchanges->begin(), this->activeExchanges->end(),
+                      [](const Exchange *exchange) { return !exchange->isAnswerArriving(); });
+    this->shutdownSchedule.reserveFinalResponses(static_cast<size_t>(unanswered));
+}
+
+void Gateway::answerWaitingRequests()
+{
+    const Instant now = clockNow();
+    size_t count = 0;
+    for (auto *exchange : *this->activeExchanges) {
+        if (exchange->isAnswerArriving())
+            continue;
+        ++count;
+        exchange->abortForShutdown(now);
+    }
+    logDecision(LogPriority::Essential, now,
+                fmt::format("event=stop_answers_due waiting={} late_ms={} before_end_ms={}", count,
+                            toMs(now - this->shutdownSchedule.answerDeadline()),
+                            toMs(this->shutdownSchedule.finalResponseDeadline() - now)));
+    this->capacityChanged.notifyAll();
+    this->snapshotArrived.notifyAll();
+    this->streamOrigins.handleAnswersDue();
+}
+
 bool Gateway::isReady() const
 {
     return this->config != nullptr && this->upstreamsKnown && !this->shutdownSchedule.isStopping();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -86,6 +86,10 @@
     boost::asio::awaitable<void> refreshConfig();
     boost::asio::awaitable<void> subscribeLoop();
     boost::asio::awaitable<void> waitUntilDrained(Instant limit);
+    /// Reserves time for the final responses to requests whose answer has not begun to arrive.
+    void reserveFinalResponses();
+    /// Ends the waits and attempts of these requests, so that they get their final responses.
+    void answerWaitingRequests();
 
     void applyConfig(const ConfigSnapshot &reading);
     void applyUpstreamNotices(const UpstreamDirectory::Notices &notices);
--- a/src/gateway/ShutdownSchedule.cpp
+++ b/src/gateway/ShutdownSchedule.cpp
@@ -9,17 +9,17 @@
 void ShutdownSchedule::begin(Instant now, Duration grace, double cpuCores)
 {
     this->finalResponseDeadlineAt = now + grace - ExitMargin;
-    this->maxFinalResponseTime = grace / 2;
+    this->drainDeadlineAt = this->finalResponseDeadlineAt - MinFinalResponseTime;
+    this->firstAnswerDeadlineAt = std::min(now + grace / 2, *this->drainDeadlineAt);
     this->cpuCores = cpuCores;
     this->reserveFinalResponses(0);
 }
 
-void ShutdownSchedule::reserveFinalResponses(size_t inFlight)
+void ShutdownSchedule::reserveFinalResponses(size_t unanswered)
 {
-    const auto needed = std::chrono::duration_cast<Duration>(static_cast<double>(inFlight) *
+    const auto needed = std::chrono::duration_cast<Duration>(static_cast<double>(unanswered) *
                                                              FinalResponseCpuTime / this->cpuCores);
-    this->drainDeadlineAt = this->finalResponseDeadlineAt -
-                            std::min(MinFinalResponseTime + needed, this->maxFinalResponseTime);
+    this->answerDeadlineAt = std::max(*this->drainDeadlineAt - needed, this->firstAnswerDeadlineAt);
 }
 
 void ShutdownSchedule::DurationEstimate::add(Duration sample)
@@ -49,21 +49,21 @@
 
 bool ShutdownSchedule::canFinish(const std::string &route, Duration firstAnswer, Instant now) const
 {
-    if (!this->drainDeadlineAt)
+    if (!this->answerDeadlineAt)
         return true;
     const auto found = this->durations.find(route);
     const Duration rest =
         found == this->durations.end() ? Duration::zero() : found->second.body.upper();
-    return now + firstAnswer + rest <= *this->drainDeadlineAt;
+    return now + firstAnswer + rest <= *this->answerDeadlineAt;
 }
 
 bool ShutdownSchedule::canStart(const std::string &route, Instant deadline, Instant now) const
 {
-    if (!this->drainDeadlineAt || deadline <= *this->drainDeadlineAt)
+    if (!this->answerDeadlineAt || deadline <= *this->answerDeadlineAt)
         return true;
     const auto found = this->durations.find(route);
     return found != this->durations.end() &&
-           now + found->second.total.upper() <= *this->drainDeadlineAt;
+           now + found->second.total.upper() <= *this->answerDeadlineAt;
 }
 
 } // namespace tray
--- a/src/gateway/ShutdownSchedule.h
+++ b/src/gateway/ShutdownSchedule.h
@@ -37,16 +37,23 @@
     void begin(Instant now, Duration grace, double cpuCores);
     /// Reserves the time that the process needs to write final responses to this number of
     /// requests, but at most half of the grace period.
-    void reserveFinalResponses(size_t inFlight);
+    void reserveFinalResponses(size_t unanswered);
     bool isStopping() const { return this->drainDeadlineAt.has_value(); }
-    /// Returns whether requests that are still in flight must get their final response now.
+    /// Returns whether requests whose answer has not begun must get their final response now.
+    bool isAnswerDue(Instant now) const
+    {
+        return this->answerDeadlineAt && now >= *this->answerDeadlineAt;
+    }
+    /// Returns whether all requests that are still in flight must end now. Streams that have begun
+    /// are cut, which costs little time.
     bool isDrainOver(Instant now) const
     {
         return this->drainDeadlineAt && now >= *this->drainDeadlineAt;
     }
-    /// drainDeadline() is the time from which isDrainOver() holds; finalResponseDeadline() is the
-    /// time by which the final responses must have been written. Both may be called only after
-    /// begin().
+    /// answerDeadline() and drainDeadline() are the times from which isAnswerDue() and
+    /// isDrainOver() hold; finalResponseDeadline() is the time by which the final responses must
+    /// have been written. They may be called only after begin().
+    Instant answerDeadline() const { return *this->answerDeadlineAt; }
     Instant drainDeadline() const { return *this->drainDeadlineAt; }
     Instant finalResponseDeadline() const { return this->finalResponseDeadlineAt; }
 
@@ -82,9 +89,11 @@
     };
 
     std::optional<Instant> drainDeadlineAt;
+    // Invariant: set with drainDeadlineAt, and not after it.
+    std::optional<Instant> answerDeadlineAt;
     Instant finalResponseDeadlineAt{};
-    // Half of the grace period.
-    Duration maxFinalResponseTime{};
+    // Earliest time at which requests are ended: half of the grace period.
+    Instant firstAnswerDeadlineAt{};
     double cpuCores = 1;
     std::map<std::string, RouteDurations> durations;
 };
--- a/tests/gateway/ShutdownScheduleTest.cpp
+++ b/tests/gateway/ShutdownScheduleTest.cpp
@@ -36,12 +36,16 @@
         constexpr size_t InFlight = 200;
         constexpr Duration Needed = 10 * InFlight * ShutdownSchedule::FinalResponseCpuTime;
         window.reserveFinalResponses(InFlight);
-        CHECK(window.drainDeadline() == start + Left - Needed);
+        CHECK(window.answerDeadline() == start + Left - Needed);
+        CHECK(window.isAnswerDue(start + Left - Needed));
         CHECK_FALSE(window.canFinish("tell", Left, start));
         window.reserveFinalResponses(0);
-        CHECK(window.drainDeadline() == start + Left);
+        CHECK(window.answerDeadline() == start + Left);
         window.reserveFinalResponses(1000000);
-        CHECK(window.drainDeadline() == start + Grace / 2 - ShutdownSchedule::ExitMargin);
+        CHECK(window.answerDeadline() == start + Grace / 2);
+        // Streams that have begun keep their time.
+        CHECK(window.drainDeadline() == start + Left);
+        CHECK_FALSE(window.isDrainOver(start + Left - milliseconds(1)));
         CHECK(window.finalResponseDeadline() == start + Grace - ShutdownSchedule::ExitMargin);
     }
     SUBCASE("the mean time from first byte to end of the route's responses is added")
