Wake only the search that a report on a stream's origin is for

Callers saw: nothing yet; found by review. Each report woke all searches for origins, up to 1,000 of them, so that many take-ups at once cost an instance with a small part of a core more than the time of a search. Each search has a condition of its own now, and ends with the final responses of a stop. A stream that nobody knows goes on only if its route has a single service; before, the service that the route prefers today was taken for the stream's, which may have begun under other weights.

--- a/src/gateway/ExchangeContinuation.cpp
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -23,12 +23,10 @@
         co_return true;
     const Instant beganAt = clockNow();
     const Instant limit = std::min<Instant>(this->deadline, beganAt + OriginSearchTimeout);
-    // Without the id of the first attempt, the stream may be of any of the route's services.
-    const bool isServiceKnown =
-        !this->properties.resumedRequestId.empty() || this->route->services.size() == 1;
-    std::string preferred = isServiceKnown ? this->service : "";
+    // An unknown stream may be of any of the route's services.
+    const bool isOnlyService = this->route->services.size() == 1;
     const auto origin = co_await this->gateway.streamOrigins.findOrigin(
-        this->properties.resumedRequestId, std::move(preferred), limit);
+        this->properties.resumedRequestId, this->service, isOnlyService, limit);
     const bool isUsable =
         origin && std::any_of(this->route->services.begin(), this->route->services.end(),
                               [&](const auto &share) { return share.service == origin->service; });
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -65,18 +65,21 @@
                                         const proto::StreamOriginReport &report, Instant now)
 {
     this->origins.merge(sender, report, now);
-    bool isAwaited = false;
     for (const auto &row : report.rows()) {
         for (auto &search : this->searches) {
             if (search.stream != row.digest())
                 continue;
-            isAwaited = true;
             std::erase(search.awaited.stewards, address);
             std::erase(search.awaited.peers, sender);
+            search.reportArrived.notifyAll();
         }
     }
-    if (isAwaited)
-        this->reportArrived.notifyAll();
+}
+
+void StreamOriginExchange::handleAnswersDue()
+{
+    for (auto &search : this->searches)
+        search.reportArrived.notifyAll();
 }
 
 void StreamOriginExchange::handleQuery(const proto::StreamOriginQuery &query,
@@ -94,19 +97,20 @@
     Instant sendAt = began;
     const auto search = this->searches.insert(
         this->searches.end(),
-        {stream, this->selectWitnesses(stream, service, AskedWitnesses, began)});
+        {stream, this->selectWitnesses(stream, service, AskedWitnesses, began),
+         AsyncCondition(this->context)});
     const size_t asked = search->awaited.size();
     proto::Datagram query;
     query.mutable_stream_origin_query()->set_digest(stream);
     for (Instant now = began; now < limit && search->awaited.size() > 0 &&
-                              !this->origins.find(stream, now) && !this->peers.isDrainOver(now);
+                              !this->origins.find(stream, now) && !this->peers.areAnswersDue(now);
          now = clockNow()) {
         if (now >= sendAt) {
             this->send(query, search->awaited);
             sendAt = now + QueryResendInterval;
         }
         const Duration wait = std::min(sendAt, limit) - now;
-        co_await this->reportArrived.waitFor(wait);
+        co_await search->reportArrived.waitFor(wait);
     }
     const Instant now = clockNow();
     logDecision(LogPriority::Notable, now,
@@ -117,8 +121,10 @@
     this->searches.erase(search);
 }
 
-asio::awaitable<std::optional<StreamOrigin>>
-StreamOriginExchange::findOrigin(std::string requestId, std::string service, Instant limit)
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginExchange::findOrigin(std::string requestId,
+                                                                              std::string service,
+                                                                              bool isOnlyService,
+                                                                              Instant limit)
 {
     if (!requestId.empty()) {
         const uint64_t stream = streamDigest(requestId);
@@ -129,7 +135,7 @@
     }
     // Nobody knows the stream; it may go on only if no other version can have begun it.
     const Instant now = clockNow();
-    const auto sole = this->peers.soleVersion(service, now);
+    const auto sole = isOnlyService ? this->peers.soleVersion(service, now) : std::nullopt;
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=stream_origin_unknown resumes={} service={} sole_version={} "
                             "software={}",
--- a/src/gateway/StreamOriginExchange.h
+++ b/src/gateway/StreamOriginExchange.h
@@ -33,12 +33,12 @@
         /// known.
         std::function<std::optional<std::string>(const std::string &service, Instant now)>
             soleVersion;
-        /// Whether all requests in flight must get their final response.
-        std::function<bool(Instant now)> isDrainOver;
+        /// Whether requests that wait must get their final response.
+        std::function<bool(Instant now)> areAnswersDue;
     };
 
     StreamOriginExchange(boost::asio::io_context &context, Peers peers)
-        : peers(std::move(peers)), reportArrived(context)
+        : context(context), peers(std::move(peers))
     {}
 
     /// Records what begins a stream, before its first event is passed on, and tells its witnesses.
@@ -46,15 +46,16 @@
     void record(const std::string &requestId, const StreamOrigin &origin, Instant now);
     /// Returns what began the stream of an earlier attempt of a caller, or nothing if that cannot
     /// be known by the given time. The id is empty if the caller names none. The service is the one
-    /// that the route prefers for the stream; empty if the stream may be of any of several.
+    /// that the route prefers for the stream; isOnlyService tells whether it can be of no other
+    /// one.
     boost::asio::awaitable<std::optional<StreamOrigin>>
-    findOrigin(std::string requestId, std::string service, Instant limit);
+    findOrigin(std::string requestId, std::string service, bool isOnlyService, Instant limit);
     /// Handles a witness's report, or that of a gateway at which a stream began.
     void handleReport(const std::string &sender, const Address &address,
                       const proto::StreamOriginReport &report, Instant now);
     void handleQuery(const proto::StreamOriginQuery &query, const Address &address, Instant now);
-    /// Ends the searches, because the shutdown's drain is over.
-    void handleDrainOver() { this->reportArrived.notifyAll(); }
+    /// Ends the searches, because the requests that wait must get their final responses.
+    void handleAnswersDue();
 
 private:
     /// Searches that wait for witnesses at most; further ones know what this gateway knows.
@@ -74,6 +75,8 @@
         uint64_t stream = 0;
         // Witnesses that have not answered.
         Witnesses awaited;
+        // A report on the stream has arrived.
+        AsyncCondition reportArrived;
     };
 
     Witnesses selectWitnesses(uint64_t stream, const std::string &service,
@@ -83,10 +86,10 @@
     /// over. What they know is in the table afterwards.
     boost::asio::awaitable<void> askWitnesses(uint64_t stream, std::string service, Instant limit);
 
+    boost::asio::io_context &context;
     const Peers peers;
     StreamOrigins origins;
     std::list<Search> searches;
-    AsyncCondition reportArrived;
 };
 
 } // namespace tray
