Count a version's absence only while the list was watched

Callers saw: nothing yet; found by review. A process that was frozen, or out of touch with the list, took the time since it had last seen a version for time in which the version was absent, and could take another one for the only version with live streams (ORDER).

Change: after six seconds without a complete list, absences count anew and the records are read again. Evidence: ServiceVersionsTest, "which counts anew if the list was not watched for a while"; its process follows the list second by second now.

--- a/src/fleet/ServiceVersions.cpp
+++ b/src/fleet/ServiceVersions.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tray {
 
@@ -88,6 +89,20 @@
     this->listRead = true;
 }
 
+bool ServiceVersions::confirmList(Instant now)
+{
+    const Instant previous = std::exchange(this->listConfirmedAt, now);
+    if (now < previous + MaxListGap || previous == Instant{})
+        return true;
+    for (auto &[name, service] : this->known) {
+        for (auto &[version, absentSince] : service.absentSince) {
+            if (absentSince)
+                absentSince = now;
+        }
+    }
+    return false;
+}
+
 void ServiceVersions::handleRecord(const std::string &service, std::string_view text, Instant now)
 {
     Service &entry = this->known[service];
--- a/src/fleet/ServiceVersions.h
+++ b/src/fleet/ServiceVersions.h
@@ -27,13 +27,17 @@
     /// Time after which the list must be confirmed again: a process out of touch does not see a new
     /// version, which may begin streams elsewhere.
     static constexpr Duration ListLifetime = milliseconds(3200);
+    /// Time without a complete list in which a version cannot come, begin streams and leave again.
+    static constexpr Duration MaxListGap = std::chrono::seconds(6);
 
     /// Handles a configuration; the longest timeout of a resumable route in any of them counts.
     void handleConfig(const FleetConfig &config);
     /// Handles the complete present list.
     void handleList(const std::map<std::string, UpstreamEntry> &entries, Instant now);
-    /// Records that the list is known to be complete now.
-    void confirmList(Instant now) { this->listConfirmedAt = now; }
+    /// Records that the list is known to be complete now. Returns false if it was not for
+    /// MaxListGap or longer: versions may have come and gone meanwhile, so that absences count from
+    /// now on.
+    bool confirmList(Instant now);
     /// Handles the text of a service's record. If it is malformed, versions that it named may have
     /// live streams for a whole lifetime from now on.
     void handleRecord(const std::string &service, std::string_view text, Instant now);
--- a/src/gateway/ServiceVersionRecords.cpp
+++ b/src/gateway/ServiceVersionRecords.cpp
@@ -43,6 +43,12 @@
     this->changed.notifyAll();
 }
 
+void ServiceVersionRecords::confirmList(Instant now)
+{
+    if (!this->versions.confirmList(now))
+        this->requestRead();
+}
+
 void ServiceVersionRecords::requestRead()
 {
     this->readEra.reset();
--- a/src/gateway/ServiceVersionRecords.h
+++ b/src/gateway/ServiceVersionRecords.h
@@ -26,8 +26,9 @@
     void stop();
     void handleConfig(const FleetConfig &config) { this->versions.handleConfig(config); }
     void handleList(const std::map<std::string, UpstreamEntry> &entries, Instant now);
-    /// Records that the list is known to be complete now.
-    void confirmList(Instant now) { this->versions.confirmList(now); }
+    /// Records that the list is known to be complete now. Reads the records again if it was not for
+    /// a while.
+    void confirmList(Instant now);
     /// Reads the records again: others may have seen versions while this process was out of touch.
     void requestRead();
     /// Returns the only version of the service that can have begun a live stream, if that is known.
--- a/tests/fleet/ServiceVersionsTest.cpp
+++ b/tests/fleet/ServiceVersionsTest.cpp
@@ -39,6 +39,7 @@
         }
         this->versions.handleList(entries, now);
         this->versions.confirmList(now);
+        this->followedUntil = now;
     }
 
     void readRecord(const std::string &text, Instant now)
@@ -47,16 +48,26 @@
         this->versions.handleRecordsRead();
     }
 
+    /// Follows the unchanged list until the given time.
     Sole soleAt(Instant now)
     {
-        this->versions.expire(now);
-        this->versions.confirmList(now);
+        while (this->followedUntil + std::chrono::seconds(1) < now)
+            this->follow(this->followedUntil + std::chrono::seconds(1));
+        this->follow(now);
         return this->versions.soleVersion("llm", now);
     }
 
+    void follow(Instant now)
+    {
+        this->followedUntil = now;
+        this->versions.expire(now);
+        CHECK(this->versions.confirmList(now));
+    }
+
     std::string record() const { return formatVersionRecord(this->versions.versionsOf("llm")); }
 
     ServiceVersions versions;
+    Instant followedUntil{};
 };
 
 } // namespace
@@ -116,6 +127,18 @@
         process.configure(Timeout * 2);
         CHECK(process.soleAt(left + Lifetime) == std::nullopt);
     }
+    SUBCASE("which counts anew if the list was not watched for a while")
+    {
+        const Instant frozen = left + std::chrono::seconds(5);
+        process.soleAt(frozen);
+        const Instant thawed = frozen + Lifetime;
+        CHECK_FALSE(process.versions.confirmList(thawed));
+        process.versions.expire(thawed);
+        process.followedUntil = thawed;
+        CHECK(process.versions.soleVersion("llm", thawed) == std::nullopt);
+        CHECK(process.soleAt(thawed + Lifetime - milliseconds(1)) == std::nullopt);
+        CHECK(process.soleAt(thawed + Lifetime) == Sole("v2"));
+    }
     SUBCASE("unless it comes back")
     {
         process.list({"v1", "v2"}, left + milliseconds(10));
