--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -593,8 +593,13 @@
         this->listRelay.revision() >= update.revision())
         this->versionRecords.confirmList(now);
     // Entries that vanished while the store was unreachable for the reader may be listed again.
-    if (update.disturbed() && !changes.empty())
-        this->directory.notePeerUnreliable(milliseconds(update.unreliable_ms()), now);
+    if (update.disturbed() && !changes.empty()) {
+        // Instances of an earlier release do not say for how long.
+        const Duration left = update.unreliable_ms() == 0
+                                  ? UpstreamDirectory::RelistGracePeriod
+                                  : Duration(milliseconds(update.unreliable_ms()));
+        this->directory.notePeerUnreliable(left, now);
+    }
     UpstreamDirectory::Notices notices;
     for (const auto &change : changes) {
         const auto more = this->directory.apply(change, now);
