Add no event of an upstream that may have restarted with another version

Callers saw: nothing yet; found by review. A continuation was not compared with its upstream's version once it had been sent: if the list told of a restart under the same id while the answer was awaited, or while an adapter was loaded, the events of the new version were added (ORDER). A later incarnation that only the steward had reported was taken for the listed one.

Change: each piece of a continuation is compared with the version that its upstream has by then; an upstream whose steward reports a later incarnation than the list has no known version until the list agrees. A route that has lost its resumption by a configuration is bound as well, an origin lives as long as the caller may wait and 5 s, and each wait for an upstream has its own limit.

Evidence: StreamVersionTest, "An upstream that restarts under its id with another version adds no event to a stream", and DispatcherTest.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -79,11 +79,6 @@
            one.can_order() == other.can_order() && one.leaving() == other.leaving();
 }
 
-bool hasVersion(const UpstreamEntry &entry, const std::optional<std::string> &softwareVersion)
-{
-    return !softwareVersion || entry.softwareVersion == *softwareVersion;
-}
-
 } // namespace
 
 void Dispatcher::setUpstreams(const std::map<std::string, UpstreamEntry> &entries)
@@ -113,8 +108,10 @@
         return false;
     auto &upstream = found->second;
     const uint64_t startedAtMs = upstream.entry.startedAtMs;
-    if (startedAtMs != 0 && snapshot.born_ms() != 0 && startedAtMs != snapshot.born_ms())
+    if (startedAtMs != 0 && snapshot.born_ms() != 0 && startedAtMs != snapshot.born_ms()) {
+        upstream.laterStartedAtMs = std::max(upstream.laterStartedAtMs, snapshot.born_ms());
         return false;
+    }
     const bool changed = !upstream.snapshot || !isSamePlacement(*upstream.snapshot, snapshot);
     upstream.snapshot = snapshot;
     upstream.snapshotAt = now;
@@ -126,6 +123,27 @@
     return changed;
 }
 
+bool Dispatcher::hasVersion(const Upstream &upstream,
+                            const std::optional<std::string> &softwareVersion)
+{
+    return !softwareVersion || (upstream.entry.softwareVersion == *softwareVersion &&
+                                upstream.laterStartedAtMs <= upstream.entry.startedAtMs);
+}
+
+bool Dispatcher::hasVersion(const std::string &upstreamId,
+                            const std::optional<std::string> &softwareVersion) const
+{
+    const auto found = this->upstreams.find(upstreamId);
+    return found != this->upstreams.end() && hasVersion(found->second, softwareVersion);
+}
+
+bool Dispatcher::isIncarnationDoubtful(const std::string &upstreamId) const
+{
+    const auto found = this->upstreams.find(upstreamId);
+    return found != this->upstreams.end() &&
+           found->second.laterStartedAtMs > found->second.entry.startedAtMs;
+}
+
 bool Dispatcher::hasFreshSnapshot(const Upstream &upstream, Instant now) const
 {
     return upstream.snapshot && now < upstream.snapshotAt + SnapshotLifetime;
@@ -166,8 +184,8 @@
 bool Dispatcher::isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const
 {
     if (upstream.entry.service != query.service || upstream.entry.phase != UpstreamPhase::Ready ||
-        !hasVersion(upstream.entry, query.softwareVersion) ||
-        query.tried.contains(upstream.entry.id) || upstream.health.isBackingOff(now))
+        !hasVersion(upstream, query.softwareVersion) || query.tried.contains(upstream.entry.id) ||
+        upstream.health.isBackingOff(now))
         return false;
     const bool fresh = this->hasFreshSnapshot(upstream, now);
     if (fresh && upstream.snapshot->leaving())
@@ -393,7 +411,7 @@
     return std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &item) {
         const Upstream &upstream = item.second;
         return upstream.entry.service == query.service &&
-               hasVersion(upstream.entry, query.softwareVersion) &&
+               hasVersion(upstream, query.softwareVersion) &&
                upstream.entry.phase == UpstreamPhase::Ready && !query.tried.contains(item.first) &&
                !(this->hasFreshSnapshot(upstream, now) && upstream.snapshot->leaving());
     });
@@ -403,7 +421,7 @@
 {
     std::optional<Duration> least;
     for (const auto &[id, upstream] : this->upstreams) {
-        if (!hasVersion(upstream.entry, query.softwareVersion) ||
+        if (!hasVersion(upstream, query.softwareVersion) ||
             !this->hasFreshSnapshot(upstream, now) || upstream.snapshot->loading() != query.model)
             continue;
         const Duration left = std::max<Duration>(
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -119,6 +119,12 @@
     DispatchDecision choose(const DispatchQuery &query, Instant now) const;
     /// Whether the directives of an upstream that was chosen earlier still allow a request.
     bool takesRequests(const std::string &upstreamId, Instant now) const;
+    /// Whether the upstream is listed and has the software version, if one is given.
+    bool hasVersion(const std::string &upstreamId,
+                    const std::optional<std::string> &softwareVersion) const;
+    /// Whether a steward has reported a later incarnation of the upstream than the list, so that
+    /// its software version is not known.
+    bool isIncarnationDoubtful(const std::string &upstreamId) const;
     /// Records that the upstream was chosen for a request.
     void noteChosen(const std::string &upstreamId, Instant now);
     /// Whether this instance is to receive the snapshots of the upstream's engine.
@@ -172,6 +178,9 @@
         std::map<AttemptTicket, PendingAttempt> pendingAttempts;
         std::optional<proto::EngineSnapshot> snapshot;
         std::vector<HeldModel> snapshotModels;
+        // Start time in the latest snapshot of a later incarnation than that of the list entry; 0
+        // if there was none.
+        uint64_t laterStartedAtMs = 0;
         Instant snapshotAt{};
         // Last time that the upstream was chosen; not set if it never was.
         std::optional<Instant> lastChosenAt;
@@ -189,6 +198,8 @@
     bool wantsSnapshots(const Upstream &upstream, Instant now) const;
     const std::vector<HeldModel> &currentModels(const Upstream &upstream, Instant now) const;
     bool isEligible(const Upstream &upstream, const DispatchQuery &query, Instant now) const;
+    static bool hasVersion(const Upstream &upstream,
+                           const std::optional<std::string> &softwareVersion);
     DirectiveVerdict directiveVerdict(const Upstream &upstream, Instant now) const;
     /// Soonest time at which the directives allow a request to an eligible upstream.
     DirectiveVerdict soonestAllowed(const DispatchQuery &query, Instant now) const;
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -262,6 +262,7 @@
             // Others that waited for the adapter may have used what the upstream allows, and news
             // of a crash may have come.
             if (!this->gateway.dispatcher.takesRequests(target.upstreamId, clockNow()) ||
+                !this->gateway.dispatcher.hasVersion(target.upstreamId, this->streamVersion) ||
                 !this->enterSuspectGates(clockNow()))
                 continue;
         }
@@ -495,13 +496,13 @@
     return std::clamp(FirstRankPriority + 2 * this->route->rank + relaxedPenalty - resumed, 0, 9);
 }
 
-bool Exchange::tryConsumeRetry(const AttemptResult &result, Instant now)
 bool Exchange::isShutdownDue(Instant now) const
 {
     const auto &schedule = this->gateway.shutdownSchedule;
     return this->hasStreamBegun ? schedule.isDrainOver(now) : schedule.isAnswerDue(now);
 }
 
+bool Exchange::tryConsumeRetry(const AttemptResult &result, Instant now)
 {
     if (this->isCallerGone || this->isPastDeadline(now) || this->sendCount >= MaxSendsPerRequest ||
         this->isShutdownDue(now))
@@ -577,6 +578,7 @@
     this->attemptStartedAtMs = startedAtMs;
     this->attemptVersion = entry == entries.end() ? "" : entry->second.softwareVersion;
     this->isAttemptContinuation = this->isContinuation();
+    this->continuationWaitBeganAt.reset();
     const AttemptTicket ticket =
         dispatcher.beginAttempt(target.upstreamId, this->makeQuery(), began);
     if (!this->properties.model.empty())
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -85,7 +85,12 @@
     /// Returns false if that cannot be known; the request has then been refused.
     boost::asio::awaitable<bool> resolveStreamVersion();
     /// Records the software version of the upstream whose first event is about to be passed on.
-    void bindStream(Instant now);
+    /// Returns false if the events that are about to be passed on may be of another version than
+    /// the earlier ones.
+    bool bindStream(Instant now);
+    /// Tells what began the stream, to be looked up when its caller takes it up again; an empty
+    /// version means that no upstream can continue it.
+    void recordOrigin(const std::string &softwareVersion, Instant now);
     /// Returns the software version of the upstream that answers the present attempt, or nothing if
     /// the upstream has restarted with another version since the attempt began.
     std::optional<std::string> findAnsweringVersion() const;
@@ -158,13 +163,13 @@
     void recordPrefillTime(Duration timeToFirstResponse);
     bool tryConsumeRetry(const AttemptResult &result, Instant now);
     bool isPastDeadline(Instant now) const { return now >= this->deadline; }
+    /// Whether the shutdown leaves the request no more time.
+    bool isShutdownDue(Instant now) const;
     /// Priority of the request; lower values are served first.
     int priority() const;
     void log(int status, const std::string &outcome, const std::string &reason) const;
     LogPriority logPriority(int status, bool isServed) const;
 
-    /// Whether the shutdown leaves the request no more time.
-    bool isShutdownDue(Instant now) const;
     Gateway &gateway;
     const HttpRequest request;
     HttpResponder &responder;
--- a/src/gateway/ExchangeContinuation.cpp
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -14,12 +14,14 @@
 // Longest search for the software version that began a stream. It covers two questions to peers in
 // other regions.
 constexpr Duration OriginSearchTimeout = milliseconds(600);
+// Time for which an origin is kept beyond the caller's patience, as clocks and callers are late.
+constexpr Duration OriginLifetimeMargin = std::chrono::seconds(5);
 
 } // namespace
 
 asio::awaitable<bool> Exchange::resolveStreamVersion()
 {
-    if (!this->properties.continuesStream || !this->route->resumable)
+    if (!this->properties.continuesStream || this->route->kind != RouteKind::Streaming)
         co_return true;
     const Instant beganAt = clockNow();
     const Instant limit = std::min<Instant>(this->deadline, beganAt + OriginSearchTimeout);
@@ -49,6 +51,8 @@
 
 std::optional<std::string> Exchange::findAnsweringVersion() const
 {
+    if (this->gateway.dispatcher.isIncarnationDoubtful(this->lastUpstream))
+        return std::nullopt;
     const auto &entries = this->gateway.directory.entries();
     const auto entry = entries.find(this->lastUpstream);
     if (entry != entries.end() && entry->second.startedAtMs != this->attemptStartedAtMs &&
@@ -57,16 +61,30 @@
     return this->attemptVersion;
 }
 
-void Exchange::bindStream(Instant now)
+bool Exchange::bindStream(Instant now)
 {
+    if (this->isAttemptContinuation) {
+        this->isStreamVersionLost = this->findAnsweringVersion() != this->streamVersion;
+        return !this->isStreamVersionLost;
+    }
     if (this->isContinuation() || this->isStreamVersionLost || !this->eventSplitter.hasEvents())
-        return;
+        return true;
     this->streamVersion = this->findAnsweringVersion();
     this->isStreamVersionLost = !this->streamVersion.has_value();
-    if (this->route->resumable)
-        this->gateway.streamOrigins.record(
-            this->properties.requestId,
-            {this->service, this->streamVersion.value_or(""), this->deadline}, now);
+    this->recordOrigin(this->streamVersion.value_or(""), now);
+    return true;
+}
+
+void Exchange::recordOrigin(const std::string &softwareVersion, Instant now)
+{
+    if (!this->route->resumable)
+        return;
+    // The caller may go on for as long as it said, whatever the route's timeout.
+    const Duration patience =
+        std::max(this->properties.timeout.value_or(this->route->timeout), this->route->timeout);
+    this->gateway.streamOrigins.record(
+        this->properties.requestId,
+        {this->service, softwareVersion, this->arrived + patience + OriginLifetimeMargin}, now);
 }
 
 void Exchange::handleUpstreamRestart(const std::string &upstreamId, Instant now)
@@ -78,9 +96,8 @@
                 fmt::format("event=stream_version_lost id={} upstream={} software={}",
                             this->properties.requestId, upstreamId, *this->streamVersion));
     this->isStreamVersionLost = true;
-    if (this->route->resumable && !this->properties.continuesStream)
-        this->gateway.streamOrigins.record(this->properties.requestId,
-                                           {this->service, "", this->deadline}, now);
+    if (!this->properties.continuesStream)
+        this->recordOrigin("", now);
     // Events of this attempt may not fit the earlier ones.
     if (this->isAttemptContinuation && this->attemptCancel)
         this->attemptCancel->cancel();
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -134,8 +134,12 @@
             co_return result;
         }
         if (!whole.empty()) {
+            if (!this->bindStream(clockNow())) {
+                result.outcome = AttemptOutcome::Broken;
+                result.reason = "the upstream may have another software version now";
+                co_return result;
+            }
             this->lastEventAt = clockNow();
-            this->bindStream(this->lastEventAt);
             this->recordAnswerProgress(this->lastEventAt);
         }
         if (!whole.empty() && !co_await this->responder.write(std::move(whole))) {
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -88,6 +88,19 @@
         CHECK(refusalOf().kind == ErrorKind::NoReplica);
         CHECK(refusalOf().readyIn);
     }
+    SUBCASE("not by one whose steward reports a later incarnation than the list")
+    {
+        auto later = snapshotOf("newer");
+        later.set_born_ms(2);
+        dispatcher.noteSnapshot(later, Start);
+        CHECK(dispatcher.isIncarnationDoubtful("newer"));
+        CHECK(refusalOf().kind == ErrorKind::CannotContinue);
+        // The list has the new incarnation, with its version.
+        newer.startedAtMs = 2;
+        dispatcher.setUpstreams({{"newer", newer}, {"older", older}});
+        CHECK_FALSE(dispatcher.isIncarnationDoubtful("newer"));
+        CHECK(chosen(dispatcher, query, Start) == "newer");
+    }
     SUBCASE("a load of the model at another version does not count")
     {
         newer.models.clear();
--- a/tests/platform/StreamVersionTest.cpp
+++ b/tests/platform/StreamVersionTest.cpp
@@ -81,3 +81,42 @@
         CHECK(fixture.gateway.second.received.empty());
     }
 }
+
+TEST_CASE("An upstream that restarts under its id with another version adds no event to a stream")
+{
+    VersionFixture fixture("v1", "v1");
+    fixture.first.breaks = 1;
+    const auto restart = [&](VersionedUpstream &upstream, const std::string &id,
+                             const Address &address) {
+        upstream.version = "v2";
+        fixture.gateway.store.put(
+            "servers", id,
+            fmt::format(R"({{"service":"shop","address":"{}","zone":"here","slots":4,)"
+                        R"("state":"ready","sequence":1,"models":[],"version":"v2","born":9}})",
+                        toString(address)));
+    };
+
+    SUBCASE("if the news comes while its answer is awaited")
+    {
+        // The first upstream breaks off; the second one has restarted and answers late.
+        fixture.second.version = "v2";
+        fixture.second.delay = milliseconds(900);
+        fixture.gateway.runAfter(milliseconds(250), [&] {
+            restart(fixture.second, "i-2", fixture.gateway.secondAddress);
+        });
+        const auto answer = fixture.gateway.send("/retell/1");
+        CHECK_FALSE(isOk(answer));
+        CHECK(fixture.gateway.second.received.size() == 1);
+    }
+    SUBCASE("if the news comes after the stream broke off and before it is taken up")
+    {
+        fixture.second.breaks = 1;
+        fixture.second.breaksBeforeEvents = true;
+        REQUIRE_FALSE(isOk(fixture.gateway.send("/retell/1")));
+        restart(fixture.first, "i-1", fixture.gateway.firstAddress);
+        restart(fixture.second, "i-2", fixture.gateway.secondAddress);
+        fixture.gateway.runFor(milliseconds(900));
+        const auto answer = fixture.takeUp("r2", "r1", 2);
+        CHECK(statusOf(answer) == 503);
+    }
+}
--- a/tests/platform/VersionedUpstream.h
+++ b/tests/platform/VersionedUpstream.h
@@ -20,10 +20,13 @@
     std::string version;
     int breaks = 0;
     bool breaksBeforeEvents = false;
+    /// Time until it answers.
+    Duration delay{};
 
     StubReply reply(const HttpRequest &request)
     {
         StubReply reply;
+        reply.delay = this->delay;
         reply.bytes = StubUpstream::sealedStreamHead(request);
         const std::string last(findHeader(request.headers, "Last-Event-Id"));
         int next = last.empty() ? 1 : std::stoi(last) + 1;
