Let tests listen on ports that no connection can take

A test fixture could not listen ("Address already in use") once in the plain and once in the AddressSanitizer build, beside other programs: it took a port from the range that the kernel gives to connections, closed it and bound it later. Ports come from below that range now, and each program begins at another one.

--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -19,6 +19,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <functional>
+#include <unistd.h>
 
 namespace tray::test {
 
@@ -243,19 +244,30 @@
         return settings;
     }
 
-    static Address freeAddress()
-    {
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-        return {"127.0.0.1", acceptor.local_endpoint().port()};
-    }
+    static Address freeAddress() { return findFreeAddress<asio::ip::tcp::acceptor>(); }
+    static Address freeDatagramAddress() { return findFreeAddress<asio::ip::udp::socket>(); }
 
-    /// Finds a free UDP port; UDP and TCP ports are allocated independently of each other.
-    static Address freeDatagramAddress()
+    /// Finds a free port below those that the kernel gives to connections, so that no connection of
+    /// another program takes it before it is bound. Programs begin at different ports.
+    template <typename Socket>
+    static Address findFreeAddress()
     {
+        constexpr uint32_t FirstPort = 10000;
+        constexpr uint32_t Ports = 20000;
+        constexpr uint32_t Step = 7919;
+        static uint32_t tried = static_cast<uint32_t>(::getpid()) * Step;
         asio::io_context context;
-        asio::ip::udp::socket socket(context, {asio::ip::make_address("127.0.0.1"), 0});
-        return {"127.0.0.1", socket.local_endpoint().port()};
+        while (true) {
+            const auto port = static_cast<uint16_t>(FirstPort + ++tried % Ports);
+            const typename Socket::endpoint_type endpoint(asio::ip::make_address("127.0.0.1"),
+                                                          port);
+            Socket socket(context);
+            boost::system::error_code code;
+            socket.open(endpoint.protocol(), code);
+            socket.bind(endpoint, code);
+            if (!code)
+                return {"127.0.0.1", port};
+        }
     }
 
     asio::awaitable<void> awaitReady()
