Do not trust a version record that was written before a restore of the store

Callers saw: streams joined from two software versions (ORDER) after the store had come back from an older copy and all gateways were killed before any of them had written the record of versions again: a fresh gateway took the one version that the copy named for the only one.

Cause: the record did not tell whether later writes of it may be undone. Class: evidence without its age.

StreamTakeUpTest has two new cases.

Change: a record begins with the era of the store in which it was written. A process that starts and finds records of an earlier era, or none in a store that was restored, takes no version for the only one, and writes no record, for a whole lifetime.

--- a/src/fleet/ServiceVersions.cpp
+++ b/src/fleet/ServiceVersions.cpp
@@ -120,6 +120,8 @@
     if (!this->longestTimeout || !this->listRead)
         return;
     const Duration lifetime = *this->longestTimeout + LifetimeMargin;
+    if (this->recordsIncompleteAt && now >= *this->recordsIncompleteAt + lifetime)
+        this->recordsIncompleteAt.reset();
     for (auto &[name, service] : this->known) {
         std::erase_if(service.absentSince, [&](const auto &item) {
             return item.second && now >= *item.second + lifetime;
@@ -133,9 +135,9 @@
                                                         Instant now) const
 {
     const auto found = this->known.find(service);
-    if (!this->recordsRead || !this->listRead || now >= this->listConfirmedAt + ListLifetime ||
-        found == this->known.end() || found->second.malformedAt ||
-        found->second.absentSince.size() != 1)
+    if (!this->recordsRead || this->recordsIncompleteAt || !this->listRead ||
+        now >= this->listConfirmedAt + ListLifetime || found == this->known.end() ||
+        found->second.malformedAt || found->second.absentSince.size() != 1)
         return std::nullopt;
     return found->second.absentSince.begin()->first;
 }
@@ -161,8 +163,8 @@
 bool ServiceVersions::mayWriteRecord(const std::string &service) const
 {
     const auto found = this->known.find(service);
-    return this->recordsRead && this->listRead && found != this->known.end() &&
-           !found->second.malformedAt;
+    return this->recordsRead && !this->recordsIncompleteAt && this->listRead &&
+           found != this->known.end() && !found->second.malformedAt;
 }
 
 } // namespace tray
--- a/src/fleet/ServiceVersions.h
+++ b/src/fleet/ServiceVersions.h
@@ -43,6 +43,9 @@
     void handleRecord(const std::string &service, std::string_view text, Instant now);
     /// Call this when all records have been read.
     void handleRecordsRead() { this->recordsRead = true; }
+    /// Records that the records may lack versions, because the store was restored from a copy after
+    /// they were written. No version is known to be the only one for a whole lifetime from now on.
+    void noteIncompleteRecords(Instant now) { this->recordsIncompleteAt = now; }
     /// Forgets the versions that this process has seen absent for a whole lifetime.
     void expire(Instant now);
 
@@ -70,6 +73,8 @@
     std::optional<Duration> longestTimeout;
     bool listRead = false;
     bool recordsRead = false;
+    // Time at which records were read that may lack versions.
+    std::optional<Instant> recordsIncompleteAt;
     Instant listConfirmedAt{};
 };
 
--- a/src/gateway/ServiceVersionRecords.cpp
+++ b/src/gateway/ServiceVersionRecords.cpp
@@ -5,8 +5,10 @@
 #include "observe/DecisionLog.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <utility>
 
 namespace tray {
 
@@ -21,6 +23,8 @@
 // Initial and maximum backoff after a failed call; doubles with each failure.
 constexpr Duration InitialRetryBackoff = milliseconds(300);
 constexpr Duration MaxRetryBackoff = milliseconds(1500);
+// Era of a store that was never restored; 0 if the store names none.
+constexpr uint64_t FirstEra = 1;
 
 void logFailure(std::string_view call, const std::string &service, const Error &problem)
 {
@@ -30,6 +34,19 @@
                             call, service, enumName(problem.kind), problem.message));
 }
 
+/// Splits the text of a record into the era of the store in which it was written, 0 if it names
+/// none, and its versions.
+std::pair<uint64_t, std::string_view> splitRecord(std::string_view text)
+{
+    uint64_t era = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), era);
+    if (code != std::errc{})
+        return {0, text};
+    text.remove_prefix(static_cast<size_t>(end - text.data()));
+    text.remove_prefix(text.starts_with(' ') ? 1 : 0);
+    return {era, text};
+}
+
 } // namespace
 
 void ServiceVersionRecords::start()
@@ -77,14 +94,24 @@
     }
 }
 
+bool ServiceVersionRecords::areRecordsOutdated() const
+{
+    const uint64_t era = this->store.era();
+    if (this->records.empty())
+        return era > FirstEra;
+    return std::any_of(this->records.begin(), this->records.end(),
+                       [&](const auto &item) { return item.second.era != era; });
+}
+
 void ServiceVersionRecords::handleRecord(const Record &record, Instant now)
 {
-    this->records[record.name] = {record.text, record.revision};
-    this->versions.handleRecord(record.name, record.text, now);
+    const auto [era, versionText] = splitRecord(record.text);
+    this->records[record.name] = {record.text, record.revision, era};
+    this->versions.handleRecord(record.name, versionText, now);
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=version_record_read service={} revision={} malformed={}",
-                            record.name, record.revision,
-                            !parseVersionRecord(record.text).has_value()));
+                fmt::format("event=version_record_read service={} revision={} era={} malformed={}",
+                            record.name, record.revision, era,
+                            !parseVersionRecord(versionText).has_value()));
 }
 
 asio::awaitable<void> ServiceVersionRecords::keepLoop()
@@ -128,9 +155,14 @@
     for (const auto &record : value(reading))
         this->handleRecord(record, now);
     this->versions.handleRecordsRead();
+    // A process that has read them before knows what a restore undoes, and writes them again.
+    const bool isOutdated =
+        !std::exchange(this->hasReadRecords, true) && this->areRecordsOutdated();
+    if (isOutdated)
+        this->versions.noteIncompleteRecords(now);
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=version_records_read count={} era={}", value(reading).size(),
-                            this->store.era()));
+                fmt::format("event=version_records_read count={} era={} outdated={}",
+                            value(reading).size(), this->store.era(), isOutdated));
     this->noteChanges("record", now);
     // Before the first answer the era is not known.
     if (this->readEra && eraBefore == 0)
@@ -143,14 +175,16 @@
     for (const auto &service : this->versions.services()) {
         const auto known = this->records.find(service);
         const bool exists = known != this->records.end();
-        const std::string text = formatVersionRecord(this->versions.versionsOf(service));
+        const auto serviceVersions = this->versions.versionsOf(service);
+        const uint64_t era = this->store.era();
+        const std::string text = fmt::format("{} {}", era, formatVersionRecord(serviceVersions));
         if (!this->versions.mayWriteRecord(service) ||
-            (exists ? known->second.text == text : text.empty()))
+            (exists ? known->second.text == text : serviceVersions.empty()))
             continue;
         const Record record{service, text, exists ? known->second.revision : 0};
         const auto written = co_await this->store.writeRecord(VersionRecords, record);
         if (isOk(written)) {
-            this->records[service] = {text, value(written)};
+            this->records[service] = {text, value(written), era};
             logDecision(LogPriority::Notable, clockNow(),
                         fmt::format("event=version_record_written service={} text=\"{}\" "
                                     "revision={}",
--- a/src/gateway/ServiceVersionRecords.h
+++ b/src/gateway/ServiceVersionRecords.h
@@ -42,10 +42,15 @@
     {
         std::string text;
         uint64_t revision = 0;
+        // Era of the store in which the record was written.
+        uint64_t era = 0;
     };
 
     boost::asio::awaitable<void> keepLoop();
     boost::asio::awaitable<bool> readRecords();
+    /// Whether the records were written before the store's last restore, which may have undone
+    /// later writes.
+    bool areRecordsOutdated() const;
     boost::asio::awaitable<bool> writeRecords();
     /// Reads a record that another process has written, or that the store has lost.
     boost::asio::awaitable<bool> readAfterConflict(std::string service);
@@ -64,6 +69,7 @@
     AsyncCondition changed;
     // Era of the store in which the records were read; empty if they are to be read.
     std::optional<uint64_t> readEra;
+    bool hasReadRecords = false;
     bool isStopping = false;
 };
 
--- a/tests/fleet/ServiceVersionsTest.cpp
+++ b/tests/fleet/ServiceVersionsTest.cpp
@@ -82,6 +82,15 @@
         process.versions.handleRecordsRead();
         CHECK(process.soleAt(Start) == Sole("v1"));
     }
+    SUBCASE("nor for a whole lifetime if the record may have lost versions with a restore")
+    {
+        process.versions.handleRecordsRead();
+        process.versions.noteIncompleteRecords(Start);
+        CHECK_FALSE(process.versions.mayWriteRecord("llm"));
+        CHECK(process.soleAt(Start + Lifetime - milliseconds(1)) == std::nullopt);
+        CHECK(process.soleAt(Start + Lifetime) == Sole("v1"));
+        CHECK(process.versions.mayWriteRecord("llm"));
+    }
     SUBCASE("nor before the list was read")
     {
         Process early;
--- a/tests/streams/StreamTakeUpTest.cpp
+++ b/tests/streams/StreamTakeUpTest.cpp
@@ -84,8 +84,10 @@
     std::vector<std::unique_ptr<Gateway>> peers;
 };
 
-const std::string OneVersion = R"("v7631")";
-const std::string TwoVersions = R"("v7631 v7632")";
+// Records begin with the era of the store in which they were written.
+const std::string OneVersion = R"("1 v7631")";
+const std::string TwoVersions = R"("1 v7631 v7632")";
+const std::string TwoVersionsAfterRestore = R"("2 v7631 v7632")";
 
 } // namespace
 
@@ -212,10 +214,26 @@
     {
         fixture.gateway.store.remove("software-versions", "shop");
         fixture.gateway.store.restore(fixture.gateway.store.makeCopy());
-        fixture.awaitVersionRecord(TwoVersions);
+        fixture.awaitVersionRecord(TwoVersionsAfterRestore);
         fixture.gateway.store.remove("servers", "i-1");
         fixture.gateway.runFor(milliseconds(900));
         fixture.restart();
         checkRefused();
     }
+    SUBCASE("because one left, and all gateways ended before they wrote a restored record again")
+    {
+        fixture.stop(*fixture.gateway.gateway);
+        SUBCASE("that names the other version only")
+        {
+            fixture.gateway.store.put("software-versions", "shop", R"("1 v7632")");
+        }
+        SUBCASE("that did not exist")
+        {
+            fixture.gateway.store.remove("software-versions", "shop");
+        }
+        fixture.gateway.store.restore(fixture.gateway.store.makeCopy());
+        fixture.gateway.store.remove("servers", "i-1");
+        fixture.startPeer("front-1");
+        checkRefused();
+    }
 }
