Log whether the peer of an attempt had been sent its id before

The line of an attempt told of its connection only whether it had carried the id, so that the copy of a refusal on another connection looked like a refusal. HttpClient now remembers the calls of the last two minutes by peer and id, with their connections, in SentCalls; the lists that each connection kept of its own are gone. A connection that is older than what is remembered is not used again, in place of the bound of 256 calls.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,9 +1,10 @@
 // HTTP/1.1 client on Boost.Beast: connection pool, request writing and streamed response bodies.
 #include "net/HttpClient.h"
 
+#include "base/Hash.h"
+#include "net/SentCalls.h"
 #include "net/SocketOptions.h"
 
-#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -37,43 +38,24 @@
 // Maximum number of responses to earlier calls that are skipped on one connection before the call
 // fails.
 constexpr int MaxUnrelatedResponses = 4;
-// Maximum number of calls with an id that a connection carries. It remembers all of them, 2 KB at
-// most.
-constexpr size_t MaxCallsPerConnection = 256;
 // Size of the buffer for one read of a body, in bytes.
 constexpr size_t ReadBufferBytes = 8192;
 
 struct Connection
 {
-    Connection(const asio::any_io_executor &executor, uint64_t number)
-        : stream(executor), number(number)
+    Connection(const asio::any_io_executor &executor, uint64_t number, Instant openedAt)
+        : stream(executor), number(number), openedAt(openedAt)
     {}
 
-    /// Records that a call takes the connection.
-    ConnectionUse beginCall(uint64_t callDigest)
-    {
-        const ConnectionUse use{this->number, this->callCount++, this->hasCarried(callDigest)};
-        if (callDigest != 0)
-            this->carriedCalls.push_back(callDigest);
-        return use;
-    }
-
-    bool hasCarried(uint64_t callDigest) const
-    {
-        return std::find(this->carriedCalls.begin(), this->carriedCalls.end(), callDigest) !=
-               this->carriedCalls.end();
-    }
-
     beast::tcp_stream stream;
     // The limit bounds a response head, chunk header or trailer section that never ends.
     beast::flat_buffer buffer{HttpClient::MaxHeadBytes};
     // Incremented when a call takes the connection and when it returns it to the pool.
     uint64_t useCount = 0;
     const uint64_t number;
+    const Instant openedAt;
     // Calls that have begun on the connection.
     uint64_t callCount = 0;
-    // Digests of those calls that have an id. Invariant: at most MaxCallsPerConnection.
-    std::vector<uint64_t> carriedCalls;
     Instant idleSince;
     // Idle timeout of the peer, from its Keep-Alive header.
     Duration peerIdleTimeout = std::chrono::hours(1);
@@ -113,9 +95,31 @@
 {
     explicit Impl(asio::io_context &context) : context(context) {}
 
+    /// Records that a call takes the connection.
+    ConnectionUse beginCall(const std::string &key, Connection &connection, uint64_t callDigest)
+    {
+        ConnectionUse use{connection.number, connection.callCount++};
+        if (callDigest == 0)
+            return use;
+        const uint64_t call = hash64(key, callDigest);
+        const std::lock_guard lock(this->mutex);
+        use.hasCarriedId = this->sentCalls.contains(call, connection.number);
+        use.wasIdSentBefore = this->sentCalls.contains(call);
+        this->sentCalls.record(call, connection.number, std::chrono::steady_clock::now());
+        return use;
+    }
+
+    /// Whether all calls that the connection has carried are remembered. Call this with the mutex
+    /// locked.
+    bool areCallsKnown(const Connection &connection) const
+    {
+        return connection.openedAt > this->sentCalls.forgottenUntil();
+    }
+
     std::shared_ptr<Connection> takeIdleConnection(const std::string &key, Duration maxIdle,
                                                    uint64_t callDigest)
     {
+        const uint64_t call = hash64(key, callDigest);
         const std::lock_guard lock(this->mutex);
         const auto found = this->idle.find(key);
         if (found == this->idle.end())
@@ -123,14 +127,14 @@
         auto &list = found->second;
         for (auto it = list.end(); it != list.begin();) {
             --it;
-            if ((*it)->hasCarried(callDigest))
+            if (callDigest != 0 && this->sentCalls.contains(call, (*it)->number))
                 continue;
             const auto connection = *it;
             it = list.erase(it);
             --this->idleCount;
             const auto idleTime = std::chrono::steady_clock::now() - connection->idleSince;
-            if (idleTime < maxIdle && idleTime + IdleTimeoutMargin < connection->peerIdleTimeout &&
-                isUsable(*connection))
+            if (this->areCallsKnown(*connection) && idleTime < maxIdle &&
+                idleTime + IdleTimeoutMargin < connection->peerIdleTimeout && isUsable(*connection))
                 return connection;
         }
         return nullptr;
@@ -138,14 +142,14 @@
 
     void returnToPool(const std::string &key, std::shared_ptr<Connection> connection)
     {
-        if (connection->carriedCalls.size() >= MaxCallsPerConnection)
-            return;
         connection->stream.expires_never();
         ++connection->useCount;
         const Instant now = std::chrono::steady_clock::now();
         connection->idleSince = now;
         const std::lock_guard lock(this->mutex);
         this->sweep(now);
+        if (!this->areCallsKnown(*connection))
+            return;
         auto &list = this->idle[key];
         if (list.size() >= MaxIdleConnections || this->idleCount >= MaxIdleConnectionsInAll)
             return;
@@ -193,8 +197,8 @@
     asio::awaitable<std::shared_ptr<Connection>>
     dial(Address address, Duration timeout, HttpCallOptions options, beast::error_code &code)
     {
-        auto connection =
-            std::make_shared<Connection>(this->context.get_executor(), ++this->dialled);
+        auto connection = std::make_shared<Connection>(
+            this->context.get_executor(), ++this->dialled, std::chrono::steady_clock::now());
         const tcp::endpoint endpoint(asio::ip::make_address(address.host, code), address.port);
         connection->stream.expires_after(timeout);
         this->attach(options, connection);
@@ -219,6 +223,7 @@
     std::map<std::string, std::vector<std::shared_ptr<Connection>>> idle;
     // Number of connections in all lists.
     size_t idleCount = 0;
+    SentCalls sentCalls;
     Instant sweptAt{};
 };
 
@@ -370,6 +375,8 @@
     std::string_view kind = "new";
     if (use.hasCarriedId)
         kind = "same_id";
+    else if (use.wasIdSentBefore)
+        kind = "sent_before";
     else if (use.isReused())
         kind = "reused";
     return fmt::format("{}/c{}.{}", kind, use.connection, use.earlierCalls + 1);
@@ -433,7 +440,8 @@
     if (!isOk(connected))
         co_return error(connected);
     auto connection = value(std::move(connected));
-    const ConnectionUse use = connection->beginCall(options.callDigest);
+    const std::string key = toString(address);
+    const ConnectionUse use = self->beginCall(key, *connection, options.callDigest);
     auto message = toMessage(address, std::move(request));
     connection->stream.expires_at(deadline);
     const auto [code, bytes] = co_await http::async_write(connection->stream, message, Await);
@@ -441,7 +449,6 @@
         co_return failure(code, toString(address));
     // The response may take long, and large bodies of many calls would add up.
     std::string().swap(message.body());
-    const std::string key = toString(address);
     auto stream = std::make_unique<BeastStream>(
         [self, key, exclusive = options.exclusive](std::shared_ptr<Connection> finished) {
             if (!exclusive)
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -42,12 +42,14 @@
     /// Whether one of them had the id of this call, so that a late copy of its answer cannot be
     /// told from the answer to this call.
     bool hasCarriedId = false;
+    /// Whether the peer had been sent the id of this call before, on any connection.
+    bool wasIdSentBefore = false;
 
     bool isReused() const { return this->earlierCalls > 0; }
 };
 
-/// Returns the use as "new", "reused" or "same_id", with the numbers of the connection and of the
-/// call on it, for the log.
+/// Returns the use as "new", "reused", "sent_before" or "same_id", with the numbers of the
+/// connection and of the call on it, for the log.
 std::string describe(const ConnectionUse &use);
 
 /// Response whose body is read in parts. Destroying it before the end closes the connection, which
