Add a failing test of refusals that are repeated on another connection

An upstream refuses a request and sends the copy of the refusal on whichever connection the next request arrives. When the same id comes again, from its caller or after a restart of the upstream under another id, the copy counts as evidence: callers get 429 or 503 although the request runs, or it runs at a second upstream too.

--- a/tests/platform/RefusalCopyTest.cpp
+++ b/tests/platform/RefusalCopyTest.cpp
@@ -25,15 +25,27 @@
     }
 };
 
+StubReply refuse(const HttpRequest &request, int status)
+{
+    return {StubUpstream::sealedAnswer(request, status, "full", "Marjoramtray-Not-Executed: 1")};
+}
+
 /// Refuses a request, and sends a copy of the refusal when the next request is due an answer.
 StubReply refuseTwice(const HttpRequest &request, int status)
 {
-    StubReply reply{
-        StubUpstream::sealedAnswer(request, status, "full", "Marjoramtray-Not-Executed: 1")};
+    StubReply reply = refuse(request, status);
     reply.lateBytes = reply.bytes;
     return reply;
 }
 
+/// As refuseTwice(), with the copy on whichever connection the next request arrives.
+StubReply refuseTwiceAnywhere(const HttpRequest &request, int status)
+{
+    StubReply reply = refuseTwice(request, status);
+    reply.isLateAnywhere = true;
+    return reply;
+}
+
 bool statesNotExecuted(const Result<HttpResponse> &answer)
 {
     return isOk(answer) && HeaderCodec().statesNotExecuted(value(answer).status);
@@ -109,3 +121,61 @@
         fixture->store.remove("servers", "i-2");
     checkRunsOnce(fixture->send("/take/1", {}, "x"), first, second);
 }
+
+TEST_CASE("The copy of a refusal on another connection is no promise")
+{
+    Executor first;
+    Executor second;
+    StubUpstream::Behaviour behaviour = [&](const HttpRequest &request) {
+        return first.run(request);
+    };
+    GatewayFixture fixture([&](const HttpRequest &request) { return behaviour(request); },
+                           [&](const HttpRequest &request) { return second.run(request); });
+    const auto checkNoPromise = [&](const std::string &target) {
+        first.runs = 0;
+        const auto answer = fixture.send(target, {}, "x");
+        CHECK(first.runs == 1);
+        CHECK(second.runs == 0);
+        REQUIRE(isOk(answer));
+        CHECK(value(answer).status == 502);
+    };
+    const auto checkRepeatAfterRefusal = [&](const std::string &target) {
+        fixture.requestId = "r2";
+        behaviour = [&](const HttpRequest &request) {
+            behaviour = [&](const HttpRequest &next) { return first.run(next); };
+            return refuseTwiceAnywhere(request, 503);
+        };
+        CHECK(statesNotExecuted(fixture.send(target, {}, "x")));
+        checkNoPromise(target);
+    };
+    SUBCASE("that is new")
+    {
+        fixture.store.remove("servers", "i-2");
+        checkRepeatAfterRefusal("/tell/1");
+    }
+    SUBCASE("that has carried other requests")
+    {
+        fixture.store.remove("servers", "i-2");
+        for (int repeat = 0; repeat < 2; ++repeat)
+            CHECK(fixture.statusOf("/look/1") == 200);
+        checkRepeatAfterRefusal("/take/1");
+    }
+    SUBCASE("of an upstream that was started again under another id")
+    {
+        behaviour = [&](const HttpRequest &request) -> StubReply {
+            if (findHeader(request.headers, "Marjoramtray-Expect-Instance") != "i-1")
+                return first.run(request);
+            fixture.store.remove("servers", "i-1");
+            fixture.addUpstream("i-3", "here", fixture.firstAddress);
+            StubReply reply = refuseTwiceAnywhere(request, 421);
+            reply.delay = milliseconds(800);
+            return reply;
+        };
+        SUBCASE("and the request does not run at a second upstream") {}
+        SUBCASE("and its caller is not told that it has not run")
+        {
+            fixture.store.remove("servers", "i-2");
+        }
+        checkNoPromise("/take/1");
+    }
+}
--- a/tests/platform/StubUpstream.cpp
+++ b/tests/platform/StubUpstream.cpp
@@ -108,10 +108,12 @@
                                          std::string(field.value()));
         request.body = message.body();
         this->received.push_back(request);
+        lateBytes += std::exchange(this->lateBytesAnywhere, {});
         if (!lateBytes.empty())
             co_await asio::async_write(socket, asio::buffer(lateBytes), Await);
         const StubReply reply = this->behaviour(request);
-        lateBytes = reply.lateBytes;
+        lateBytes.clear();
+        (reply.isLateAnywhere ? this->lateBytesAnywhere : lateBytes) = reply.lateBytes;
         co_await this->wait(reply.delay);
         if (reply.crashFor) {
             if (!reply.bytes.empty())
--- a/tests/platform/StubUpstream.h
+++ b/tests/platform/StubUpstream.h
@@ -23,6 +23,8 @@
     Duration delay{};
     /// Sent on the same connection once its next request has arrived, before the reply to that one.
     std::string lateBytes;
+    /// The late bytes are sent once the next request has arrived on any connection.
+    bool isLateAnywhere = false;
     /// After the bytes, the connection is closed orderly (close) or by a reset (reset).
     bool close = false;
     bool reset = false;
@@ -82,6 +84,8 @@
     Behaviour behaviour;
     boost::asio::ip::tcp::acceptor acceptor;
     std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> connections;
+    // Late bytes for the connection on which the next request arrives.
+    std::string lateBytesAnywhere;
 };
 
 } // namespace tray::test
