Believe no refusal of an id that its address had been sent before

A copy needs an earlier refusal, so only the first refusal of an id by an address is evidence. SentCalls knows whether the address had been sent the id; if so, the attempt counts as one that may have run, and its connection is closed, which stops the run.

--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -34,9 +34,17 @@
                                           clockNow());
     AttemptResult result;
     if (answer.isNotExecuted && namesRequest && !answer.requestId.empty()) {
-        result.evidence = NotExecutedEvidence::Refused;
+        result.evidenceSource = source;
         result.outcome = answer.isMisdirected ? AttemptOutcome::Misdirected : AttemptOutcome::Full;
         result.reason = fmt::format("refused with {}", stream.status());
+        if (stream.connectionUse().wasIdSentBefore) {
+            // The request may be running. The upstream stops it if its connection closes.
+            result.reason += ", perhaps by the copy of an earlier refusal";
+            this->gateway.metrics.counter("tray_gateway_refusals_doubted_total").add();
+            this->attemptCancel->cancel();
+            co_return result;
+        }
+        result.evidence = NotExecutedEvidence::Refused;
         if (answer.isMisdirected &&
             this->gateway.dispatcher.noteModelMissing(upstreamId, this->properties.model,
                                                       this->properties.adapter, clockNow()))
@@ -48,7 +56,6 @@
         const Duration timeout =
             std::min<Duration>(OverloadRetryAfter, this->deadline - clockNow());
         const auto rest = co_await stream.read(timeout);
-        result.evidenceSource = source;
         co_return result;
     }
     result.evidenceSource = source;
--- a/src/gateway/ExecutionLedger.h
+++ b/src/gateway/ExecutionLedger.h
@@ -16,7 +16,9 @@
     None,
     /// No connection was established, so nothing was sent.
     NotSent,
-    /// The upstream stated in its answer that it did not execute the request.
+    /// The upstream stated in its answer that it did not execute the request. Given only if the
+    /// upstream's address had not been sent the id before: a later refusal may be the copy of an
+    /// earlier one.
     Refused
 };
 
