--- a/tests/soak/ModelEngine.h
+++ b/tests/soak/ModelEngine.h
@@ -23,7 +23,7 @@
         std::function<int(int low, int high)> drawInt;
         /// Runs a request for a model that the engine holds.
         StubUpstream::Behaviour run;
-        /// Lets some refusals be sent once more, where the connection's next answer is due.
+        /// Lets some refusals be sent once more, where a next answer is due.
         std::function<StubReply(StubReply refusal)> addLateCopy;
         std::function<void(const std::string &text)> recordViolation;
         /// Called after a change of the engine's entry in the instance list.
