Draw the refused request of RefusalCopyTest by a flag

The upstream's behaviour replaced itself while it ran. Also states the bound on the memory of SentCalls without a figure that was not measured.

--- a/src/net/SentCalls.h
+++ b/src/net/SentCalls.h
@@ -19,7 +19,7 @@
 public:
     /// Time for which a call is remembered; several times the time that callers wait for an answer.
     static constexpr Duration Lifetime = std::chrono::minutes(2);
-    /// Maximum number of calls that are remembered, which takes about 3 MB.
+    /// Maximum number of calls that are remembered, so that they take a few MB at most.
     static constexpr size_t MaxCalls = 32768;
 
     /// Records that a call is about to be sent on a connection, and forgets the oldest ones.
--- a/tests/platform/RefusalCopyTest.cpp
+++ b/tests/platform/RefusalCopyTest.cpp
@@ -3,6 +3,8 @@
 // runs elsewhere, too.
 #include "GatewayFixture.h"
 
+#include <utility>
+
 using namespace tray;
 using namespace tray::test;
 
@@ -25,15 +27,11 @@
     }
 };
 
-StubReply refuse(const HttpRequest &request, int status)
-{
-    return {StubUpstream::sealedAnswer(request, status, "full", "Marjoramtray-Not-Executed: 1")};
-}
-
 /// Refuses a request, and sends a copy of the refusal when the next request is due an answer.
 StubReply refuseTwice(const HttpRequest &request, int status)
 {
-    StubReply reply = refuse(request, status);
+    StubReply reply{
+        StubUpstream::sealedAnswer(request, status, "full", "Marjoramtray-Not-Executed: 1")};
     reply.lateBytes = reply.bytes;
     return reply;
 }
@@ -126,8 +124,10 @@
 {
     Executor first;
     Executor second;
+    bool isNextRefused = false;
     StubUpstream::Behaviour behaviour = [&](const HttpRequest &request) {
-        return first.run(request);
+        return std::exchange(isNextRefused, false) ? refuseTwiceAnywhere(request, 503)
+                                                   : first.run(request);
     };
     GatewayFixture fixture([&](const HttpRequest &request) { return behaviour(request); },
                            [&](const HttpRequest &request) { return second.run(request); });
@@ -141,10 +141,7 @@
     };
     const auto checkRepeatAfterRefusal = [&](const std::string &target) {
         fixture.requestId = "r2";
-        behaviour = [&](const HttpRequest &request) {
-            behaviour = [&](const HttpRequest &next) { return first.run(next); };
-            return refuseTwiceAnywhere(request, 503);
-        };
+        isNextRefused = true;
         CHECK(statesNotExecuted(fixture.send(target, {}, "x")));
         checkNoPromise(target);
     };
