--- a/tests/net/HttpPoolTest.cpp
+++ b/tests/net/HttpPoolTest.cpp
@@ -1,6 +1,7 @@
 // Tests of the client's pool of idle connections.
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/SentCalls.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -113,6 +114,7 @@
         const auto again = call(1);
         CHECK(again.connection != first);
         CHECK_FALSE(again.hasCarriedId);
+        CHECK(again.wasIdSentBefore);
         CHECK(call(3).connection == again.connection);
         // The first connection has carried the second id, the other one has not.
         CHECK(call(2).connection == again.connection);
@@ -131,4 +133,14 @@
             CHECK_FALSE(call(id).hasCarriedId);
         CHECK(client.dialled() < 100);
     }
+    SUBCASE("and no connection is used that may have carried a call that is forgotten")
+    {
+        for (uint64_t id = 2; id <= SentCalls::MaxCalls; ++id)
+            REQUIRE(call(id).connection == first);
+        CHECK(call(SentCalls::MaxCalls + 1).connection == first);
+        const auto again = call(1);
+        CHECK(again.connection != first);
+        CHECK_FALSE(again.wasIdSentBefore);
+        CHECK(call(SentCalls::MaxCalls).wasIdSentBefore);
+    }
 }
