Take both tickets of a comparison in a fixed order

Cause: the test passed two calls of enqueue() as arguments and expected the first one to be evaluated first. Change: the earlier ticket is taken on a line of its own; the check itself is the same.

--- a/tests/dispatch/PrefillQueueTest.cpp
+++ b/tests/dispatch/PrefillQueueTest.cpp
@@ -228,7 +228,8 @@
         for (size_t i = 1; i < busy.size(); ++i)
             prefillQueue.remove(busy[i]);
         prefillQueue.serve(busy[0]);
-        CHECK(first(enqueue(1), enqueue(1), Start));
+        const auto earlier = enqueue(1);
+        CHECK(first(earlier, enqueue(1), Start));
         prefillQueue.serve(quiet);
         CHECK(prefillQueue.size() == 2);
     }
