Tell file, line and field in the check of a configuration, and more of what changes

Cause: check-fleet-config named neither line nor field, took routes that no request matches and names given twice as sound, and compared routes, keys and limits only. Change: errors and findings name file, line and field; decoding errors hold the field's JSON pointer, and the platform's format translates between places and pointers. New rules for unreachable routes, duplicate names, models gone, priorities lowered, retries lost, and routes that fall to another one; other changes are printed last and leave the exit status alone. The earlier checks stand; the table's exact text changed with its columns. Not found, since a configuration does not tell: more attempts than upstreams.

--- a/fuzz/PlatformDocumentsFuzz.cpp
+++ b/fuzz/PlatformDocumentsFuzz.cpp
@@ -1,5 +1,7 @@
 // Fuzzes the decoders of the platform's JSON documents: configuration, upstream entries, engine
-// reports, stored objects and settings. Guards against crashes.
+// reports, stored objects and settings, and the search for the line of an error. Guards against
+// crashes.
+#include "ConfigFormat.h"
 #include "FleetJson.h"
 #include "PlatformSettings.h"
 #include "net/JsonFields.h"
@@ -12,6 +14,9 @@
     using namespace tray;
     const std::string text(reinterpret_cast<const char *>(data), size);
     const auto settings = platform::readPlatformSettings(text);
+    const platform::ConfigFormat format;
+    if (const auto parsed = format.decode(text); !isOk(parsed))
+        format.locate(text, error(parsed));
     const auto document = parseJson(text);
     if (!isOk(document))
         return 0;
--- a/src/base/Result.h
+++ b/src/base/Result.h
@@ -17,6 +17,8 @@
     std::string message;
     /// Time after which a retry is useful, in ms; 0 for the default of the kind.
     int retryAfterMs = 0;
+    /// JSON pointer to the field of a document that the error is about; empty if there is none.
+    std::string field;
 };
 
 /// Success value of functions that return nothing else.
--- a/src/fleet/FleetCheck.cpp
+++ b/src/fleet/FleetCheck.cpp
@@ -1,12 +1,12 @@
 // Reads configurations from files and prints what their check finds.
 #include "fleet/FleetCheck.h"
 
-#include "fleet/ConfigCheck.h"
-
 #include <algorithm>
+#include <array>
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 #include <fstream>
+#include <optional>
 #include <ostream>
 #include <sstream>
 
@@ -16,62 +16,102 @@
 
 namespace json = boost::json;
 
-Result<FleetConfig> readConfig(const std::string &file, const FleetConfigDecoder &decode)
+/// A configuration with the file and the text that it comes from.
+struct ConfigFile
+{
+    std::string name;
+    std::string text;
+    FleetConfig config;
+};
+
+/// Reads a file; prints an error and returns nullopt if it holds no configuration.
+std::optional<ConfigFile> readConfigFile(const std::string &name, const FleetConfigFormat &format,
+                                         std::ostream &errors)
 {
-    std::ifstream input(file);
+    std::ifstream input(name);
     std::ostringstream text;
-    if (!input || !(text << input.rdbuf()))
-        return Error{ErrorKind::BadRequest, "the file cannot be read"};
-    return decode(text.str());
+    if (!input || !(text << input.rdbuf())) {
+        errors << name << ": the file cannot be read\n";
+        return std::nullopt;
+    }
+    auto config = format.decode(text.str());
+    if (!isOk(config)) {
+        const auto location = format.locate(text.str(), error(config));
+        errors << fmt::format("{}:{}: {}{}{}\n", name, location.line, location.field,
+                              location.field.empty() ? "" : ": ", error(config).message);
+        return std::nullopt;
+    }
+    return ConfigFile{name, text.str(), value(std::move(config))};
 }
 
-void printTable(const std::vector<ConfigFinding> &findings, std::ostream &out)
+/// A finding as it is printed.
+struct FindingRow
 {
-    size_t faultWidth = 0;
-    size_t subjectWidth = 0;
-    for (const auto &finding : findings) {
-        faultWidth = std::max(faultWidth, enumName(finding.fault).size());
-        subjectWidth = std::max(subjectWidth, finding.subject.size());
+    std::string file;
+    ConfigLocation location;
+    ConfigFinding finding;
+};
+
+void printTable(const std::vector<FindingRow> &rows, std::ostream &out)
+{
+    std::vector<std::array<std::string, 5>> table;
+    std::array<size_t, 5> widths = {};
+    for (const auto &row : rows) {
+        table.push_back({fmt::format("{}:{}", row.file, row.location.line),
+                         std::string(enumName(row.finding.kind)), row.finding.subject,
+                         row.location.field, row.finding.detail});
+        for (size_t i = 0; i < widths.size(); ++i)
+            widths[i] = std::max(widths[i], table.back()[i].size());
+    }
+    for (const auto &cells : table) {
+        for (size_t i = 0; i + 1 < widths.size(); ++i)
+            out << fmt::format("{:{}}  ", cells[i], widths[i]);
+        out << cells.back() << '\n';
     }
-    for (const auto &finding : findings)
-        out << fmt::format("{:{}}  {:{}}  {}\n", enumName(finding.fault), faultWidth,
-                           finding.subject, subjectWidth, finding.detail);
 }
 
-void printJson(const std::vector<ConfigFinding> &findings, std::ostream &out)
+void printJson(const std::vector<FindingRow> &rows, std::ostream &out)
 {
-    json::array rows;
-    for (const auto &finding : findings)
-        rows.push_back({{"finding", enumName(finding.fault)},
-                        {"subject", finding.subject},
-                        {"detail", finding.detail}});
-    out << json::serialize(rows) << '\n';
+    json::array list;
+    for (const auto &row : rows)
+        list.push_back({{"file", row.file},
+                        {"line", row.location.line},
+                        {"field", row.location.field},
+                        {"finding", enumName(row.finding.kind)},
+                        {"harmless", isHarmless(row.finding.kind)},
+                        {"subject", row.finding.subject},
+                        {"detail", row.finding.detail}});
+    out << json::serialize(list) << '\n';
 }
 
 } // namespace
 
-int checkFleetConfig(const FleetCheckOptions &options, const FleetConfigDecoder &decode,
+int checkFleetConfig(const FleetCheckOptions &options, const FleetConfigFormat &format,
                      std::ostream &out, std::ostream &errors)
 {
-    const auto read = [&](const std::string &file) {
-        auto config = readConfig(file, decode);
-        if (!isOk(config))
-            errors << file << ": " << error(config).message << '\n';
-        return config;
-    };
-    const auto config = read(options.file);
-    if (!isOk(config))
+    const auto current = readConfigFile(options.file, format, errors);
+    if (!current)
         return FleetCheckUnreadable;
-    auto findings = checkConfig(value(config));
+    std::optional<ConfigFile> previous;
+    auto findings = checkConfig(current->config);
+    size_t harmless = 0;
     if (!options.previousFile.empty()) {
-        const auto previous = read(options.previousFile);
-        if (!isOk(previous))
+        previous = readConfigFile(options.previousFile, format, errors);
+        if (!previous)
             return FleetCheckUnreadable;
-        const auto lost = compareConfigs(value(previous), value(config));
+        const auto lost = compareConfigs(previous->config, current->config);
         findings.insert(findings.end(), lost.begin(), lost.end());
+        const auto others = findHarmlessChanges(previous->config, current->config);
+        findings.insert(findings.end(), others.begin(), others.end());
+        harmless = others.size();
+    }
+    std::vector<FindingRow> rows;
+    for (const auto &finding : findings) {
+        const auto &file = finding.place.isEarlier ? *previous : *current;
+        rows.push_back({file.name, format.locate(file.text, finding.place), finding});
     }
-    (options.format == FleetCheckFormat::Json ? printJson : printTable)(findings, out);
-    return findings.empty() ? FleetCheckClean : FleetCheckFindings;
+    (options.format == FleetCheckFormat::Json ? printJson : printTable)(rows, out);
+    return findings.size() == harmless ? FleetCheckClean : FleetCheckFindings;
 }
 
 } // namespace tray
--- a/tests/platform/FleetCheckTest.cpp
+++ b/tests/platform/FleetCheckTest.cpp
@@ -1,7 +1,7 @@
 // The program check-fleet-config: its exit statuses and what it prints.
 #include "fleet/FleetCheck.h"
 
-#include "FleetJson.h"
+#include "ConfigFormat.h"
 #include "net/JsonFields.h"
 
 #include <cstdlib>
@@ -64,8 +64,7 @@
                            FleetCheckFormat format = FleetCheckFormat::Table) {
         out.str("");
         errors.str("");
-        const int status =
-            checkFleetConfig({file, previous, format}, parseFleetConfig, out, errors);
+        const int status = checkFleetConfig({file, previous, format}, ConfigFormat(), out, errors);
         CHECK((out.str() + errors.str()).find("sk-") == std::string::npos);
         return status;
     };
@@ -76,19 +75,33 @@
     SUBCASE("findings are rows of a table")
     {
         CHECK(check(faulty) == FleetCheckFindings);
-        CHECK(out.str() == "unknown_service  route r1  there is no service desk\n");
+        CHECK(out.str() == faulty + ":1  unknown_service  route r1  /routes/0/service  there is no "
+                                    "service desk\n");
         CHECK(check(faulty, sound) == FleetCheckFindings);
-        CHECK(out.str() == "unknown_service  route r1     there is no service desk\n"
-                           "keys_taken       account red  1 of its keys are no longer valid\n");
+        CHECK(out.str() ==
+              faulty +
+                  ":1  unknown_service   route r1     /routes/0/service    there is no "
+                  "service desk\n" +
+                  faulty +
+                  ":1  keys_taken        account red  /tenants/0/api_keys  1 of its keys "
+                  "are no longer valid\n" +
+                  faulty +
+                  ":1  services_changed  route r1     /routes/0/service    requests go to "
+                  "desk instead of shop\n");
     }
     SUBCASE("or a JSON array")
     {
         CHECK(check(faulty, sound, FleetCheckFormat::Json) == FleetCheckFindings);
         const auto document = parseJson(out.str());
         REQUIRE(isOk(document));
-        REQUIRE(value(document).as_array().size() == 2);
+        REQUIRE(value(document).as_array().size() == 3);
         CHECK(value(document).at(1).at("finding").as_string() == "keys_taken");
         CHECK(value(document).at(1).at("subject").as_string() == "account red");
+        CHECK(value(document).at(1).at("file").as_string() == faulty);
+        CHECK(value(document).at(1).at("line").as_int64() == 1);
+        CHECK(value(document).at(1).at("field").as_string() == "/tenants/0/api_keys");
+        CHECK_FALSE(value(document).at(1).at("harmless").as_bool());
+        CHECK(value(document).at(2).at("harmless").as_bool());
         CHECK(check(sound, "", FleetCheckFormat::Json) == FleetCheckClean);
         CHECK(out.str() == "[]\n");
     }
@@ -103,3 +116,104 @@
         }
     }
 }
+
+TEST_CASE("check-fleet-config tells the line and the field of what it finds")
+{
+    const FileDirectory directory;
+    std::ostringstream out;
+    std::ostringstream errors;
+    const auto check = [&](const std::string &file, const std::string &previous = "") {
+        out.str("");
+        errors.str("");
+        return checkFleetConfig({file, previous, FleetCheckFormat::Table}, ConfigFormat(), out,
+                                errors);
+    };
+    const std::string text = R"({"version": 1,
+ "routes": [
+  {"name": "r1", "host": "a.example", "path_prefix": "/x/", "kind": "safe",
+   "timeout_ms": 900,
+   "service": "shop",
+   "split": [{"service": "shop", "weight": 1},
+             {"service": "shop", "weight": 1}]},
+  {"name": "r2", "host": "a.example", "path_prefix": "/y/", "kind": "safe",
+   "timeout_ms": 900, "split": [
+    {"service": "shop", "weight": 1}]}],
+ "services": [{"name": "shop",
+   "engine": {"weights_mb": 10, "models": [
+     {"name": "m1", "weights_mb": 10},
+     {"name": "m2", "weights_mb": 9}]}}],
+ "limits": {
+   "max_body_bytes": 1000},
+ "tenants": [
+  {"name": "red",
+   "api_keys": ["sk-1",
+                "sk-2"],
+   "burst": 5}]}
+)";
+    const auto changed = [&](const std::string &from, const std::string &to) {
+        REQUIRE(text.find(from) != std::string::npos);
+        auto copy = text;
+        return directory.write("changed", copy.replace(text.find(from), from.size(), to));
+    };
+    const auto sound = directory.write("sound", text);
+    CHECK(check(sound) == FleetCheckClean);
+
+    SUBCASE("findings")
+    {
+        const auto checkFinding = [&](const std::string &file, size_t line,
+                                      const std::string &field) {
+            CHECK(check(file) == FleetCheckFindings);
+            CHECK(out.str().starts_with(fmt::format("{}:{} ", file, line)));
+            CHECK(out.str().find(" " + field + " ") != std::string::npos);
+        };
+        checkFinding(changed(R"("service": "shop",)", R"("service": "gone",)"), 5,
+                     "/routes/0/service");
+        checkFinding(changed(R"(             {"service": "shop")", R"({"service": "gone")"), 7,
+                     "/routes/0/split/1");
+        checkFinding(changed(R"(    {"service": "shop", "weight": 1}]}],)",
+                             R"(    {"service": "gone", "weight": 1}]}],)"),
+                     10, "/routes/1/split/0");
+        checkFinding(changed(R"("weights_mb": 9)", R"("weights_mb": 11)"), 14,
+                     "/services/0/engine/models/1");
+    }
+    SUBCASE("losses, in the file that has the value")
+    {
+        const auto lower = changed("1000}", "999}");
+        CHECK(check(lower, sound) == FleetCheckFindings);
+        CHECK(out.str().starts_with(lower + ":16 "));
+        const auto gone = changed("/y/", "/z/");
+        CHECK(check(gone, sound) == FleetCheckFindings);
+        CHECK(out.str().starts_with(sound + ":8 "));
+        CHECK(out.str().find("\n" + gone + ":8 ") != std::string::npos);
+    }
+    SUBCASE("changes that are harmless, which leave the exit status at 0")
+    {
+        const auto higher = changed("1000}", "1001}");
+        CHECK(check(higher, sound) == FleetCheckClean);
+        CHECK(out.str().starts_with(higher + ":16 "));
+        CHECK(out.str().find(" limit_raised ") != std::string::npos);
+    }
+    SUBCASE("errors")
+    {
+        const auto checkError = [&](const std::string &file, const std::string &start) {
+            CHECK(check(file) == FleetCheckUnreadable);
+            CHECK(errors.str().starts_with(file + ":" + start));
+            CHECK(errors.str().find("sk-") == std::string::npos);
+            CHECK(out.str().empty());
+        };
+        checkError(changed(R"("timeout_ms": 900,)", R"("timeout_ms": "900",)"),
+                   "4: /routes/0/timeout_ms: timeout_ms of route r1 ");
+        checkError(changed(R"("path_prefix": "/y/", )", ""), "8: /routes/1/path_prefix: ");
+        checkError(changed(R"(             {"service": "shop")", R"({"service": 7)"),
+                   "7: /routes/0/split/1: ");
+        checkError(changed(R"({"name": "shop")", R"({"name": 1)"), "11: /services/0/name: ");
+        checkError(changed(R"("sk-2")", "2"), "20: /tenants/0/api_keys/1: ");
+        checkError(changed(R"("burst": 5)", R"("burst": -5)"), "18: /tenants/0: ");
+        checkError(changed(R"("burst": 5)", R"("burst": [5])"), "21: /tenants/0/burst: ");
+        checkError(changed(R"({"name": "red")", R"({"name": "blue", "api_keys": ["sk-1"]},
+  {"name": "red")"),
+                   "17: /tenants: ");
+        checkError(changed(R"("version": 1,)", R"("version": -1,)"), "1: /version: ");
+        checkError(changed(R"("timeout_ms": 900,)", R"("timeout_ms": 900)"), "5: not valid JSON: ");
+    }
+}
--- a/tests/platform/FleetJsonTest.cpp
+++ b/tests/platform/FleetJsonTest.cpp
@@ -184,6 +184,7 @@
             REQUIRE_FALSE(isOk(refused));
             const auto &message = error(refused).message;
             CHECK(message.find("red") != std::string::npos);
+            CHECK(error(refused).field.starts_with("/tenants"));
             CHECK(message.find(change.named) != std::string::npos);
             CHECK(message.find(secret) == std::string::npos);
             CHECK(message.find("red-2") == std::string::npos);
