--- a/tests/platform/FleetCheckTest.cpp
+++ b/tests/platform/FleetCheckTest.cpp
@@ -175,6 +175,10 @@
                      10, "/routes/1/split/0");
         checkFinding(changed(R"("weights_mb": 9)", R"("weights_mb": 11)"), 14,
                      "/services/0/engine/models/1");
+        // A model without a name is not decoded, but counts in the document.
+        checkFinding(changed(R"({"name": "m1", "weights_mb": 10})",
+                             R"({"weights_mb": 10}, {"name": "m1", "weights_mb": 11})"),
+                     13, "/services/0/engine/models/1");
     }
     SUBCASE("losses, in the file that has the value")
     {
