--- a/fuzz/PlatformDocumentsFuzz.cpp
+++ b/fuzz/PlatformDocumentsFuzz.cpp
@@ -17,6 +17,7 @@
     const platform::ConfigFormat format;
     if (const auto parsed = format.decode(text); !isOk(parsed))
         format.locate(text, error(parsed));
+    const auto counts = format.countUpstreams(text);
     const auto document = parseJson(text);
     if (!isOk(document))
         return 0;
--- a/src/fleet/ConfigCheck.cpp
+++ b/src/fleet/ConfigCheck.cpp
@@ -473,6 +473,24 @@
     return findings;
 }
 
+std::vector<ConfigFinding> checkAttempts(const FleetConfig &config, const UpstreamCounts &counts)
+{
+    Findings findings;
+    for (const auto &route : config.routes) {
+        for (const auto &service : usedServices(route)) {
+            const auto count = counts.find(service);
+            const size_t upstreams = count == counts.end() ? 0 : count->second;
+            if (static_cast<size_t>(route.maxAttempts) > upstreams)
+                findings.push_back(
+                    {Kind::TooManyAttempts, placeOf(config, route, Field::Attempts),
+                     describe(route),
+                     fmt::format("up to {} attempts, but service {} has {} upstreams",
+                                 route.maxAttempts, service, upstreams)});
+        }
+    }
+    return findings;
+}
+
 std::vector<ConfigFinding> compareConfigs(const FleetConfig &before, const FleetConfig &after)
 {
     auto changes = findAllChanges(before, after);
--- a/src/fleet/ConfigCheck.h
+++ b/src/fleet/ConfigCheck.h
@@ -4,6 +4,8 @@
 
 #include "fleet/FleetConfig.h"
 
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +29,8 @@
     TimeoutUnderGoal,
     /// The burst of an account's quota is smaller than one of its requests.
     BurstUnderRequest,
+    /// A route allows more attempts than one of its services has upstreams.
+    TooManyAttempts,
     /// Callers of a host and path prefix find no route any more.
     RouteGone,
     /// Requests for a model of a service are refused.
@@ -59,6 +63,7 @@
         {ConfigFindingKind::NoRoomForModel, "no_room_for_model"},
         {ConfigFindingKind::TimeoutUnderGoal, "timeout_under_goal"},
         {ConfigFindingKind::BurstUnderRequest, "burst_under_request"},
+        {ConfigFindingKind::TooManyAttempts, "too_many_attempts"},
         {ConfigFindingKind::RouteGone, "route_gone"},
         {ConfigFindingKind::ModelGone, "model_gone"},
         {ConfigFindingKind::KeyNeeded, "key_needed"},
@@ -134,6 +139,12 @@
 /// Returns what is wrong in a configuration by itself. Findings never contain a key.
 std::vector<ConfigFinding> checkConfig(const FleetConfig &config);
 
+/// Number of upstreams that take requests, by service.
+using UpstreamCounts = std::map<std::string, size_t, std::less<>>;
+
+/// Returns the routes whose attempts can not all be used by this number of upstreams.
+std::vector<ConfigFinding> checkAttempts(const FleetConfig &config, const UpstreamCounts &counts);
+
 /// Returns what callers lose with a configuration that replaces another one. A route is compared
 /// with the one that takes its requests then, accounts and services with those of the same name.
 /// Findings never contain a key.
--- a/src/fleet/FleetCheck.cpp
+++ b/src/fleet/FleetCheck.cpp
@@ -24,9 +24,8 @@
     FleetConfig config;
 };
 
-/// Reads a file; prints an error and returns nullopt if it holds no configuration.
-std::optional<ConfigFile> readConfigFile(const std::string &name, const FleetConfigFormat &format,
-                                         std::ostream &errors)
+/// Reads a file; prints an error and returns nullopt if that fails.
+std::optional<std::string> readText(const std::string &name, std::ostream &errors)
 {
     std::ifstream input(name);
     std::ostringstream text;
@@ -34,14 +33,45 @@
         errors << name << ": the file cannot be read\n";
         return std::nullopt;
     }
-    auto config = format.decode(text.str());
+    return text.str();
+}
+
+void printError(const std::string &file, const std::string &text, const FleetConfigFormat &format,
+                const Error &problem, std::ostream &errors)
+{
+    const auto location = format.locate(text, problem);
+    errors << fmt::format("{}:{}: {}{}{}\n", file, location.line, location.field,
+                          location.field.empty() ? "" : ": ", problem.message);
+}
+
+/// Reads a file; prints an error and returns nullopt if it holds no configuration.
+std::optional<ConfigFile> readConfigFile(const std::string &name, const FleetConfigFormat &format,
+                                         std::ostream &errors)
+{
+    auto text = readText(name, errors);
+    if (!text)
+        return std::nullopt;
+    auto config = format.decode(*text);
     if (!isOk(config)) {
-        const auto location = format.locate(text.str(), error(config));
-        errors << fmt::format("{}:{}: {}{}{}\n", name, location.line, location.field,
-                              location.field.empty() ? "" : ": ", error(config).message);
+        printError(name, *text, format, error(config), errors);
+        return std::nullopt;
+    }
+    return ConfigFile{name, std::move(*text), value(std::move(config))};
+}
+
+/// Reads a file; prints an error and returns nullopt if it holds no instance list.
+std::optional<UpstreamCounts>
+readUpstreamCounts(const std::string &name, const FleetConfigFormat &format, std::ostream &errors)
+{
+    const auto text = readText(name, errors);
+    if (!text)
+        return std::nullopt;
+    auto counts = format.countUpstreams(*text);
+    if (!isOk(counts)) {
+        printError(name, *text, format, error(counts), errors);
         return std::nullopt;
     }
-    return ConfigFile{name, text.str(), value(std::move(config))};
+    return value(std::move(counts));
 }
 
 /// A finding as it is printed.
@@ -95,6 +125,13 @@
     std::optional<ConfigFile> previous;
     auto findings = checkConfig(current->config);
     size_t harmless = 0;
+    if (!options.upstreamFile.empty()) {
+        const auto counts = readUpstreamCounts(options.upstreamFile, format, errors);
+        if (!counts)
+            return FleetCheckUnreadable;
+        const auto excessive = checkAttempts(current->config, *counts);
+        findings.insert(findings.end(), excessive.begin(), excessive.end());
+    }
     if (!options.previousFile.empty()) {
         previous = readConfigFile(options.previousFile, format, errors);
         if (!previous)
--- a/src/fleet/FleetCheck.h
+++ b/src/fleet/FleetCheck.h
@@ -17,6 +17,8 @@
     /// File with the version that it replaces; empty if there is none.
     std::string previousFile;
     FleetCheckFormat format = FleetCheckFormat::Table;
+    /// File with the instance list, against which attempts are checked; empty if there is none.
+    std::string upstreamFile;
 };
 
 /// Exit statuses of the program.
@@ -40,9 +42,11 @@
     virtual ~FleetConfigFormat() = default;
 
     virtual Result<FleetConfig> decode(const std::string &text) const = 0;
+    /// Counts the upstreams of an instance list that take requests.
+    virtual Result<UpstreamCounts> countUpstreams(const std::string &text) const = 0;
     /// Finds the place of a decoded configuration in the text that it comes from.
     virtual ConfigLocation locate(const std::string &text, const ConfigPlace &place) const = 0;
-    /// Finds the cause of an error of decode() in the text.
+    /// Finds the cause of an error of decode() or countUpstreams() in the text.
     virtual ConfigLocation locate(const std::string &text, const Error &error) const = 0;
 };
 
--- a/tests/fleet/ConfigCheckTest.cpp
+++ b/tests/fleet/ConfigCheckTest.cpp
@@ -147,6 +147,27 @@
     }
 }
 
+TEST_CASE("The check finds more attempts than a service has upstreams")
+{
+    auto config = makeConfig();
+    config.routes[0].maxAttempts = 3;
+    CHECK(checkAttempts(config, {{"shop", 3}}).empty());
+    checkOnly(checkAttempts(config, {{"shop", 2}}), ConfigFindingKind::TooManyAttempts,
+              "route look");
+    SUBCASE("for each service that gets requests")
+    {
+        config.routes[0].services = {{"shop", 1}, {"desk", 0}};
+        CHECK(checkAttempts(config, {{"shop", 3}}).empty());
+        config.routes[0].services[1].weight = 1;
+        checkOnly(checkAttempts(config, {{"shop", 3}}), ConfigFindingKind::TooManyAttempts,
+                  "route look");
+    }
+    SUBCASE("and none at all")
+    {
+        CHECK(checkAttempts(config, {}).size() == 2);
+    }
+}
+
 TEST_CASE("The comparison finds what callers lose")
 {
     const auto before = makeConfig();
--- a/tests/platform/FleetCheckTest.cpp
+++ b/tests/platform/FleetCheckTest.cpp
@@ -221,3 +221,46 @@
         checkError(changed(R"("timeout_ms": 900,)", R"("timeout_ms": 900)"), "5: not valid JSON: ");
     }
 }
+
+TEST_CASE("check-fleet-config compares attempts with the instance list")
+{
+    const FileDirectory directory;
+    const auto config = directory.write("config", configText("shop", ""));
+    std::ostringstream out;
+    std::ostringstream errors;
+    const auto check = [&](const std::string &list) {
+        out.str("");
+        errors.str("");
+        return checkFleetConfig(
+            {config, "", FleetCheckFormat::Table, directory.write("list", list)}, ConfigFormat(),
+            out, errors);
+    };
+    const auto item = [](const std::string &name, const std::string &state) {
+        return fmt::format(R"({{"metadata":{{"name":"{}"}},"spec":{{"service":"shop",)"
+                           R"("address":"127.0.0.1:80","zone":"a","slots":1,"state":"{}",)"
+                           R"("sequence":0}}}})",
+                           name, state);
+    };
+    CHECK(check(fmt::format(R"({{"items":[{}],"more":false}})", item("i-1", "ready"))) ==
+          FleetCheckClean);
+    CHECK(out.str().empty());
+
+    SUBCASE("entries that drain or cannot be decoded are not counted")
+    {
+        CHECK(check(fmt::format(R"({{"items":[{},{{}}]}})", item("i-1", "draining"))) ==
+              FleetCheckFindings);
+        CHECK(out.str() == config + ":1  too_many_attempts  route r1  /routes/0/max_attempts  up "
+                                    "to 1 attempts, but service shop has 0 upstreams\n");
+    }
+    SUBCASE("a list that is not whole is refused")
+    {
+        for (const auto &[text, field] : std::vector<std::pair<std::string, std::string>>{
+                 {"{\n\"items\":[],\n\"more\":true}", ":3: /more: "},
+                 {"{\n\"objects\":[]}", ":1: /items: "},
+                 {"{\n\"items\":[}", ":2: not valid JSON"}}) {
+            CHECK(check(text) == FleetCheckUnreadable);
+            CHECK(errors.str().find("list" + field) != std::string::npos);
+            CHECK(out.str().empty());
+        }
+    }
+}
