Pass resets on in the relay stand-in

The relay passed a reset on as an orderly end. An answer without a length is complete when its connection ends in order, so a gateway behind the relay can't know that such an answer was broken off. The stub's unfinished bytes after the last event, which would show it, can be lost with the reset. A relayed connection now ends as it ended: reset after the bytes that had arrived, or in order.

--- a/fakes/Relay.cpp
+++ b/fakes/Relay.cpp
@@ -39,6 +39,15 @@
         : client(std::move(accepted)), server(client.get_executor())
     {}
 
+    /// Resets both connections, as a host does that loses its state.
+    void reset()
+    {
+        boost::system::error_code ignored;
+        this->client.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->server.set_option(asio::socket_base::linger(true, 0), ignored);
+        this->close();
+    }
+
     void close()
     {
         boost::system::error_code ignored;
@@ -67,6 +76,8 @@
     std::deque<Chunk> chunks;
     size_t bytes = 0;
     bool ended = false;
+    // The sender has reset its connection, so that its data is incomplete.
+    bool isReset = false;
     // Cancelled on each change, to wake the reader or the writer up.
     asio::steady_timer changed;
 };
@@ -143,8 +154,10 @@
         while (connection->open) {
             std::string data(ChunkBytes, '\0');
             const auto [code, size] = co_await from.async_read_some(asio::buffer(data), Await);
-            if (code)
+            if (code) {
+                queue->isReset = code != asio::error::eof;
                 break;
+            }
             data.resize(size);
             if (connection->blackholed)
                 continue;
@@ -184,23 +197,31 @@
                 co_await asio::async_write(to, asio::buffer(chunk.data), Await);
             queue->bytes -= chunk.data.size();
             queue->changed.cancel();
-            if (code)
+            if (code) {
+                queue->isReset = true;
                 break;
+            }
         }
-        this->endDirection(connection, to);
+        this->endDirection(connection, to, queue->isReset);
     }
 
-    /// Passes the end of one direction on. The connection closes when both directions have ended.
-    void endDirection(const ConnectionPtr &connection, tcp::socket &to)
+    /// Passes the end of one direction on. The connection closes when both directions have ended,
+    /// or with the first reset.
+    void endDirection(const ConnectionPtr &connection, tcp::socket &to, bool isReset)
     {
         // A blackholed connection stays open for its peers, as if the network path had failed.
         if (connection->blackholed)
             return;
         boost::system::error_code ignored;
-        to.shutdown(tcp::socket::shutdown_send, ignored);
-        if (connection->open && ++this->endedDirections[connection.get()] < 2)
-            return;
-        connection->close();
+        if (connection->open && !isReset) {
+            to.shutdown(tcp::socket::shutdown_send, ignored);
+            if (++this->endedDirections[connection.get()] < 2)
+                return;
+        }
+        if (isReset)
+            connection->reset();
+        else
+            connection->close();
         this->endedDirections.erase(connection.get());
         this->openConnections.erase(connection);
     }
@@ -210,12 +231,8 @@
         const auto connections = std::move(this->openConnections);
         this->openConnections.clear();
         this->endedDirections.clear();
-        for (const auto &connection : connections) {
-            boost::system::error_code ignored;
-            connection->client.set_option(asio::socket_base::linger(true, 0), ignored);
-            connection->server.set_option(asio::socket_base::linger(true, 0), ignored);
-            connection->close();
-        }
+        for (const auto &connection : connections)
+            connection->reset();
     }
 
     asio::io_context &context;
