Tell an upstream that resets probes from one that has ended

Cause: a probe whose connection is reset counted as refused, so that all gateways doubted the engine's software version and counted a crash for each request on a broken connection. A host also resets connections just before the port of a process that ends is closed, so a reset alone tells neither. Such a probe is now repeated, 3 times in 100 ms at most: a process that goes on resetting connections is running, and one that has ended refuses the next probe.

Looked for the same elsewhere: no other place in src or platform judges a connection by this error.

--- a/src/gateway/SuspectExchange.cpp
+++ b/src/gateway/SuspectExchange.cpp
@@ -2,6 +2,7 @@
 #include "gateway/SuspectExchange.h"
 
 #include "net/KeepRunning.h"
+#include "net/Pause.h"
 #include "observe/DecisionLog.h"
 
 #include <fmt/format.h>
@@ -15,6 +16,10 @@
 // Time within which a host refuses a connection to a process that has ended. It covers a round trip
 // between regions.
 constexpr Duration ProbeTimeout = milliseconds(600);
+// Number of probes that an upstream resets before it counts as running, and the time between them:
+// an upstream that ends may reset a connection just before its port closes.
+constexpr int MaxResetProbes = 3;
+constexpr Duration ResetProbeInterval = milliseconds(50);
 
 void logSuspects(const std::vector<proto::Suspect> &suspects, std::string_view source, Instant now)
 {
@@ -62,17 +67,25 @@
 {
     // A connection may break while a probe is under way, which then says nothing about that break.
     bool isOpen = true;
+    int resets = 0;
     while (isOpen) {
         const Instant began = clockNow();
         const ProbeResult result = co_await this->client.probe(address, ProbeTimeout);
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=probe upstream={} result={} ms={}", upstream,
                                 enumName(result), toMs(clockNow() - began)));
+        resets = result == ProbeResult::Reset ? resets + 1 : 0;
+        if (resets > 0 && resets < MaxResetProbes) {
+            co_await pauseFor(ResetProbeInterval);
+            continue;
+        }
         if (result == ProbeResult::Refused) {
             this->peers.upstreamRefused(upstream, startedAtMs);
             this->handleUpstreamEnd(upstream, clockNow());
         }
-        isOpen = result == ProbeResult::Accepted && this->tracker.recordAlive(upstream, began);
+        const bool isRunning = result == ProbeResult::Accepted || result == ProbeResult::Reset;
+        isOpen = isRunning && this->tracker.recordAlive(upstream, began);
+        resets = 0;
     }
     this->probed.erase(upstream);
     this->peers.upstreamProbed();
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -431,9 +431,9 @@
         self->returnToPool(toString(address), connection);
         co_return ProbeResult::Accepted;
     }
-    const bool isRefused =
-        code == asio::error::connection_refused || code == asio::error::connection_reset;
-    co_return isRefused ? ProbeResult::Refused : ProbeResult::Silent;
+    if (code == asio::error::connection_refused)
+        co_return ProbeResult::Refused;
+    co_return code == asio::error::connection_reset ? ProbeResult::Reset : ProbeResult::Silent;
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>>
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -18,6 +18,8 @@
     Accepted,
     /// The host answered that nothing listens at the port.
     Refused,
+    /// The connection was reset: the process is at its limit of connections, or is ending.
+    Reset,
     /// The host did not answer in time, or is unreachable.
     Silent
 };
@@ -28,6 +30,7 @@
     static constexpr auto Table = std::to_array<EnumName<ProbeResult>>({
         {ProbeResult::Accepted, "accepted"},
         {ProbeResult::Refused, "refused"},
+        {ProbeResult::Reset, "reset"},
         {ProbeResult::Silent, "silent"},
     });
 };
