Don't put off the read of a newer configuration with each further version

Cause: a gateway reads the configuration explicitly 0.7 s after a peer has reported a newer one, and each further version began this time anew. Versions that came faster put the read off until the series ended. The time now runs from the first report of a newer version, the last new version here, or the last such read, whichever is latest. A gateway whose watch works reads no more often than before.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -448,11 +448,14 @@
                                 reading.config->version, reading.revision, this->config->version));
         return;
     }
+    const Instant now = clockNow();
+    if (!this->config || reading.config->version > this->config->version)
+        this->configReadDueAt = now + PeerConfigReadDelay;
     this->config = reading.config;
     this->dispatcher.setHasAccounts(this->config->accounts != nullptr);
     this->versionRecords.handleConfig(*this->config);
     this->callerServer.setLimits(toServerLimits(this->config->limits));
-    logDecision(LogPriority::Notable, clockNow(),
+    logDecision(LogPriority::Notable, now,
                 fmt::format("event=config_in_force version={} revision={} routes={}",
                             this->config->version, reading.revision, this->config->routes.size()));
 }
@@ -635,20 +638,23 @@
         const Instant now = clockNow();
         // The watch of the configuration may hang without an error, so a newer version that a peer
         // has reported is read explicitly.
-        const bool isBehind = this->config && this->peerConfigVersion > this->config->version &&
-                              now >= this->peerConfigReportedAt + PeerConfigReadDelay;
-        if (isBehind) {
+        if (this->isConfigOutdated() && now >= this->configReadDueAt) {
             const auto reading = co_await this->store.readConfig();
             if (isOk(reading))
                 this->applyConfig(value(reading));
             else
                 this->recordStoreFailure(now, Duration::zero(), error(reading).message);
-            this->peerConfigReportedAt = clockNow();
+            this->configReadDueAt = clockNow() + PeerConfigReadDelay;
         }
         co_await pauseFor(ListRelay::HeartbeatPeriod);
     }
 }
 
+bool Gateway::isConfigOutdated() const
+{
+    return this->config && this->peerConfigVersion > this->config->version;
+}
+
 void Gateway::sendListUpdate(proto::ListWord update)
 {
     update.set_config_version(this->config ? this->config->version : 0);
@@ -663,10 +669,11 @@
 void Gateway::handleListUpdate(const proto::ListWord &update)
 {
     const Instant now = clockNow();
-    if (update.config_version() > this->peerConfigVersion) {
-        this->peerConfigVersion = update.config_version();
-        this->peerConfigReportedAt = now;
-    }
+    const bool wasOutdated = this->isConfigOutdated();
+    this->peerConfigVersion = std::max(this->peerConfigVersion, update.config_version());
+    // Further versions do not put off the read: a series of them may be long.
+    if (!wasOutdated && this->isConfigOutdated())
+        this->configReadDueAt = now + PeerConfigReadDelay;
     const auto changes = this->listRelay.handleUpdate(update, now);
     // A reader sends updates only while the store answers it.
     if (this->upstreamsKnown && !update.resigns() &&
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -88,6 +88,8 @@
     boost::asio::awaitable<void> listUpdateLoop();
     /// Reads the configuration if a peer has reported a newer version.
     boost::asio::awaitable<void> catchUpConfig();
+    /// Returns whether a peer has reported a newer version of the configuration.
+    bool isConfigOutdated() const;
     /// Reads the configuration if its watch may hang because the store has failed recently.
     boost::asio::awaitable<void> refreshConfig();
     boost::asio::awaitable<void> subscribeLoop();
@@ -149,10 +151,11 @@
     ListRelay listRelay;
     // A peer's report on the instance list has arrived.
     AsyncCondition listUpdateArrived;
-    // Newest version of the configuration that a peer has reported, and the time of the report or
-    // of the last read that it caused.
+    // Newest version of the configuration that a peer has reported.
     uint64_t peerConfigVersion = 0;
-    Instant peerConfigReportedAt{};
+    // Time from which the configuration is read explicitly while a peer's version is newer: some
+    // time after the first such report, the last new version here and the last explicit read.
+    Instant configReadDueAt{};
     Dispatcher dispatcher;
     DemandMeter demand;
     AsyncCondition snapshotArrived;
--- a/tests/platform/ListUpdateTest.cpp
+++ b/tests/platform/ListUpdateTest.cpp
@@ -92,6 +92,42 @@
     CHECK(clockNow() - changedAt < std::chrono::seconds(5));
 }
 
+TEST_CASE("A configuration whose watch hangs is in force within seconds while a series of newer "
+          "versions follows")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {StubUpstream::sealedAnswer(request, 200, "first")};
+    });
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    std::string config = Config;
+    int version = 1;
+    const auto change = [&](const std::string &from, const std::string &to) {
+        config.replace(config.find(from), from.size(), to);
+    };
+    // Another gateway reads the instance list and reports its version of the configuration.
+    const auto publishNext = [&] {
+        change(fmt::format(R"("version":{})", version),
+               fmt::format(R"("version":{})", version + 1));
+        ++version;
+        fixture.store.put("config", "main", config);
+        proto::Datagram datagram;
+        auto *listUpdate = datagram.mutable_list_word();
+        listUpdate->set_rank(0);
+        listUpdate->set_revision(fixture.store.currentRevision());
+        listUpdate->set_config_version(static_cast<uint64_t>(version));
+        fixture.steward.send(fixture.datagrams, datagram);
+        fixture.runFor(milliseconds(330));
+    };
+    publishNext();
+    fixture.runFor(milliseconds(700));
+    fixture.store.lostWatchAnswers["config"] = 1;
+    change("/look/", "/new/");
+    for (int i = 0; i < 8; ++i)
+        publishNext();
+    REQUIRE(fixture.store.lostWatchAnswers["config"] == 0);
+    CHECK(fixture.statusOf("/new/1") == 200);
+}
+
 TEST_CASE("A watch that is cut off once does not prolong the use of an upstream that is removed")
 {
     GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
