Let stewards take up what a later configuration states about their engines

Cause: a steward read the configuration once. Gateways now name their version in each subscription, and a digest of what it states about the engine. A steward reads the configuration again if the version is newer and the digest differs from its own, once a second at most. Versions that change routes only cost stewards no call to the store. The digest is a stable hash of the decoded values, so that machines of both kinds agree. Instances of an earlier release send neither field and cause no read.

New tests: the steward loads the added model, reads nothing for a version that states the same and nothing for a gateway of an earlier release; the digest changes with each value. Not played: a change of the models at a site with hundreds of machines.

--- a/src/fleet/FleetConfig.cpp
+++ b/src/fleet/FleetConfig.cpp
@@ -1,8 +1,11 @@
 // Finds routes, services and models in a configuration.
 #include "fleet/FleetConfig.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 #include <cassert>
+#include <fmt/format.h>
 
 namespace tray {
 
@@ -13,6 +16,17 @@
     return found == this->models.end() ? nullptr : &*found;
 }
 
+uint64_t EngineSpec::digest() const
+{
+    std::string text = fmt::format("{} {} {} {} {}", this->weightsMb, this->adapterSlots,
+                                   this->slots, this->kvCapacityTokens, this->loadsPerSecond);
+    for (const auto &model : this->models)
+        text +=
+            fmt::format("\n{} {} {} {} {} {}", model.name, model.weightsMb, model.adapterMb,
+                        toMs(model.loadTime), toMs(model.memoryLoadTime), toMs(model.diskLoadTime));
+    return std::max<uint64_t>(hash64(text), 1);
+}
+
 const Route *FleetConfig::findRoute(std::string_view host, std::string_view path) const
 {
     const Route *best = nullptr;
--- a/src/fleet/FleetConfig.h
+++ b/src/fleet/FleetConfig.h
@@ -98,6 +98,9 @@
     double loadsPerSecond = 0;
 
     const ModelSpec *findModel(std::string_view name) const;
+    /// Returns a hash of all values, by which instances find out whether theirs are the same; never
+    /// 0.
+    uint64_t digest() const;
 };
 
 struct ServiceSpec
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -452,6 +452,11 @@
     if (!this->config || reading.config->version > this->config->version)
         this->configReadDueAt = now + PeerConfigReadDelay;
     this->config = reading.config;
+    this->engineDigests.clear();
+    for (const auto &service : this->config->services) {
+        if (service.engine)
+            this->engineDigests[service.name] = service.engine->digest();
+    }
     this->dispatcher.setHasAccounts(this->config->accounts != nullptr);
     this->versionRecords.handleConfig(*this->config);
     this->callerServer.setLimits(toServerLimits(this->config->limits));
@@ -748,6 +753,8 @@
         static_cast<uint32_t>(toMs(isRemote ? RemoteSnapshotPeriod : SnapshotPeriod)));
     subscribe->set_with_copies(plans);
     subscribe->set_store_era(this->store.era());
+    subscribe->set_config_version(this->config->version);
+    subscribe->set_engine_digest(this->engineDigests.at(entry.service));
     this->datagrams.send(this->stewardAddress(entry), std::move(datagram));
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -147,6 +147,8 @@
     DatagramPort datagrams;
 
     std::shared_ptr<const FleetConfig> config;
+    // Digests of what the configuration states about the engines of each service that has some.
+    std::map<std::string, uint64_t> engineDigests;
     UpstreamDirectory directory;
     ListRelay listRelay;
     // A peer's report on the instance list has arrived.
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -41,6 +41,8 @@
 constexpr Duration BacklogDrainTime = milliseconds(100);
 // Time at the end of the stop's grace period that is reserved for the exit of the process.
 constexpr Duration ExitMargin = milliseconds(400);
+// Least time between two reads of the configuration that gateways cause.
+constexpr Duration MinConfigReadInterval = std::chrono::seconds(1);
 constexpr Duration InitialRetryBackoff = milliseconds(200);
 constexpr Duration MaxRetryBackoff = std::chrono::seconds(1);
 
@@ -170,16 +172,43 @@
 asio::awaitable<void> Steward::readConfiguration()
 {
     const auto reading = co_await this->store.readConfig();
-    if (isOk(reading)) {
-        this->config = value(reading).config;
+    if (!isOk(reading)) {
         logDecision(LogPriority::Notable, clockNow(),
-                    fmt::format("event=config_in_force version={}", this->config->version));
-        const auto *spec = this->engineSpec();
-        this->admissions.noteConfig(this->config->version,
-                                    spec ? EngineCapacity{spec->slots, spec->kvCapacityTokens}
-                                         : EngineCapacity{},
-                                    clockNow());
+                    fmt::format("event=store_failed call=read_config reason=\"{}\"",
+                                error(reading).message));
+        co_return;
     }
+    // A store that was restored from a copy has an older one.
+    if (this->config && value(reading).config->version < this->config->version)
+        co_return;
+    this->config = value(reading).config;
+    const auto *spec = this->engineSpec();
+    this->engineDigest = spec ? spec->digest() : 0;
+    logDecision(LogPriority::Notable, clockNow(),
+                fmt::format("event=config_in_force version={} models={}", this->config->version,
+                            spec ? spec->models.size() : 0));
+    this->admissions.noteConfig(
+        this->config->version,
+        spec ? EngineCapacity{spec->slots, spec->kvCapacityTokens} : EngineCapacity{}, clockNow());
+}
+
+void Steward::noteGatewayConfig(uint64_t version, uint64_t digest, Instant now)
+{
+    const bool isOutdated = this->config && version > this->config->version && digest != 0 &&
+                            digest != this->engineDigest;
+    if (!isOutdated || this->configReadRunning || this->stopping ||
+        now < this->configReadAt + MinConfigReadInterval)
+        return;
+    this->configReadRunning = true;
+    this->configReadAt = now;
+    keepRunning(this->context, "refresh_config", [this] { return this->refreshConfiguration(); });
+}
+
+asio::awaitable<void> Steward::refreshConfiguration()
+{
+    co_await this->readConfiguration();
+    this->configReadRunning = false;
+    this->startOrderLoop();
 }
 
 asio::awaitable<Result<uint64_t>> Steward::raiseFencingToken()
@@ -404,6 +433,7 @@
         this->upstreamId = subscribe.upstream_id();
         this->listedStartedAtMs = subscribe.born_ms();
         this->reportedEra = std::max(this->reportedEra, subscribe.store_era());
+        this->noteGatewayConfig(subscribe.config_version(), subscribe.engine_digest(), now);
         auto &subscriber = this->subscribers[datagram.sender()];
         subscriber.address = sender;
         subscriber.expiresAt = now + SubscriptionLifetime;
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -57,6 +57,10 @@
     /// Replaces the text of this instance's record. Returns its new revision.
     boost::asio::awaitable<Result<uint64_t>> writeRecordText(std::string text);
     boost::asio::awaitable<void> readConfiguration();
+    /// Reads the configuration again if a gateway has a newer version that states something else
+    /// about the engine. Other versions don't concern a steward.
+    void noteGatewayConfig(uint64_t version, uint64_t digest, Instant now);
+    boost::asio::awaitable<void> refreshConfiguration();
     boost::asio::awaitable<void> reportLoop();
     boost::asio::awaitable<void> runOrderLoop();
 
@@ -87,6 +91,11 @@
     AdmissionService admissions;
     OrderPlanner planner;
     std::shared_ptr<const FleetConfig> config;
+    // Digest of what the configuration states about the engine; 0 if nothing.
+    uint64_t engineDigest = 0;
+    // Time of the last read of the configuration that a gateway caused, and whether it still runs.
+    Instant configReadAt{};
+    bool configReadRunning = false;
     // Id and start time of the engine in the instance list, as sent by the gateways.
     std::string upstreamId;
     uint64_t listedStartedAtMs = 0;
--- a/tests/fleet/FleetConfigTest.cpp
+++ b/tests/fleet/FleetConfigTest.cpp
@@ -32,6 +32,28 @@
     CHECK(config.findRoute("c.example", "/x/1") == nullptr);
 }
 
+TEST_CASE("The digest of an engine's specification shows each change")
+{
+    EngineSpec spec;
+    spec.models.push_back({"m1", 70000, 60, std::chrono::seconds(9)});
+    EngineSpec other = spec;
+    CHECK(other.digest() == spec.digest());
+    CHECK(EngineSpec().digest() != 0);
+    SUBCASE("of the engine")
+    {
+        other.slots = 1;
+    }
+    SUBCASE("of a model")
+    {
+        other.models.front().diskLoadTime += milliseconds(1);
+    }
+    SUBCASE("of the list of models")
+    {
+        other.models.push_back({"m2", 70000, 60, std::chrono::seconds(9)});
+    }
+    CHECK(other.digest() != spec.digest());
+}
+
 TEST_CASE("A split route spreads its requests by weight")
 {
     Route route = makeRoute("split", "a.example", "/");
--- a/tests/steward/StewardTest.cpp
+++ b/tests/steward/StewardTest.cpp
@@ -24,16 +24,21 @@
 {
 public:
     uint64_t era() const override { return this->currentEra; }
-    Awaitable<ConfigSnapshot> readConfig() override
+    std::shared_ptr<EngineSpec> makeEngineSpec() const
     {
         auto spec = std::make_shared<EngineSpec>();
         spec->weightsMb = 220000;
         spec->adapterSlots = 4;
-        for (int i = 0; i < 6; ++i)
+        for (int i = 0; i < this->configModels; ++i)
             spec->models.push_back({"m" + std::to_string(i), 70000, 60, std::chrono::seconds(9)});
+        return spec;
+    }
+    Awaitable<ConfigSnapshot> readConfig() override
+    {
+        ++this->configReads;
         auto config = std::make_shared<FleetConfig>();
-        config->version = 1;
-        config->services.push_back({"engines", 100, spec});
+        config->version = this->configVersion;
+        config->services.push_back({"engines", 100, this->makeEngineSpec()});
         co_return ConfigSnapshot{config, 1};
     }
     Awaitable<ConfigSnapshot> awaitConfig(uint64_t, Duration) override { co_return unused(); }
@@ -63,6 +68,10 @@
     static Error unused() { return {ErrorKind::PlatformUnavailable, "not part of this test"}; }
 
     std::map<std::string, Record> records;
+    uint64_t configVersion = 1;
+    /// Number of models in the configuration.
+    int configModels = 6;
+    int configReads = 0;
     uint64_t revision = 10;
     uint64_t currentEra = 0;
     int writes = 0;
@@ -135,6 +144,8 @@
         datagram.mutable_subscribe()->set_period_ms(periodMs);
         datagram.mutable_subscribe()->set_with_copies(withCopies);
         datagram.mutable_subscribe()->set_store_era(this->reportedEra);
+        datagram.mutable_subscribe()->set_config_version(this->store.configVersion);
+        datagram.mutable_subscribe()->set_engine_digest(this->reportedEngineDigest);
         this->port.send(this->address, datagram);
     }
 
@@ -224,6 +235,8 @@
     Address address;
     /// Era of the store that the gateway reports with its subscriptions.
     uint64_t reportedEra = 0;
+    /// Digest of the engine's part of the gateway's configuration.
+    uint64_t reportedEngineDigest = 0;
     /// Identity and start time of the engine in the instance list of the gateway.
     std::string upstreamId = "i-1";
     uint64_t listedStartedAtMs = 5;
@@ -693,6 +706,47 @@
     }
 }
 
+TEST_CASE("A steward loads models that a later configuration adds")
+{
+    // Guards against models that no engine can serve until its steward restarts.
+    constexpr uint64_t OtherDigest = 7;
+    StewardFixture fixture;
+    fixture.start();
+    fixture.subscribe();
+    fixture.runFor(milliseconds(400));
+    REQUIRE(fixture.store.configReads == 1);
+    fixture.store.configVersion = 2;
+    fixture.store.configModels = 7;
+    fixture.requestModels(1, {"m6"});
+    fixture.runFor(milliseconds(400));
+    REQUIRE(fixture.loadedModels().empty());
+
+    SUBCASE("as soon as a gateway subscribes with a newer version that differs for its engine")
+    {
+        fixture.reportedEngineDigest = OtherDigest;
+        for (int i = 0; i < 4; ++i) {
+            fixture.subscribe();
+            fixture.runFor(milliseconds(100));
+        }
+        CHECK(fixture.store.configReads == 2);
+        CHECK(fixture.loadedModels() == std::vector<std::string>{"m6"});
+    }
+    SUBCASE("and reads no version that states the same about its engine")
+    {
+        fixture.store.configModels = 6;
+        fixture.reportedEngineDigest = fixture.store.makeEngineSpec()->digest();
+        fixture.subscribe();
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.store.configReads == 1);
+    }
+    SUBCASE("and reads nothing for a gateway of an earlier release")
+    {
+        fixture.subscribe();
+        fixture.runFor(milliseconds(400));
+        CHECK(fixture.store.configReads == 1);
+    }
+}
+
 TEST_CASE("A steward grants a queued prompt once its engine has time for it")
 {
     StewardFixture fixture;
