--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -3,6 +3,7 @@
 #include "StubStore.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
 using namespace tray;
@@ -99,6 +100,25 @@
     }
 }
 
+TEST_CASE("A store call without an answer closes the idle connections to the store")
+{
+    // Guards against calls that wait for their timeout one after the other, each on another
+    // connection that has fallen silent.
+    asio::io_context context;
+    test::StubStore store(context);
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+    for (int i = 0; i < 3; ++i)
+        asio::co_spawn(
+            context, [&]() -> asio::awaitable<void> { (void)co_await client.readUpstreams(); },
+            asio::detached);
+    context.run_for(milliseconds(300));
+    REQUIRE(http.pooled() == 3);
+    store.neverRespond = true;
+    REQUIRE_FALSE(isOk(runCall(context, client.readUpstreams())));
+    CHECK(http.pooled() == 0);
+}
+
 TEST_CASE("The store client reads, follows and writes objects")
 {
     asio::io_context context;
