--- a/fakes/FakeEngine.cpp
+++ b/fakes/FakeEngine.cpp
@@ -3,6 +3,7 @@
 
 #include "FakeHttp.h"
 #include "base/Hash.h"
+#include "net/UriEncoding.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -295,7 +296,9 @@
 
 asio::awaitable<void> FakeEngine::Impl::serveStream(HttpRequest request, HttpResponder &responder)
 {
-    const std::string id(pathOf(request.target).substr(std::string_view("/v1/streams/").size()));
+    const auto id =
+        percentDecode(pathOf(request.target).substr(std::string_view("/v1/streams/").size()))
+            .value_or("");
     if (request.method == "DELETE") {
         const auto found = this->streams.find(id);
         if (found != this->streams.end())
--- a/fakes/FakePlatform.cpp
+++ b/fakes/FakePlatform.cpp
@@ -3,6 +3,7 @@
 
 #include "PlatformInstances.h"
 #include "PlatformStore.h"
+#include "net/UriEncoding.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -78,13 +79,6 @@
     return makeResponse(200, "application/json", json::serialize(body));
 }
 
-std::string decodePath(std::string_view path)
-{
-    // queryParameter() decodes percent encoding. It also decodes a plus sign, which has no special
-    // meaning in paths, but no key contains one.
-    return queryParameter("?k=" + std::string(path), "k");
-}
-
 /// Parses a number, with or without quotes, such as that of an ETag; 0 if there is none.
 uint64_t parseNumber(std::string_view text)
 {
@@ -218,8 +212,11 @@
         static constexpr std::string_view Instances = "/v1/instances";
         const std::string path(pathOf(request.target));
         const std::lock_guard lock(this->mutex);
-        if (path.starts_with(Objects))
-            return this->handleObject(request, decodePath(path.substr(Objects.size())));
+        if (path.starts_with(Objects)) {
+            const auto key = percentDecode(std::string_view(path).substr(Objects.size()));
+            return key ? this->handleObject(request, *key)
+                       : messageResponse(400, "the key is not encoded");
+        }
         if (path == "/v1/list") {
             json::object body;
             body["revision"] = this->store.revision();
@@ -229,8 +226,11 @@
         }
         if (path == Instances)
             return this->handleInstanceList(now);
-        if (path.starts_with(std::string(Instances) + "/"))
-            return this->handleInstance(request, path.substr(Instances.size() + 1), now);
+        if (path.starts_with(std::string(Instances) + "/")) {
+            const auto id = percentDecode(std::string_view(path).substr(Instances.size() + 1));
+            return id ? this->handleInstance(request, *id, now)
+                      : messageResponse(400, "the id is not encoded");
+        }
         return messageResponse(404, "no such path");
     }
 
--- a/src/edge/HttpEnginePort.cpp
+++ b/src/edge/HttpEnginePort.cpp
@@ -1,6 +1,8 @@
 // Sends the engine's HTTP requests, and parses and formats their JSON bodies.
 #include "edge/HttpEnginePort.h"
 
+#include "net/UriEncoding.h"
+
 #include <boost/json.hpp>
 
 namespace tray {
@@ -143,7 +145,7 @@
 {
     HttpRequest request;
     request.method = "DELETE";
-    request.target = "/v1/streams/" + requestId;
+    request.target = "/v1/streams/" + percentEncode(requestId);
     const auto options = exclusiveCall();
     auto answer =
         co_await this->client.request(this->address, std::move(request), timeout, options);
--- a/src/edge/HttpInstanceSource.cpp
+++ b/src/edge/HttpInstanceSource.cpp
@@ -2,6 +2,7 @@
 #include "edge/HttpInstanceSource.h"
 
 #include "net/JsonParts.h"
+#include "net/UriEncoding.h"
 
 #include <boost/json.hpp>
 
@@ -46,6 +47,11 @@
     return list;
 }
 
+std::string instancePath(std::string_view id)
+{
+    return "/v1/instances/" + percentEncode(id);
+}
+
 HttpRequest makeAddRequest(const proto::InstanceEntry &entry)
 {
     json::object body;
@@ -59,7 +65,7 @@
     body["upstream"] = entry.upstream();
     HttpRequest request;
     request.method = "PUT";
-    request.target = "/v1/instances/" + entry.id();
+    request.target = instancePath(entry.id());
     request.headers = contentType("application/json");
     request.body = json::serialize(body);
     return request;
@@ -97,7 +103,7 @@
 {
     HttpRequest request;
     request.method = "DELETE";
-    request.target = "/v1/instances/" + id;
+    request.target = instancePath(id);
     return this->sendChange(std::move(request));
 }
 
--- a/src/edge/HttpObjectApi.cpp
+++ b/src/edge/HttpObjectApi.cpp
@@ -2,6 +2,7 @@
 #include "edge/HttpObjectApi.h"
 
 #include "net/JsonParts.h"
+#include "net/UriEncoding.h"
 
 #include <boost/json.hpp>
 #include <charconv>
@@ -13,23 +14,9 @@
 namespace asio = boost::asio;
 namespace json = boost::json;
 
-std::string percentEncode(std::string_view text)
+std::string objectPath(std::string_view key)
 {
-    static constexpr std::string_view Plain =
-        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_./";
-    static constexpr std::string_view Digits = "0123456789ABCDEF";
-    std::string out;
-    for (const char c : text) {
-        if (Plain.find(c) != std::string_view::npos) {
-            out += c;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        out += '%';
-        out += Digits[byte >> 4];
-        out += Digits[byte & 15];
-    }
-    return out;
+    return "/v1/objects/" + percentEncodePath(key);
 }
 
 HttpRequest makeRequest(std::string method, std::string target)
@@ -136,7 +123,7 @@
 asio::awaitable<Result<ObjectValue>> HttpObjectApi::read(std::string key)
 {
     this->reads.add();
-    auto request = makeRequest("GET", "/v1/objects/" + percentEncode(key));
+    auto request = makeRequest("GET", objectPath(key));
     const auto answer =
         co_await this->client.request(this->address, std::move(request), this->timeout);
     if (!isOk(answer)) {
@@ -156,7 +143,7 @@
                                                        uint64_t expectedVersion)
 {
     this->writes.add();
-    auto request = makeRequest("PUT", "/v1/objects/" + percentEncode(key));
+    auto request = makeRequest("PUT", objectPath(key));
     if (expectedVersion == 0)
         request.headers.emplace_back("If-None-Match", "*");
     else
@@ -177,7 +164,7 @@
 asio::awaitable<Result<Unit>> HttpObjectApi::remove(std::string key, uint64_t expectedVersion)
 {
     this->writes.add();
-    auto request = makeRequest("DELETE", "/v1/objects/" + percentEncode(key));
+    auto request = makeRequest("DELETE", objectPath(key));
     request.headers.emplace_back("If-Match", formatEtag(expectedVersion));
     const auto answer =
         co_await this->client.request(this->address, std::move(request), this->timeout);
@@ -194,7 +181,7 @@
 asio::awaitable<Result<ObjectChanges>> HttpObjectApi::list(std::string prefix)
 {
     this->reads.add();
-    auto request = makeRequest("GET", "/v1/list?prefix=" + percentEncode(prefix));
+    auto request = makeRequest("GET", withQuery("/v1/list", {{"prefix", prefix}}));
     const auto answer =
         co_await this->client.request(this->address, std::move(request), this->timeout);
     if (!isOk(answer)) {
@@ -210,9 +197,10 @@
                                                             Duration timeout)
 {
     this->watches.add();
-    auto request = makeRequest("GET", "/v1/watch?prefix=" + percentEncode(prefix) +
-                                          "&after=" + std::to_string(after) +
-                                          "&timeout_ms=" + std::to_string(toMs(timeout)));
+    auto request =
+        makeRequest("GET", withQuery("/v1/watch", {{"prefix", prefix},
+                                                   {"after", std::to_string(after)},
+                                                   {"timeout_ms", std::to_string(toMs(timeout))}}));
     const auto answer =
         co_await this->client.request(this->address, std::move(request), timeout + this->timeout);
     if (!isOk(answer)) {
--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -1,26 +1,13 @@
 // Header look-up and parsing of request targets.
 #include "net/HttpMessage.h"
 
+#include "net/UriEncoding.h"
+
 #include <algorithm>
 #include <cctype>
 
 namespace tray {
 
-namespace {
-
-int hexDigit(char c)
-{
-    if (c >= '0' && c <= '9')
-        return c - '0';
-    if (c >= 'a' && c <= 'f')
-        return c - 'a' + 10;
-    if (c >= 'A' && c <= 'F')
-        return c - 'A' + 10;
-    return -1;
-}
-
-} // namespace
-
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
@@ -68,10 +55,8 @@
         std::string decoded;
         const auto raw = equals == std::string_view::npos ? "" : pair.substr(equals + 1);
         for (size_t i = 0; i < raw.size(); ++i) {
-            const bool escaped = raw[i] == '%' && i + 2 < raw.size() && hexDigit(raw[i + 1]) >= 0 &&
-                                 hexDigit(raw[i + 2]) >= 0;
-            if (escaped) {
-                decoded += static_cast<char>(hexDigit(raw[i + 1]) * 16 + hexDigit(raw[i + 2]));
+            if (const auto byte = escapedByte(raw.substr(i))) {
+                decoded += *byte;
                 i += 2;
             } else {
                 decoded += raw[i] == '+' ? ' ' : raw[i];
--- a/tests/edge/HttpObjectApiTest.cpp
+++ b/tests/edge/HttpObjectApiTest.cpp
@@ -113,6 +113,43 @@
     }
 }
 
+TEST_CASE("Keys and instance ids of any characters reach the platform as they are")
+{
+    Fixture fixture;
+    for (const std::string name :
+         {"a%zz", "a+b", "a b", "a?b=c&d", "a#b", "\xc3\xbc", "v\r\nX-A: 1"}) {
+        CAPTURE(name);
+        const auto written = fixture.run(fixture.api.write("odd/" + name, "one", 0));
+        REQUIRE(isOk(written));
+        const auto read = fixture.run(fixture.api.read("odd/" + name));
+        REQUIRE(isOk(read));
+        CHECK(value(read).value == "one");
+        const auto listed = fixture.run(fixture.api.list("odd/" + name));
+        REQUIRE(isOk(listed));
+        REQUIRE(value(listed).changes.size() == 1);
+        CHECK(value(listed).changes[0].key == "odd/" + name);
+
+        proto::InstanceEntry entry;
+        entry.set_id(name);
+        entry.set_role("agent");
+        entry.set_control_address("127.0.0.1:5");
+        REQUIRE(isOk(fixture.run(fixture.source.add(entry))));
+        fixture.context.restart();
+        fixture.context.run_for(milliseconds(20));
+        const auto instances = fixture.run(fixture.source.read());
+        REQUIRE(isOk(instances));
+        REQUIRE(value(instances).instances().size() == 1);
+        CHECK(value(instances).instances()[0].id() == name);
+        REQUIRE(isOk(fixture.run(fixture.source.remove(name))));
+        fixture.context.restart();
+        // Removed instances stay listed as leaving for a while.
+        fixture.context.run_for(milliseconds(150));
+        const auto left = fixture.run(fixture.source.read());
+        REQUIRE(isOk(left));
+        CHECK(value(left).instances().empty());
+    }
+}
+
 TEST_CASE("Errors show whether a write may have had an effect")
 {
     Fixture fixture;
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -100,6 +100,45 @@
     }
 }
 
+TEST_CASE("Names of any characters between the pages of a list hide no entry and repeat none")
+{
+    asio::io_context context;
+    test::StubStore store(context);
+    store.pageSize = 1;
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+    const std::vector<std::string> names{
+        "a%",         "a%zz",       "a00%#",    "a01%#zz", "a02&b=",          "a03+",
+        "a04%C3%A9",  "a05/b",      "a06/../b", "a07?b",   "a08\\b",          "a09\"b\"",
+        "b c",        "c&after=zz", "d+e",      "e;f=g&h", "\xc3\xbc",        "f\r\nX-A: 1",
+        "g\x01\x7f ", "..",         ".",        "%2e",     "\xf0\x9f\x9a\xaa"};
+    for (const auto &name : names)
+        store.put("servers", name, R"("no entry")");
+    for (const auto *id : {"0-first", "d-middle", "zz-last", "\xf0\x9f\x9a\xab-beyond"})
+        store.put("servers", id, entryText());
+
+    const auto reading = runCall(context, client.readUpstreams());
+    REQUIRE(isOk(reading));
+    CHECK(value(reading).entries.size() == 4);
+    CHECK(store.badRequests.empty());
+    CHECK(store.requestCount == static_cast<int>(names.size()) + 4);
+
+    // Records have their names in the path, too.
+    for (const auto &name : names) {
+        CAPTURE(name);
+        const auto written = runCall(context, client.writeRecord("odd kind/&", {name, "one", 0}));
+        REQUIRE(isOk(written));
+        const auto again =
+            runCall(context, client.writeRecord("odd kind/&", {name, "two", value(written)}));
+        REQUIRE(isOk(again));
+        CHECK(store.specOf("odd kind/&", name) == R"("two")");
+        const auto record = runCall(context, client.readRecord("odd kind/&", name));
+        REQUIRE(isOk(record));
+        CHECK(value(record).name == name);
+    }
+    CHECK(store.badRequests.empty());
+}
+
 TEST_CASE("A store call without an answer closes the idle connections to the store")
 {
     // Guards against calls that wait for their timeout one after the other, each on another
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <cctype>
 
 namespace tray::test {
 
@@ -28,6 +29,33 @@
     }
 }
 
+/// Decodes a component of a target by its own rules, so that a fault of the encoder does not cancel
+/// out; nullopt if it is not encoded as it must be.
+std::optional<std::string> decodeComponent(std::string_view text, bool isQuery)
+{
+    std::string decoded;
+    for (size_t i = 0; i < text.size(); ++i) {
+        const auto byte = static_cast<unsigned char>(text[i]);
+        if (byte <= ' ' || byte >= 0x7f ||
+            std::string_view("\"#<>[\\]^`{|}").find(text[i]) != std::string_view::npos)
+            return std::nullopt;
+        if (text[i] == '+' && isQuery) {
+            decoded += ' ';
+            continue;
+        }
+        if (text[i] != '%') {
+            decoded += text[i];
+            continue;
+        }
+        if (i + 2 >= text.size() || std::isxdigit(static_cast<unsigned char>(text[i + 1])) == 0 ||
+            std::isxdigit(static_cast<unsigned char>(text[i + 2])) == 0)
+            return std::nullopt;
+        decoded += static_cast<char>(std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+        i += 2;
+    }
+    return decoded;
+}
+
 uint64_t revisionOf(const json::value &object)
 {
     return object.at("metadata").at("revision").to_number<uint64_t>();
@@ -95,13 +123,55 @@
     co_await responder.respond(std::move(response));
 }
 
-HttpResponse StubStore::list(const std::string &kind, const std::string &target) const
+std::optional<StubStore::Call> StubStore::parseCall(std::string_view target)
+{
+    constexpr std::string_view Objects = "/v1/objects/";
+    const auto question = target.find('?');
+    auto path = target.substr(0, question);
+    if (!path.starts_with(Objects))
+        return std::nullopt;
+    path.remove_prefix(Objects.size());
+    const auto slash = path.find('/');
+    const auto kind = decodeComponent(path.substr(0, slash), false);
+    if (!kind)
+        return std::nullopt;
+    Call call{*kind, "", {}};
+    if (slash != std::string_view::npos) {
+        const auto name = path.substr(slash + 1);
+        const auto decoded = decodeComponent(name, false);
+        if (!decoded || decoded->empty() || name.find('/') != std::string_view::npos)
+            return std::nullopt;
+        call.name = *decoded;
+    }
+    auto query = question == std::string_view::npos ? "" : target.substr(question + 1);
+    while (!query.empty()) {
+        const auto parameter = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), parameter.size() + 1));
+        const auto equals = std::min(parameter.find('='), parameter.size());
+        const auto key = decodeComponent(parameter.substr(0, equals), true);
+        const auto text =
+            decodeComponent(parameter.substr(std::min(equals + 1, parameter.size())), true);
+        if (!key || !text)
+            return std::nullopt;
+        call.query[*key] = *text;
+    }
+    return call;
+}
+
+HttpResponse StubStore::reject(std::string what)
+{
+    this->badRequests.push_back(std::move(what));
+    return answer(400, {{"error", "not a valid request"}});
+}
+
+HttpResponse StubStore::list(const Call &call) const
 {
     json::array items;
-    const auto found = this->kinds.find(kind);
+    const auto found = this->kinds.find(call.kind);
+    const auto after = call.query.find("after");
     bool more = false;
     if (found != this->kinds.end()) {
-        auto it = found->second.upper_bound(queryParameter(target, "after"));
+        auto it = found->second.upper_bound(after == call.query.end() ? "" : after->second);
         for (; it != found->second.end(); ++it) {
             if (items.size() == this->pageSize) {
                 more = true;
@@ -110,19 +180,21 @@
             items.push_back(it->second);
         }
     }
-    auto response =
-        answer(200, {{"items", items}, {"more", more}, {"current_rev", this->revision}});
+    auto response = answer(200, {{"items", items},
+                                 {"more", this->more.value_or(json::value(more))},
+                                 {"current_rev", this->revision}});
     replacePlaceholders(response.body, this->placeholders);
     return response;
 }
 
-HttpResponse StubStore::write(const std::string &kind, const std::string &name,
-                              const HttpRequest &request)
+HttpResponse StubStore::write(const Call &call, const HttpRequest &request)
 {
     const json::value body = json::parse(request.body);
     const std::string target =
-        name.empty() ? std::string(body.at("metadata").at("name").as_string()) : name;
-    auto &objects = this->kinds[kind];
+        call.name.empty() ? std::string(body.at("metadata").at("name").as_string()) : call.name;
+    if (target.empty())
+        return this->reject(call.kind + " without a name");
+    auto &objects = this->kinds[call.kind];
     const auto found = objects.find(target);
     if (request.method == "POST" && found != objects.end())
         return answer(409, found->second);
@@ -133,7 +205,7 @@
         if (wanted != nullptr && wanted->to_number<uint64_t>() != revisionOf(found->second))
             return answer(409, found->second);
     }
-    this->store(kind, target, body.at("spec"));
+    this->store(call.kind, target, body.at("spec"));
     return answer(200, objects.at(target));
 }
 
@@ -144,12 +216,12 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<void> StubStore::watch(const std::string &kind, HttpRequest request,
-                                       HttpResponder &responder)
+asio::awaitable<void> StubStore::watch(Call call, HttpResponder &responder)
 {
-    const uint64_t since = std::stoull(queryParameter(request.target, "watch"));
-    const auto end = std::chrono::steady_clock::now() +
-                     milliseconds(std::stoi(queryParameter(request.target, "wait_ms")));
+    const std::string &kind = call.kind;
+    const uint64_t since = std::stoull(call.query["watch"]);
+    const auto end =
+        std::chrono::steady_clock::now() + milliseconds(std::stoi(call.query["wait_ms"]));
     const uint64_t begunInEra = this->era;
     const int cutsBefore = this->cutCounts[kind];
     while (true) {
@@ -190,29 +262,34 @@
 asio::awaitable<void> StubStore::serve(HttpRequest request, HttpResponder &responder)
 {
     ++this->requestCount;
-    const std::string path(pathOf(request.target));
-    const std::string rest = path.substr(std::string("/v1/objects/").size());
-    const auto slash = rest.find('/');
-    const std::string kind = rest.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : rest.substr(slash + 1);
-    ++this->requestsByKind[kind];
+    const auto parsed = parseCall(request.target);
+    if (!parsed) {
+        HttpResponse refusal = this->reject(request.target);
+        co_await this->send(responder, std::move(refusal));
+        co_return;
+    }
+    const Call &call = *parsed;
+    ++this->requestsByKind[call.kind];
     HttpResponse response;
     if (this->neverRespond)
         co_await this->waitForever();
-    if (this->respond503 || this->failingKinds.contains(kind)) {
+    if (this->overRate > 0) {
+        --this->overRate;
+        response = makeResponse(429, "text/plain", "");
+    } else if (this->respond503 || this->failingKinds.contains(call.kind)) {
         response = makeResponse(503, "text/plain", "");
     } else if (request.method != "GET") {
-        response = this->write(kind, name, request);
-    } else if (!queryParameter(request.target, "watch").empty()) {
-        co_await this->watch(kind, std::move(request), responder);
+        response = this->write(call, request);
+    } else if (call.query.contains("watch")) {
+        co_await this->watch(call, responder);
         co_return;
-    } else if (name.empty()) {
+    } else if (call.name.empty()) {
         if (this->beforeList)
             this->beforeList();
-        response = this->list(kind, request.target);
+        response = this->list(call);
     } else {
-        const auto &objects = this->kinds[kind];
-        const auto found = objects.find(name);
+        const auto &objects = this->kinds[call.kind];
+        const auto found = objects.find(call.name);
         response = found == objects.end() ? answer(404, {{"error", "no such object"}})
                                           : answer(200, found->second);
     }
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -1,4 +1,6 @@
-// Stub of the platform's store: objects by kind and name, paged lists and watches.
+// Stub of the platform's store: objects by kind and name, paged lists and watches. Reads targets as
+// a server with a form decoder does: a plus sign in a query is a space, the last of two parameters
+// counts, and what is not encoded as it must be is answered with 400.
 #pragma once
 
 #include "net/HttpServer.h"
@@ -7,6 +9,7 @@
 #include <boost/json/value.hpp>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace tray::test {
@@ -23,6 +26,10 @@
 
     /// Maximum number of objects on one page of a list.
     size_t pageSize = 100;
+    /// Replaces "more" in the pages of lists.
+    std::optional<boost::json::value> more;
+    /// Number of next requests that are answered with 429.
+    int overRate = 0;
     /// Answers every request with 503.
     bool respond503 = false;
     /// Kinds of objects for which every request is answered with 503.
@@ -62,6 +69,8 @@
     int requestCount = 0;
     /// Requests for each kind of objects.
     std::map<std::string, int> requestsByKind;
+    /// Requests that were answered with 400, with the target or name that cannot be read.
+    std::vector<std::string> badRequests;
     /// Called before each page of a list, if set.
     std::function<void()> beforeList;
 
@@ -74,15 +83,24 @@
         boost::json::value object;
     };
 
+    /// Kind, name and query of a request, all decoded.
+    struct Call
+    {
+        std::string kind;
+        std::string name;
+        std::map<std::string, std::string> query;
+    };
+
     boost::asio::awaitable<void> serve(HttpRequest request, HttpResponder &responder);
-    boost::asio::awaitable<void> watch(const std::string &kind, HttpRequest request,
-                                       HttpResponder &responder);
+    boost::asio::awaitable<void> watch(Call call, HttpResponder &responder);
     boost::asio::awaitable<void> waitForever();
+    /// Decodes a target strictly; nullopt if any part of it is not encoded as it must be.
+    static std::optional<Call> parseCall(std::string_view target);
+    HttpResponse reject(std::string what);
     /// Sends an answer with the headers that all answers have.
     boost::asio::awaitable<void> send(HttpResponder &responder, HttpResponse response);
-    HttpResponse list(const std::string &kind, const std::string &target) const;
-    HttpResponse write(const std::string &kind, const std::string &name,
-                       const HttpRequest &request);
+    HttpResponse list(const Call &call) const;
+    HttpResponse write(const Call &call, const HttpRequest &request);
     void store(const std::string &kind, const std::string &name, boost::json::value spec);
 
     boost::asio::io_context &context;
