--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -139,6 +139,75 @@
     CHECK(store.badRequests.empty());
 }
 
+TEST_CASE("A list that cannot be read to its end is no shorter list")
+{
+    asio::io_context context;
+    test::StubStore store(context);
+    store.pageSize = 1;
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+    for (const auto *id : {"i-1", "i-2", "i-3"})
+        store.put("servers", id, entryText());
+
+    SUBCASE("a page without a name")
+    {
+        store.put("servers", "i-2-odd", entryText());
+        store.placeholders["i-2-odd"] = "7";
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE_FALSE(isOk(reading));
+        CHECK(error(reading).kind == ErrorKind::PlatformUnavailable);
+        CHECK(store.requestCount == 3);
+    }
+    SUBCASE("an object without a name at the end of a page that has others")
+    {
+        store.pageSize = 2;
+        store.put("servers", "i-1-odd", entryText());
+        store.placeholders["i-1-odd"] = "null";
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE(isOk(reading));
+        CHECK(value(reading).entries.size() == 3);
+    }
+    SUBCASE("a store that ignores the name after which a page begins")
+    {
+        store.placeholders["i-2"] = R"("i-1")";
+        const auto reading = runCall(context, client.readUpstreams());
+        REQUIRE_FALSE(isOk(reading));
+        CHECK(error(reading).kind == ErrorKind::PlatformUnavailable);
+        CHECK(store.requestCount == 2);
+    }
+    SUBCASE("a page that does not tell whether more follow")
+    {
+        store.more = boost::json::value("yes");
+        CHECK_FALSE(isOk(runCall(context, client.readUpstreams())));
+    }
+    SUBCASE("a revision that no position can hold")
+    {
+        store.restore({uint64_t{1} << 41, {}});
+        const auto reading = runCall(context, client.readUpstreams());
+        CHECK_FALSE(isOk(reading));
+    }
+}
+
+TEST_CASE("A page that the store refuses for a moment does not begin the list anew")
+{
+    asio::io_context context;
+    test::StubStore store(context);
+    store.pageSize = 1;
+    HttpClient http(context);
+    StoreClient client(http, store.listen());
+    for (const auto *id : {"i-1", "i-2", "i-3", "i-4"})
+        store.put("servers", id, entryText());
+    int lists = 0;
+    store.beforeList = [&] {
+        if (++lists == 2)
+            store.overRate = 3;
+    };
+    const auto reading = runCall(context, client.readUpstreams());
+    REQUIRE(isOk(reading));
+    CHECK(value(reading).entries.size() == 4);
+    CHECK(lists == 4);
+}
+
 TEST_CASE("A store call without an answer closes the idle connections to the store")
 {
     // Guards against calls that wait for their timeout one after the other, each on another
