--- a/src/gateway/EventSplitter.cpp
+++ b/src/gateway/EventSplitter.cpp
@@ -1,6 +1,8 @@
 // Finds the boundaries and ids of server-sent events.
 #include "gateway/EventSplitter.h"
 
+#include "net/HttpMessage.h"
+
 #include <charconv>
 #include <cstdint>
 
@@ -106,8 +108,11 @@
     if (this->continuesAfter && (!id || !isAfter(*id, *this->continuesAfter)))
         this->outOfSequence = true;
     ++this->eventsOfRun;
-    if (id)
+    // An id that no header can name cannot be continued from, and neither can an earlier one.
+    if (id && isHeaderValue(*id))
         this->eventId = id;
+    else if (id)
+        this->eventId.reset();
 }
 
 } // namespace tray
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -743,14 +743,17 @@
     if (!isOk(opened)) {
         const auto kind = error(opened).kind;
         result.reason = error(opened).message;
-        if (kind == ErrorKind::UpstreamUnreachable) {
+        if (kind == ErrorKind::UpstreamUnreachable || kind == ErrorKind::BadRequest)
             result.evidence = NotExecutedEvidence::NotSent;
+        if (kind == ErrorKind::UpstreamUnreachable) {
             const auto listed = entries.find(target.upstreamId);
             if (!this->attemptCancel->isCancelled() && listed != entries.end())
                 this->gateway.suspectExchange.probe(listed->second);
         }
+        // The upstream has no part in a request that cannot be written.
         result.outcome = kind == ErrorKind::UpstreamUnreachable ? AttemptOutcome::Unreachable
                          : kind == ErrorKind::Timeout           ? AttemptOutcome::TimedOut
+                         : kind == ErrorKind::BadRequest        ? AttemptOutcome::Abandoned
                                                                 : AttemptOutcome::Broken;
     } else {
         this->phase = ExchangePhase::RelayingResponse;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -442,6 +442,8 @@
     const auto self = this->impl;
     if (options.cancel && options.cancel->isCancelled())
         co_return Error{ErrorKind::Cancelled, "the call was cancelled before it began"};
+    if (const auto checked = checkHead(request); !isOk(checked))
+        co_return error(checked);
     const Instant deadline = std::chrono::steady_clock::now() + timeout;
     auto connected = co_await self->connect(address, deadline, options);
     if (!isOk(connected))
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -129,9 +129,11 @@
     static constexpr size_t MaxHeadBytes = 64u << 10;
 
     /// Sends a request and waits for the complete response.
-    /// Fails with UpstreamUnreachable if nothing was sent (the request did not run), otherwise with
-    /// Timeout or UpstreamFailed (it may have run). A request is never sent twice. The call also
-    /// fails, and its connection is closed, if the response exceeds the size limits or the timeout.
+    /// Fails with UpstreamUnreachable if nothing was sent (the request did not run), with
+    /// BadRequest if its head cannot be written (it did not run, and will not elsewhere), otherwise
+    /// with Timeout or UpstreamFailed (it may have run). A request is never sent twice. The call
+    /// also fails, and its connection is closed, if the response exceeds the size limits or the
+    /// timeout.
     boost::asio::awaitable<Result<HttpResponse>>
     request(Address address, HttpRequest request, Duration timeout, HttpCallOptions options = {});
 
--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -8,6 +8,37 @@
 
 namespace tray {
 
+namespace {
+
+bool isControl(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < 0x20 || byte == 0x7f;
+}
+
+/// Returns whether a text is a token of RFC 9110, as methods and names of headers are.
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 ||
+               std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
+                   std::string_view::npos;
+    });
+}
+
+bool isTarget(std::string_view text)
+{
+    return !text.empty() &&
+           std::none_of(text.begin(), text.end(), [](char c) { return c == ' ' || isControl(c); });
+}
+
+bool isBlank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
+} // namespace
+
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() && std::equal(left.begin(), left.end(), right.begin(),
@@ -25,6 +56,34 @@
     return {};
 }
 
+bool isHeaderValue(std::string_view text)
+{
+    if (!text.empty() && (isBlank(text.front()) || isBlank(text.back())))
+        return false;
+    return std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) && c != '\t'; });
+}
+
+Result<Unit> checkHeaders(const HttpHeaders &headers)
+{
+    for (const auto &[name, text] : headers) {
+        if (!isToken(name))
+            return Error{ErrorKind::BadRequest, "the name of a header has characters that it "
+                                                "cannot have"};
+        if (!isHeaderValue(text))
+            return Error{ErrorKind::BadRequest,
+                         "the value of header " + name + " has characters that it cannot have"};
+    }
+    return Unit{};
+}
+
+Result<Unit> checkHead(const HttpRequest &request)
+{
+    if (!isToken(request.method) || !isTarget(request.target))
+        return Error{ErrorKind::BadRequest,
+                     "the method or the target has characters that it cannot have"};
+    return checkHeaders(request.headers);
+}
+
 HttpHeaders contentType(std::string type)
 {
     return {{"Content-Type", std::move(type)}};
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -169,6 +169,8 @@
         if (this->rejectSecondResponse())
             co_return false;
         this->started = true;
+        if (!areWritable(response.headers))
+            response = HttpResponse{500, {}, ""};
         http::response<http::string_body> message{finalStatus(response.status), 11};
         for (const auto &[name, text] : response.headers)
             message.insert(name, text);
@@ -192,6 +194,10 @@
             co_return false;
         this->started = true;
         this->streaming = true;
+        if (!areWritable(headers)) {
+            this->abort();
+            co_return false;
+        }
         http::response<http::empty_body> message{finalStatus(status), 11};
         for (const auto &[name, text] : headers)
             message.insert(name, text);
@@ -284,9 +290,15 @@
             this->stream.expires_after(this->server->limits.requestTimeout);
     }
 
-    /// Returns true and aborts the connection if a response to this request has already started.
-    /// The peer would read another response head as part of the first response's body or as the
-    /// response to its next request.
+    /// Returns whether the headers of a response can be written.
+    static bool areWritable(const HttpHeaders &headers)
+    {
+        const auto checked = checkHeaders(headers);
+        if (!isOk(checked))
+            spdlog::error("event=invalid_header error=\"{}\"", error(checked).message);
+        return isOk(checked);
+    }
+
     /// Returns the status of a response; 500 in place of one that no response may have.
     static http::status finalStatus(int status)
     {
@@ -297,6 +309,9 @@
         return http::status::internal_server_error;
     }
 
+    /// Returns true and aborts the connection if a response to this request has already started.
+    /// The peer would read another response head as part of the first response's body or as the
+    /// response to its next request.
     bool rejectSecondResponse()
     {
         if (!this->started)
--- a/tests/gateway/EventSplitterTest.cpp
+++ b/tests/gateway/EventSplitterTest.cpp
@@ -62,6 +62,17 @@
     CHECK(!splitter.canContinue());
 }
 
+TEST_CASE("A stream cannot be continued after an event whose id no header can name")
+{
+    EventSplitter splitter;
+    CHECK(!splitter.feed("id: 1\ndata: a\n\n").empty());
+    CHECK(splitter.canContinue());
+    CHECK(!splitter.feed("id: 2\rX-Injected: 1\ndata: b\n\n").empty());
+    CHECK(!splitter.canContinue());
+    CHECK(!splitter.feed("id: 3\ndata: c\n\n").empty());
+    CHECK(splitter.lastEventId() == "3");
+}
+
 TEST_CASE("The end of an event is found wherever the stream is split into pieces")
 {
     const std::string event = "id: 1\r\ndata: a\r\n\r\n";
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -32,6 +32,23 @@
     return {"first", "second"};
 }
 
+/// Requests whose heads would not be read as they were meant.
+std::vector<HttpRequest> unwritableRequests()
+{
+    std::vector<HttpRequest> requests;
+    const std::vector<std::string> values{
+        "a\r\nX-Injected: 1", "a\nb", std::string("a\0b", 3), "a ", "\ta", "a\x7f"};
+    for (const auto &text : values)
+        requests.push_back({"GET", "/echo", {{"X-Name", text}}, ""});
+    requests.push_back({"GET", "/echo", {{"X: 1\r\nY", "a"}}, ""});
+    requests.push_back({"GET", "/echo", {{"", "a"}}, ""});
+    const std::vector<std::string> targets{"/echo HTTP/1.1\r\nX-Injected: 1", "/e cho", ""};
+    for (const auto &target : targets)
+        requests.push_back({"GET", target, {}, ""});
+    requests.push_back({"GET /", "/echo", {}, ""});
+    return requests;
+}
+
 /// Runs the context, which other tasks may share, until the coroutine has ended.
 void runOn(asio::io_context &context, asio::awaitable<void> task)
 {
@@ -104,6 +121,23 @@
             CHECK(value(header).status == 431);
         }());
     }
+    SUBCASE("a head that its reader would take for another one is not sent")
+    {
+        runOn(context, [&]() -> asio::awaitable<void> {
+            const auto requests = unwritableRequests();
+            for (const auto &request : requests) {
+                const auto result =
+                    co_await client.request(address, request, std::chrono::seconds(1));
+                REQUIRE_FALSE(isOk(result));
+                CHECK(error(result).kind == ErrorKind::BadRequest);
+            }
+            CHECK(client.dialled() == 0);
+            HttpHeaders odd{{"X-Name", "a\tb \xc3\xbc \"c\""}, {"X-Empty", ""}};
+            const auto result = co_await call("GET", "/echo", "", std::move(odd));
+            REQUIRE(isOk(result));
+            CHECK(value(result).status == 200);
+        }());
+    }
     SUBCASE("a refused connection is reported as UpstreamUnreachable, so that nothing was sent")
     {
         runOn(context, [&]() -> asio::awaitable<void> {
@@ -116,6 +150,33 @@
     }
 }
 
+TEST_CASE("A response head that its reader would take for another one is not sent")
+{
+    asio::io_context context;
+    HttpServer server(
+        context, [](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+            HttpResponse response = makeResponse(200, "text/plain", "body");
+            response.headers.emplace_back("X-Name", "a\r\nX-Injected: 1");
+            if (request.target == "/whole")
+                co_await responder.respond(std::move(response));
+            else
+                CHECK_FALSE(co_await responder.start(200, std::move(response.headers)));
+        });
+    const auto address = value(server.listen(AnyPort));
+    HttpClient client(context);
+    runOn(context, [&]() -> asio::awaitable<void> {
+        HttpRequest request;
+        request.target = "/whole";
+        const auto whole = co_await client.request(address, request, std::chrono::seconds(1));
+        REQUIRE(isOk(whole));
+        CHECK(value(whole).status == 500);
+        CHECK(value(whole).body.empty());
+        CHECK(findHeader(value(whole).headers, "X-Injected").empty());
+        request.target = "/stream";
+        CHECK_FALSE(isOk(co_await client.request(address, request, std::chrono::seconds(1))));
+    }());
+}
+
 TEST_CASE("A request whose handler throws")
 {
     asio::io_context context;
--- a/tests/platform/GatewayRequestTest.cpp
+++ b/tests/platform/GatewayRequestTest.cpp
@@ -87,6 +87,37 @@
     }
 }
 
+TEST_CASE("An upstream's id with line breaks adds no header to requests")
+{
+    GatewayFixture fixture(sendSealedAnswer);
+    REQUIRE(fixture.statusOf("/look/1") == 200);
+    fixture.first.received.clear();
+    fixture.addUpstream("v\r\nX-Injected: 1", "here", fixture.firstAddress);
+    fixture.addUpstream("i 3", "here", fixture.firstAddress);
+    fixture.addUpstream(" i-4", "here", fixture.firstAddress);
+    fixture.store.remove("servers", "i-1");
+    std::unique_ptr<Gateway> peer;
+    SUBCASE("at a gateway that follows the list") {}
+    SUBCASE("at a gateway that starts")
+    {
+        peer = fixture.startPeer("front-2", "here");
+    }
+    fixture.runFor(std::chrono::seconds(4));
+    for (int i = 0; i < 8; ++i) {
+        fixture.requestId = fmt::format("r{}", i);
+        CHECK(fixture.statusOf("/look/1") == 200);
+    }
+    CHECK(!fixture.first.received.empty());
+    for (const auto &request : fixture.first.received) {
+        CHECK(findHeader(request.headers, "X-Injected").empty());
+        CHECK(findHeader(request.headers, "Marjoramtray-Expect-Instance") == "i 3");
+    }
+    if (peer) {
+        fixture.runFor(milliseconds(10));
+        peer.reset();
+    }
+}
+
 TEST_CASE("A request that must not be retried runs on at most one upstream")
 {
     SUBCASE("a reset connection leaves its outcome unknown")
