--- a/src/fleet/FleetStore.h
+++ b/src/fleet/FleetStore.h
@@ -42,7 +42,8 @@
 };
 
 /// Calls fail with PlatformUnavailable, with Stale if the store no longer has the requested
-/// history or has been restored from a copy since, with NotFound, or with VersionConflict.
+/// history or has been restored from a copy since, with NotFound, with VersionConflict, or with
+/// BadRequest if the store refuses the call for good.
 class FleetStore
 {
 public:
--- a/src/gateway/ServiceVersionRecords.cpp
+++ b/src/gateway/ServiceVersionRecords.cpp
@@ -66,6 +66,17 @@
     this->handleAnswersDue();
 }
 
+void ServiceVersionRecords::handleConfig(const FleetConfig &config)
+{
+    this->versions.handleConfig(config);
+    this->configuredServices.clear();
+    for (const auto &service : config.services)
+        this->configuredServices.insert(service.name);
+    std::erase_if(this->refusedTexts,
+                  [&](const auto &item) { return !this->configuredServices.contains(item.first); });
+    this->changed.notifyAll();
+}
+
 void ServiceVersionRecords::handleAnswersDue()
 {
     this->areAnswersDue = true;
@@ -265,22 +276,36 @@
     co_return true;
 }
 
+std::string ServiceVersionRecords::textToWrite(const std::string &service) const
+{
+    const auto serviceVersions = this->versions.versionsOf(service);
+    const auto known = this->records.find(service);
+    const bool exists = known != this->records.end();
+    if (!this->configuredServices.contains(service) || !this->versions.mayWriteRecord(service) ||
+        (!exists && serviceVersions.empty()))
+        return "";
+    std::string text =
+        fmt::format("{} {}", this->store.era(), formatVersionRecord(serviceVersions));
+    const auto refused = this->refusedTexts.find(service);
+    const bool isRefused = refused != this->refusedTexts.end() && refused->second == text;
+    return isRefused || (exists && known->second.text == text) ? "" : text;
+}
+
 asio::awaitable<bool> ServiceVersionRecords::writeRecords()
 {
     for (const auto &service : this->versions.services()) {
+        const std::string text = this->textToWrite(service);
+        if (text.empty())
+            continue;
         const auto known = this->records.find(service);
-        const bool exists = known != this->records.end();
-        const auto serviceVersions = this->versions.versionsOf(service);
         const uint64_t era = this->store.era();
-        const std::string text = fmt::format("{} {}", era, formatVersionRecord(serviceVersions));
-        if (!this->versions.mayWriteRecord(service) ||
-            (exists ? known->second.text == text : serviceVersions.empty()))
-            continue;
-        const Record record{service, text, exists ? known->second.revision : 0};
+        const Record record{service, text,
+                            known != this->records.end() ? known->second.revision : 0};
         const auto written = co_await this->store.writeRecord(VersionRecords, record);
         if (isOk(written)) {
             this->records[service] = {text, value(written), era};
             this->versions.noteRecordWritten(service);
+            this->refusedTexts.erase(service);
             logDecision(LogPriority::Notable, clockNow(),
                         fmt::format("event=version_record_written service={} text=\"{}\" "
                                     "revision={}",
@@ -289,6 +314,11 @@
         }
         logFailure("write", service, error(written));
         const auto kind = error(written).kind;
+        // The records of the other services do not wait for one that cannot be written.
+        if (kind == ErrorKind::BadRequest) {
+            this->refusedTexts[service] = text;
+            continue;
+        }
         if (kind != ErrorKind::VersionConflict && kind != ErrorKind::NotFound)
             co_return false;
         if (!co_await this->readAfterConflict(service))
--- a/src/gateway/ServiceVersionRecords.h
+++ b/src/gateway/ServiceVersionRecords.h
@@ -37,7 +37,7 @@
 
     void start();
     void stop();
-    void handleConfig(const FleetConfig &config) { this->versions.handleConfig(config); }
+    void handleConfig(const FleetConfig &config);
     void handleList(const std::map<std::string, UpstreamEntry> &entries, Instant now);
     /// Records that the list is known to be complete now. Reads the records again if it was not for
     /// a while.
@@ -77,6 +77,8 @@
     /// later writes.
     bool areRecordsOutdated() const;
     boost::asio::awaitable<bool> writeRecords();
+    /// Returns the text that a service's record is to have; empty if it need not be written.
+    std::string textToWrite(const std::string &service) const;
     /// Reads a record that another process has written, or that the store has lost.
     boost::asio::awaitable<bool> readAfterConflict(std::string service);
     void handleRecord(const Record &record, Instant now);
@@ -89,6 +91,10 @@
     ServiceVersions versions;
     // Records as they were read or written last, by service.
     std::map<std::string, KnownRecord> records;
+    // Services of the configuration. Entries of the list may name others, which get no record.
+    std::set<std::string> configuredServices;
+    // Texts of records that the store has refused for good, by service.
+    std::map<std::string, std::string> refusedTexts;
     // Versions that were logged last, by service.
     std::map<std::string, std::set<std::string>> loggedVersions;
     AsyncCondition changed;
--- a/tests/platform/StubStore.cpp
+++ b/tests/platform/StubStore.cpp
@@ -192,8 +192,8 @@
     const json::value body = json::parse(request.body);
     const std::string target =
         call.name.empty() ? std::string(body.at("metadata").at("name").as_string()) : call.name;
-    if (target.empty())
-        return this->reject(call.kind + " without a name");
+    if (target.empty() || this->refusedNames.contains(target))
+        return this->reject(call.kind + " named " + target);
     auto &objects = this->kinds[call.kind];
     const auto found = objects.find(target);
     if (request.method == "POST" && found != objects.end())
--- a/tests/platform/StubStore.h
+++ b/tests/platform/StubStore.h
@@ -30,6 +30,8 @@
     std::optional<boost::json::value> more;
     /// Number of next requests that are answered with 429.
     int overRate = 0;
+    /// Names of objects that every write is refused for with 400.
+    std::set<std::string> refusedNames;
     /// Answers every request with 503.
     bool respond503 = false;
     /// Kinds of objects for which every request is answered with 503.
--- a/tests/streams/StreamTakeUpTest.cpp
+++ b/tests/streams/StreamTakeUpTest.cpp
@@ -143,6 +143,36 @@
     }
 }
 
+TEST_CASE("The versions of a service are recorded beside services that can have no record")
+{
+    TakeUpFixture fixture("v1", "v2");
+    auto &store = fixture.gateway.store;
+    SUBCASE("of entries without a service")
+    {
+        fixture.gateway.addUpstream("i-3", "here", fixture.gateway.firstAddress, "", "v1");
+    }
+    SUBCASE("of entries whose service the configuration does not name")
+    {
+        fixture.gateway.addUpstream("i-3", "here", fixture.gateway.firstAddress, "a/b?c", "v1");
+    }
+    SUBCASE("of a configured service that the store refuses for good")
+    {
+        auto config = Config;
+        const std::string services = R"("services":[)";
+        config.insert(config.find(services) + services.size(), R"({"name":"at","max_conns":5},)");
+        config.replace(config.find(R"("version":1)"), 11, R"("version":3)");
+        store.put("config", "main", config);
+        store.refusedNames = {"at"};
+        fixture.gateway.addUpstream("i-3", "here", fixture.gateway.firstAddress, "at", "v1");
+    }
+    fixture.gateway.runFor(std::chrono::seconds(2));
+    fixture.gateway.addUpstream("i-4", "here", fixture.gateway.firstAddress, "shop", "v3");
+    fixture.awaitVersionRecord(R"("1 v7631 v7632 v7633")");
+    fixture.gateway.runFor(std::chrono::seconds(3));
+    CHECK(store.badRequests.size() <= 1);
+    CHECK(store.specOf("software-versions", "a/b?c").empty());
+}
+
 TEST_CASE("A stream of unknown origin goes on if only one version can have begun it")
 {
     TakeUpFixture fixture("v1", "v1");
