--- a/src/agent/Agent.cpp
+++ b/src/agent/Agent.cpp
@@ -185,7 +185,7 @@
 {
     auto raised = co_await this->epoch.raise();
     while (!isOk(raised) && !this->stopped) {
-        spdlog::info("event=epoch_not_raised error=\"{}\"", error(raised).message);
+        spdlog::info("event=epoch_not_raised error={:?}", error(raised).message);
         co_await pauseFor(EpochRetryDelay);
         raised = co_await this->epoch.raise();
     }
--- a/src/agent/EngineController.cpp
+++ b/src/agent/EngineController.cpp
@@ -53,7 +53,7 @@
             this->decide();
             this->hooks.onChange();
         } catch (const std::exception &failure) {
-            spdlog::error("event=engine_round_failed upstream={} error=\"{}\"", this->upstream,
+            spdlog::error("event=engine_round_failed upstream={} error={:?}", this->upstream,
                           failure.what());
             if (std::chrono::steady_clock::now() - this->lastContactAt > this->times.lostTimeout)
                 this->markLost();
@@ -177,7 +177,7 @@
     try {
         co_return co_await this->port.sendCommand(std::move(command), this->times.callTimeout);
     } catch (const std::exception &failure) {
-        spdlog::error("event=engine_order_failed upstream={} error=\"{}\"", this->upstream,
+        spdlog::error("event=engine_order_failed upstream={} error={:?}", this->upstream,
                       failure.what());
         co_return Error{ErrorKind::UpstreamFailed, failure.what()};
     }
--- a/src/fleet/DatagramPort.cpp
+++ b/src/fleet/DatagramPort.cpp
@@ -52,7 +52,7 @@
     try {
         this->handler(datagram, {this->sender.address().to_string(), this->sender.port()});
     } catch (const std::exception &failure) {
-        spdlog::error("event=datagram_failed sender={} error=\"{}\"", datagram.sender(),
+        spdlog::error("event=datagram_failed sender={} error={:?}", datagram.sender(),
                       failure.what());
     }
 }
--- a/src/fleet/InstanceProgram.cpp
+++ b/src/fleet/InstanceProgram.cpp
@@ -63,7 +63,7 @@
     if (isOk(settings))
         spdlog::info("event=reload file={} outcome=valid", file);
     else
-        spdlog::warn("event=reload file={} outcome=refused reason=\"{}\"", file,
+        spdlog::warn("event=reload file={} outcome=refused reason={:?}", file,
                      error(settings).message);
 }
 
--- a/src/fleet/StoreEra.cpp
+++ b/src/fleet/StoreEra.cpp
@@ -26,7 +26,7 @@
     if (isReadable && era <= this->highest)
         return era;
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=store_era era=\"{}\" previous={} readable={}",
+                fmt::format("event=store_era era={:?} previous={} readable={}",
                             text.substr(0, MaxLoggedChars), this->highest, isReadable));
     if (isReadable)
         this->highest = era;
--- a/src/fleet/StreamOrigins.cpp
+++ b/src/fleet/StreamOrigins.cpp
@@ -3,6 +3,7 @@
 
 #include "base/Hash.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -57,8 +58,8 @@
             LogPriority::Routine, now,
             fmt::format("event=stream_origin_heard digest={:016x} from={} service={} software={} "
                         "expires_in_ms={} known={}",
-                        row.digest(), sender, row.service(), row.software_version(),
-                        row.remaining_ms(), known.has_value()));
+                        row.digest(), LogText{sender}, LogText{row.service()},
+                        row.software_version(), row.remaining_ms(), known.has_value()));
         this->record(
             row.digest(),
             {row.service(), row.software_version(), now + milliseconds(row.remaining_ms())}, now);
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -5,6 +5,7 @@
 #include "base/BootClock.h"
 #include "base/Hash.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -404,7 +405,7 @@
     if (result.outcome == AttemptOutcome::Broken && result.mayHaveRun())
         logDecision(LogPriority::Notable, now,
                     fmt::format("event=broken_run id={} upstream={} begun_ms={} parts={}",
-                                this->properties.requestId, upstreamId,
+                                LogText{this->properties.requestId}, LogText{upstreamId},
                                 this->firstByteAt ? toMs(now - *this->firstByteAt) : -1,
                                 this->describeSharedParts()));
 }
@@ -470,8 +471,9 @@
                     fmt::format("event={} id={} model={} ready_in_ms={} goal_left_ms={}",
                                 refusal.forbiddenBy == DirectiveKind::None ? "wait_for_load"
                                                                            : "wait_for_upstream",
-                                this->properties.requestId, this->properties.model,
-                                toMs(*refusal.readyIn), toMs(this->timeUntilLatencyLimit(now))));
+                                LogText{this->properties.requestId},
+                                LogText{this->properties.model}, toMs(*refusal.readyIn),
+                                toMs(this->timeUntilLatencyLimit(now))));
 }
 
 Duration Exchange::timeUntilCallerTimeout(Instant now) const
@@ -779,8 +781,8 @@
     if (!result.isFinal && !this->isCallerGone)
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=attempt_failed id={} upstream={} outcome={} may_have_run={} "
-                                "evidence={} source={} reason=\"{}\" after_ms={}",
-                                this->properties.requestId, target.upstreamId,
+                                "evidence={} source={} reason={:?} after_ms={}",
+                                LogText{this->properties.requestId}, LogText{target.upstreamId},
                                 enumName(result.outcome), result.mayHaveRun(),
                                 enumName(result.evidence), result.evidenceSource, result.reason,
                                 toMs(clockNow() - began)));
@@ -799,8 +801,8 @@
     logDecision(LogPriority::Notable, clockNow(),
                 fmt::format("event=unrelated_answer id={} upstream={} status={} answer_id={} "
                             "connection={}",
-                            this->properties.requestId, this->lastUpstream, status, id,
-                            describe(use)));
+                            LogText{this->properties.requestId}, LogText{this->lastUpstream},
+                            status, LogText{id}, describe(use)));
     return false;
 }
 
--- a/src/gateway/ExchangeAdmission.cpp
+++ b/src/gateway/ExchangeAdmission.cpp
@@ -3,6 +3,7 @@
 #include "gateway/Exchange.h"
 
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -143,7 +144,8 @@
         dispatcher.noteSilentSteward(target.upstreamId, now);
         logDecision(LogPriority::Notable, now,
                     fmt::format("event=steward_silent id={} upstream={} after_ms={}",
-                                this->properties.requestId, target.upstreamId, toMs(now - began)));
+                                LogText{this->properties.requestId}, LogText{target.upstreamId},
+                                toMs(now - began)));
         break;
     default:
         break;
--- a/src/gateway/ExchangeContinuation.cpp
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -1,6 +1,7 @@
 // Binds a stream to the software version that began it, within one response and over the attempts
 // of a caller.
 #include "gateway/Exchange.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -34,9 +35,10 @@
         LogPriority::Notable, clockNow(),
         fmt::format("event=stream_taken_up id={} resumes={} service={} software={} known={} "
                     "usable={} ms={}",
-                    this->properties.requestId, this->properties.resumedRequestId,
-                    origin ? origin->service : "", origin ? origin->softwareVersion : "",
-                    origin.has_value(), isUsable, toMs(clockNow() - beganAt)));
+                    LogText{this->properties.requestId}, LogText{this->properties.resumedRequestId},
+                    LogText{origin ? origin->service : ""},
+                    LogText{origin ? origin->softwareVersion : ""}, origin.has_value(), isUsable,
+                    toMs(clockNow() - beganAt)));
     if (!isUsable) {
         co_await this->finishWithError(ErrorKind::CannotContinue,
                                        "it is not known which upstreams can continue the stream");
@@ -92,7 +94,8 @@
         return;
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=stream_version_lost id={} upstream={} software={}",
-                            this->properties.requestId, upstreamId, *this->streamVersion));
+                            LogText{this->properties.requestId}, LogText{upstreamId},
+                            *this->streamVersion));
     this->isStreamVersionLost = true;
     if (!this->properties.continuesStream)
         this->recordOrigin("", now);
--- a/src/gateway/ExchangeResponse.cpp
+++ b/src/gateway/ExchangeResponse.cpp
@@ -2,6 +2,7 @@
 #include "gateway/Exchange.h"
 
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -54,8 +55,9 @@
                                                       this->properties.adapter, clockNow()))
             logDecision(LogPriority::Notable, clockNow(),
                         fmt::format("event=holdings_refuted id={} upstream={} model={} adapter={}",
-                                    this->properties.requestId, upstreamId, this->properties.model,
-                                    this->properties.adapter));
+                                    LogText{this->properties.requestId}, LogText{upstreamId},
+                                    LogText{this->properties.model},
+                                    LogText{this->properties.adapter}));
         // Reads the rest of the body so that the connection can be reused.
         const Duration timeout =
             std::min<Duration>(OverloadRetryAfter, this->deadline - clockNow());
@@ -97,14 +99,15 @@
             LogPriority::Notable, now,
             fmt::format("event=directive id={} upstream={} kind={} status={} limit_per_s={} "
                         "share_per_s={:.3f} retry_after_ms={}",
-                        this->properties.requestId, upstreamId, enumName(news), status,
-                        answer.directives.limitPerSecond.value_or(-1),
+                        LogText{this->properties.requestId}, LogText{upstreamId}, enumName(news),
+                        status, answer.directives.limitPerSecond.value_or(-1),
                         directives.shareOfLimit(upstreamId),
                         answer.directives.retryAfter ? toMs(*answer.directives.retryAfter) : -1));
     if (!answer.malformedDirective.empty())
         logDecision(LogPriority::Notable, now,
-                    fmt::format("event=malformed_directive id={} upstream={} header=\"{}\"",
-                                this->properties.requestId, upstreamId, answer.malformedDirective));
+                    fmt::format("event=malformed_directive id={} upstream={} header={:?}",
+                                LogText{this->properties.requestId}, LogText{upstreamId},
+                                answer.malformedDirective));
 }
 
 asio::awaitable<Exchange::AttemptResult> Exchange::relayEventStream(HttpStream &stream,
@@ -334,10 +337,12 @@
         LogPriority::Notable, now,
         fmt::format("event=unanswered id={} route={} model={} phase={} begun={} upstream={} "
                     "sends={} runs={} age_ms={} deadline_left_ms={}",
-                    this->properties.requestId, this->route == nullptr ? "none" : this->route->name,
-                    this->properties.model, enumName(this->phase), this->hasStreamBegun,
-                    this->lastUpstream, this->sendCount, this->executions.possibleExecutions(),
-                    toMs(now - this->arrived), toMs(this->deadline - now)));
+                    LogText{this->properties.requestId},
+                    LogText{this->route == nullptr ? "none" : this->route->name},
+                    LogText{this->properties.model}, enumName(this->phase), this->hasStreamBegun,
+                    LogText{this->lastUpstream}, this->sendCount,
+                    this->executions.possibleExecutions(), toMs(now - this->arrived),
+                    toMs(this->deadline - now)));
     if (this->attemptCancel)
         this->attemptCancel->cancel();
     if (this->admission)
@@ -373,12 +378,12 @@
             "event=request id={} route={} account={} model={} adapter={} outcome={} status={} "
             "upstream={} sends={} runs={} executions={} config={} snapshot_age_ms={} "
             "cost={:.0f} slowness={:.2f} admission_ms={} first_ms={} median_gap_ms={} "
-            "longest_pause_ms={} ms={} parts={} reason=\"{}\"",
-            this->properties.requestId, routeName,
-            this->account == nullptr ? "none" : this->account->name, this->properties.model,
-            this->properties.adapter, outcome, status, this->lastUpstream, this->sendCount,
-            this->executions.possibleExecutions(), this->executions.describe(),
-            this->config ? this->config->version : 0,
+            "longest_pause_ms={} ms={} parts={} reason={:?}",
+            LogText{this->properties.requestId}, LogText{routeName},
+            LogText{this->account == nullptr ? "none" : this->account->name},
+            LogText{this->properties.model}, LogText{this->properties.adapter}, outcome, status,
+            LogText{this->lastUpstream}, this->sendCount, this->executions.possibleExecutions(),
+            this->executions.describe(), this->config ? this->config->version : 0,
             this->lastSnapshotAge < Duration::zero() ? -1 : toMs(this->lastSnapshotAge),
             this->lastCostMs, this->lastSlowness,
             this->admissionTime ? toMs(*this->admissionTime) : -1,
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -91,7 +92,7 @@
     logDecision(codec.statesNotExecuted(answer.httpStatus) ? LogPriority::Essential
                                                            : LogPriority::Notable,
                 clockNow(),
-                fmt::format("event=request_not_handled outcome={} status={} reason=\"{}\"",
+                fmt::format("event=request_not_handled outcome={} status={} reason={:?}",
                             enumName(reason.kind), answer.httpStatus, reason.message));
     std::optional<Duration> retryAfter;
     if (reason.kind == ErrorKind::Draining)
@@ -433,7 +434,7 @@
         event = "store_in_doubt";
     logDecision(
         LogPriority::Notable, now,
-        fmt::format("event={} call_ms={} reason=\"{}\"", event, toMs(now - calledAt), reason));
+        fmt::format("event={} call_ms={} reason={:?}", event, toMs(now - calledAt), reason));
 }
 
 void Gateway::applyConfig(const ConfigSnapshot &reading)
@@ -498,7 +499,7 @@
         const Error problem = error(reading);
         if (problem.kind == ErrorKind::Stale) {
             logDecision(LogPriority::Notable, clockNow(),
-                        fmt::format("event=config_forgotten revision={} reason=\"{}\"", revision,
+                        fmt::format("event=config_forgotten revision={} reason={:?}", revision,
                                     problem.message));
             revision = 0;
             continue;
@@ -607,7 +608,7 @@
         const Error problem = error(notices);
         if (problem.kind == ErrorKind::Stale) {
             logDecision(LogPriority::Notable, clockNow(),
-                        fmt::format("event=list_forgotten revision={} reason=\"{}\"",
+                        fmt::format("event=list_forgotten revision={} reason={:?}",
                                     this->listRelay.highestSeenRevision(), problem.message));
             this->listRelay.resetRevision();
             continue;
@@ -709,9 +710,9 @@
         return;
     for (const auto &notice : notices) {
         if (notice.event != UpstreamEvent::Updated)
-            logDecision(
-                LogPriority::Notable, clockNow(),
-                fmt::format("event=upstream_{} upstream={}", enumName(notice.event), notice.id));
+            logDecision(LogPriority::Notable, clockNow(),
+                        fmt::format("event=upstream_{} upstream={}", enumName(notice.event),
+                                    LogText{notice.id}));
     }
     this->dispatcher.setUpstreams(this->directory.entries());
     if (this->upstreamsKnown)
@@ -825,8 +826,8 @@
     if (!this->dispatcher.noteRefusal(upstreamId, startedAtMs, now))
         return;
     logDecision(LogPriority::Notable, now,
-                fmt::format("event=upstream_doubted upstream={} born_ms={} source=own", upstreamId,
-                            startedAtMs));
+                fmt::format("event=upstream_doubted upstream={} born_ms={} source=own",
+                            LogText{upstreamId}, startedAtMs));
     proto::Datagram datagram;
     auto *doubt = datagram.mutable_upstream_doubt();
     doubt->set_upstream_id(upstreamId);
@@ -842,7 +843,7 @@
         return;
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=upstream_doubted upstream={} born_ms={} source={}",
-                            doubt.upstream_id(), doubt.born_ms(), sender));
+                            LogText{doubt.upstream_id()}, doubt.born_ms(), sender));
     // The sender has told its own data centre itself.
     if (this->plannerCoordinator.isDataCentrePeer(sender))
         return;
--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -6,6 +6,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <fmt/format.h>
 
@@ -241,9 +242,9 @@
             fmt::format("event=planner_resigned to={} term={}", sender, report.planner_term()));
     if (this->knownPlanner != sender && this->election.knowsPlanner(bootNow())) {
         this->knownPlanner = sender;
-        logDecision(
-            LogPriority::Notable, now,
-            fmt::format("event=planner_known planner={} term={}", sender, report.planner_term()));
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=planner_known planner={} term={}", LogText{sender},
+                                report.planner_term()));
     }
 }
 
--- a/src/gateway/QuotaExchange.cpp
+++ b/src/gateway/QuotaExchange.cpp
@@ -6,6 +6,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -163,7 +164,7 @@
         return;
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=quota_home account={} home={} previous={} gateways={}{}",
-                            account, order.first, previous, this->gateways.size(),
+                            LogText{account}, order.first, previous, this->gateways.size(),
                             this->loggedMoves == MaxLoggedMoves ? " further=not_logged" : ""));
 }
 
--- a/src/gateway/ServiceVersionRecords.cpp
+++ b/src/gateway/ServiceVersionRecords.cpp
@@ -4,6 +4,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <charconv>
@@ -33,8 +34,8 @@
 {
     logDecision(LogPriority::Notable, clockNow(),
                 fmt::format("event=version_record_failed call={} service={} outcome={} "
-                            "reason=\"{}\"",
-                            call, service, enumName(problem.kind), problem.message));
+                            "reason={:?}",
+                            call, LogText{service}, enumName(problem.kind), problem.message));
 }
 
 /// Splits the text of a record into the era of the store in which it was written, 0 if it names
@@ -194,8 +195,9 @@
             continue;
         logged = std::move(present);
         logDecision(LogPriority::Notable, now,
-                    fmt::format("event=service_versions service={} versions={} source={}", service,
-                                fmt::join(logged, ","), source));
+                    fmt::format("event=service_versions service={} versions={} source={}",
+                                LogText{service},
+                                LogText{fmt::format("{}", fmt::join(logged, ","))}, source));
         this->changed.notifyAll();
     }
 }
@@ -216,7 +218,7 @@
     this->versions.handleRecord(record.name, versionText, now);
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=version_record_read service={} revision={} era={} malformed={}",
-                            record.name, record.revision, era,
+                            LogText{record.name}, record.revision, era,
                             !parseVersionRecord(versionText).has_value()));
 }
 
@@ -307,9 +309,9 @@
             this->versions.noteRecordWritten(service);
             this->refusedTexts.erase(service);
             logDecision(LogPriority::Notable, clockNow(),
-                        fmt::format("event=version_record_written service={} text=\"{}\" "
+                        fmt::format("event=version_record_written service={} text={:?} "
                                     "revision={}",
-                                    service, text, value(written)));
+                                    LogText{service}, text, value(written)));
             continue;
         }
         logFailure("write", service, error(written));
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -2,6 +2,7 @@
 #include "gateway/StreamOriginExchange.h"
 
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -53,8 +54,9 @@
     logDecision(LogPriority::Routine, now,
                 fmt::format("event=stream_origin id={} digest={:016x} service={} software={} "
                             "expires_in_ms={} stewards={} peers={}",
-                            requestId, stream, origin.service, origin.softwareVersion,
-                            toMs(origin.expiresAt - now), told.stewards.size(), told.peers.size()));
+                            LogText{requestId}, stream, LogText{origin.service},
+                            origin.softwareVersion, toMs(origin.expiresAt - now),
+                            told.stewards.size(), told.peers.size()));
     this->origins.record(stream, origin, now);
     proto::Datagram datagram;
     *datagram.mutable_stream_origins()->add_rows() = makeOriginRow(stream, origin, now);
@@ -146,7 +148,7 @@
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=stream_origin_unknown resumes={} service={} sole_version={} "
                             "software={} ms={}",
-                            requestId, service, sole.has_value(), sole.value_or(""),
+                            requestId, LogText{service}, sole.has_value(), sole.value_or(""),
                             toMs(now - began)));
     if (!sole)
         co_return std::nullopt;
--- a/src/gateway/SuspectExchange.cpp
+++ b/src/gateway/SuspectExchange.cpp
@@ -4,6 +4,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <fmt/format.h>
 
@@ -47,7 +48,7 @@
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=connection_broke id={} digest={:016x} upstream={} crashes={} "
                             "suspect_parts={}",
-                            requestId, request.contentDigest, upstream.id,
+                            LogText{requestId}, request.contentDigest, LogText{upstream.id},
                             this->tracker.crashCount(request.contentDigest, now),
                             request.partDigests.size()));
     this->probe(upstream);
@@ -72,7 +73,7 @@
         const Instant began = clockNow();
         const ProbeResult result = co_await this->client.probe(address, ProbeTimeout);
         logDecision(LogPriority::Notable, clockNow(),
-                    fmt::format("event=probe upstream={} result={} ms={}", upstream,
+                    fmt::format("event=probe upstream={} result={} ms={}", LogText{upstream},
                                 enumName(result), toMs(clockNow() - began)));
         resets = result == ProbeResult::Reset ? resets + 1 : 0;
         if (resets > 0 && resets < MaxResetProbes) {
@@ -110,8 +111,9 @@
                                   const std::string &requestId, Instant now)
 {
     for (const uint64_t digest : digests)
-        logDecision(LogPriority::Notable, now,
-                    fmt::format("event=suspect_probe id={} digest={:016x}", requestId, digest));
+        logDecision(
+            LogPriority::Notable, now,
+            fmt::format("event=suspect_probe id={} digest={:016x}", LogText{requestId}, digest));
     this->announce(this->tracker.recordProbes(digests, now), now);
 }
 
--- a/src/gateway/SuspectRecords.cpp
+++ b/src/gateway/SuspectRecords.cpp
@@ -4,6 +4,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 #include "routing/SuspectRecord.h"
 
 #include <algorithm>
@@ -27,7 +28,7 @@
 void logFailure(std::string_view call, const Error &problem)
 {
     logDecision(LogPriority::Notable, clockNow(),
-                fmt::format("event=suspect_record_failed call={} outcome={} reason=\"{}\"", call,
+                fmt::format("event=suspect_record_failed call={} outcome={} reason={:?}", call,
                             enumName(problem.kind), problem.message));
 }
 
@@ -88,8 +89,9 @@
         auto suspects = parseSuspectRecord(record.text, wallNow());
         const bool isMalformed = !suspects.has_value();
         if (isMalformed)
-            logDecision(LogPriority::Notable, now,
-                        fmt::format("event=suspect_record_malformed data_centre={}", record.name));
+            logDecision(
+                LogPriority::Notable, now,
+                fmt::format("event=suspect_record_malformed data_centre={}", LogText{record.name}));
         if (record.name == this->dataCentre) {
             this->revision = record.revision;
             this->content =
--- a/src/net/ControlServer.cpp
+++ b/src/net/ControlServer.cpp
@@ -82,7 +82,7 @@
                     this->send(std::move(reply));
             });
         } catch (const std::exception &failure) {
-            spdlog::error("event=control_request_failed error=\"{}\"", failure.what());
+            spdlog::error("event=control_request_failed error={:?}", failure.what());
             // The caller gets no reply and times out. This worker receives the next request.
             const std::lock_guard lock(*this->mutex);
             if (*this->alive && !std::exchange(*replied, true))
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -295,7 +295,7 @@
     {
         const auto checked = checkHeaders(headers);
         if (!isOk(checked))
-            spdlog::error("event=invalid_header error=\"{}\"", error(checked).message);
+            spdlog::error("event=invalid_header error={:?}", error(checked).message);
         return isOk(checked);
     }
 
@@ -447,7 +447,7 @@
         try {
             co_await this->server->handler(std::move(request), *this);
         } catch (const std::exception &failure) {
-            spdlog::error("event=handler_failed error=\"{}\"", failure.what());
+            spdlog::error("event=handler_failed error={:?}", failure.what());
             failed = true;
         }
         // The objects that the callback refers to are destroyed with the handler.
--- a/src/net/KeepRunning.cpp
+++ b/src/net/KeepRunning.cpp
@@ -30,8 +30,7 @@
         [&context, name, shared](const std::exception_ptr &failure) {
             if (!failure)
                 return;
-            spdlog::error("event=task_failed task={} error=\"{}\"", name,
-                          exceptionMessage(failure));
+            spdlog::error("event=task_failed task={} error={:?}", name, exceptionMessage(failure));
             auto timer = std::make_shared<asio::steady_timer>(context, TaskRestartDelay);
             timer->async_wait([&context, name, shared, timer](boost::system::error_code code) {
                 if (!code)
--- a/src/net/Listener.cpp
+++ b/src/net/Listener.cpp
@@ -55,7 +55,7 @@
         try {
             this->handler(std::move(socket));
         } catch (const std::exception &failure) {
-            spdlog::error("event=connection_not_taken error=\"{}\"", failure.what());
+            spdlog::error("event=connection_not_taken error={:?}", failure.what());
         }
     }
 
--- a/src/net/Service.cpp
+++ b/src/net/Service.cpp
@@ -56,7 +56,7 @@
             context.run();
             return;
         } catch (const std::exception &failure) {
-            spdlog::error("event=handler_failed error=\"{}\"", failure.what());
+            spdlog::error("event=handler_failed error={:?}", failure.what());
         }
     }
 }
@@ -87,7 +87,7 @@
         asio::co_spawn(asio::make_strand(context), stop, [&](const std::exception_ptr &failure) {
             // Requests in flight keep their time until the stop limit.
             if (failure) {
-                spdlog::error("event=stop_failed error=\"{}\"", exceptionMessage(failure));
+                spdlog::error("event=stop_failed error={:?}", exceptionMessage(failure));
                 return;
             }
             complete = true;
--- a/src/node/ClaimShardRunner.cpp
+++ b/src/node/ClaimShardRunner.cpp
@@ -19,7 +19,7 @@
 /// that it has begun, and all claims of the shard wait with it.
 Error exceptionResult(const char *call, ErrorKind kind, const std::exception &failure)
 {
-    spdlog::error("event=claim_call_failed call={} error=\"{}\"", call, failure.what());
+    spdlog::error("event=claim_call_failed call={} error={:?}", call, failure.what());
     return {kind, failure.what()};
 }
 
--- a/src/observe/DecisionLog.cpp
+++ b/src/observe/DecisionLog.cpp
@@ -1,7 +1,9 @@
 // Rate limit of log lines and their non-blocking output.
 #include "observe/DecisionLog.h"
 
+#include <algorithm>
 #include <atomic>
+#include <fmt/format.h>
 #include <mutex>
 #include <poll.h>
 #include <spdlog/sinks/base_sink.h>
@@ -19,6 +21,12 @@
 constexpr size_t MaxPrefixBytes = 200;
 constexpr std::string_view CutOffMark = "...";
 
+bool isControl(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < 0x20 || byte == 0x7f;
+}
+
 std::atomic<uint64_t> linesOverBudget{0};
 std::atomic<uint64_t> linesNotTaken{0};
 
@@ -34,7 +42,15 @@
             if (this->write({message.logger_name, spdlog::level::warn, text}))
                 this->unreported = 0;
         }
-        if (!this->write(message)) {
+        // Texts from outside must not look like further lines.
+        const std::string_view payload(message.payload.data(), message.payload.size());
+        spdlog::details::log_msg line = message;
+        std::string escaped;
+        if (std::any_of(payload.begin(), payload.end(), isControl)) {
+            escaped = escapeControls(payload);
+            line.payload = escaped;
+        }
+        if (!this->write(line)) {
             ++this->unreported;
             ++linesNotTaken;
         }
@@ -119,6 +135,18 @@
         spdlog::warn("{}", text);
 }
 
+std::string escapeControls(std::string_view line)
+{
+    std::string escaped;
+    for (const char c : line) {
+        if (isControl(c))
+            escaped += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        else
+            escaped += c;
+    }
+    return escaped;
+}
+
 std::string truncateLogLine(std::string line, size_t maxBytes)
 {
     if (line.size() > maxBytes)
--- a/src/observe/DecisionLog.h
+++ b/src/observe/DecisionLog.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace tray {
 
@@ -43,6 +44,9 @@
     uint64_t dropped = 0;
 };
 
+/// Replaces control characters, such as line breaks, by escapes.
+std::string escapeControls(std::string_view line);
+
 /// Shortens a line to a number of bytes, with a mark at its end if anything was cut off.
 std::string truncateLogLine(std::string line, size_t maxBytes);
 
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -6,6 +6,7 @@
 #include "net/KeepRunning.h"
 #include "net/Pause.h"
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -157,7 +158,7 @@
                 this->restorePreviousModels(clockNow());
             } else {
                 logDecision(LogPriority::Notable, clockNow(),
-                            fmt::format("event=store_failed call=fencing_token reason=\"{}\"",
+                            fmt::format("event=store_failed call=fencing_token reason={:?}",
                                         error(token).message));
             }
         }
@@ -173,9 +174,9 @@
 {
     const auto reading = co_await this->store.readConfig();
     if (!isOk(reading)) {
-        logDecision(LogPriority::Notable, clockNow(),
-                    fmt::format("event=store_failed call=read_config reason=\"{}\"",
-                                error(reading).message));
+        logDecision(
+            LogPriority::Notable, clockNow(),
+            fmt::format("event=store_failed call=read_config reason={:?}", error(reading).message));
         co_return;
     }
     // A store that was restored from a copy has an older one.
@@ -247,7 +248,7 @@
         this->recordEra = eraOf(value(written));
     } else {
         logDecision(LogPriority::Notable, clockNow(),
-                    fmt::format("event=store_failed call=record_models reason=\"{}\"",
+                    fmt::format("event=store_failed call=record_models reason={:?}",
                                 error(written).message));
     }
     this->modelsDifferSince.reset();
@@ -324,7 +325,7 @@
 {
     if (!this->engineUnresponsive)
         logDecision(LogPriority::Notable, clockNow(),
-                    fmt::format("event=engine_lost reason=\"{}\"", reason));
+                    fmt::format("event=engine_lost reason={:?}", reason));
     this->engineUnresponsive = true;
 }
 
@@ -394,9 +395,10 @@
         logDecision(LogPriority::Notable, clockNow(),
                     fmt::format("event=order verb={} model={} adapter={} source={} sequence={} "
                                 "token={} upstream={} reply={}",
-                                enumName(order->verb), order->model, order->adapter,
-                                sourceOf(*order, *this->report), order->expectedSequence,
-                                this->fencingToken, this->upstreamId, enumName(reply)));
+                                enumName(order->verb), LogText{order->model},
+                                LogText{order->adapter}, sourceOf(*order, *this->report),
+                                order->expectedSequence, this->fencingToken,
+                                LogText{this->upstreamId}, enumName(reply)));
         this->metrics
             .counter("tray_steward_orders_total", "reply=\"" + std::string(enumName(reply)) + "\"")
             .add();
--- a/tests/observe/DecisionLogTest.cpp
+++ b/tests/observe/DecisionLogTest.cpp
@@ -1,6 +1,8 @@
 // Tests of the budget of log lines and of what happens to lines that do not fit.
 #include "observe/DecisionLog.h"
+#include "observe/LogText.h"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <fcntl.h>
@@ -84,6 +86,31 @@
     CHECK(truncateLogLine("abcdefg", 6) == "abc...");
 }
 
+TEST_CASE("A text from outside adds neither a line nor a pair to the log")
+{
+    const auto line = [](std::string_view text) {
+        return fmt::format("name={} reason={:?} end=1", LogText{text}, text);
+    };
+    CHECK(line("i-1") == R"(name=i-1 reason="i-1" end=1)");
+    CHECK(line("a/b@2,c:3") == R"(name=a/b@2,c:3 reason="a/b@2,c:3" end=1)");
+    CHECK(line("a event=x") == R"(name="a event=x" reason="a event=x" end=1)");
+    CHECK(line("a\" b=\"") == R"(name="a\" b=\"" reason="a\" b=\"" end=1)");
+    CHECK(line("a\r\nb").find_first_of("\r\n") == std::string::npos);
+    CHECK(line("\xff\xfe") == R"(name="\xff\xfe" reason="\xff\xfe" end=1)");
+
+    const auto previous = spdlog::default_logger();
+    std::string text;
+    {
+        CapturedOutput output;
+        setUpDecisionLog("test");
+        spdlog::warn("event=one name=v\r\nevent=two\x1b[2J");
+        text = output.read();
+    }
+    spdlog::set_default_logger(previous);
+    CHECK(std::count(text.begin(), text.end(), '\n') == 1);
+    CHECK(text.find(R"(event=one name=v\x0d\x0aevent=two\x1b[2J)") != std::string::npos);
+}
+
 TEST_CASE("Lines that the reader of the output does not take are counted in the log itself")
 {
     const auto previous = spdlog::default_logger();
