--- a/src/fleet/DatagramPort.cpp
+++ b/src/fleet/DatagramPort.cpp
@@ -1,6 +1,9 @@
 // Sends and receives the datagrams of a process on one UDP socket.
 #include "fleet/DatagramPort.h"
 
+#include "observe/DecisionLog.h"
+
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 namespace tray {
@@ -36,7 +39,13 @@
     boost::system::error_code code;
     const udp::endpoint endpoint(asio::ip::make_address(target.host, code), target.port);
     // The protocol tolerates lost datagrams: senders repeat whatever matters.
-    if (!code && bytes.size() <= MaxBytes)
+    if (bytes.size() > MaxBytes) {
+        logDecision(LogPriority::Notable, clockNow(),
+                    fmt::format("event=datagram_too_large target={} bytes={}", toString(target),
+                                bytes.size()));
+        return;
+    }
+    if (!code)
         this->socket.send_to(asio::buffer(bytes), endpoint, 0, code);
 }
 
--- a/src/gateway/DemandMeter.cpp
+++ b/src/gateway/DemandMeter.cpp
@@ -26,9 +26,24 @@
     this->updatedAt = now;
 }
 
+void DemandMeter::handleConfig(const FleetConfig &config)
+{
+    this->configuredModels.clear();
+    for (const auto &service : config.services) {
+        if (!service.engine)
+            continue;
+        for (const auto &model : service.engine->models)
+            this->configuredModels.insert(model.name);
+    }
+    std::erase_if(this->rates,
+                  [&](const auto &item) { return !this->configuredModels.contains(item.first); });
+}
+
 void DemandMeter::recordRequest(const std::string &model, uint32_t promptTokens,
                                 uint32_t outputTokens, double workMs, Instant now)
 {
+    if (!this->configuredModels.contains(model))
+        return;
     auto &rate = this->rates[model];
     rate.decay(now);
     // In a steady state, a sum that decays with the time constant equals the rate multiplied by
@@ -41,6 +56,8 @@
 
 void DemandMeter::recordRefusal(const std::string &model, Instant now)
 {
+    if (!this->configuredModels.contains(model))
+        return;
     auto &rate = this->rates[model];
     rate.decay(now);
     rate.refusalsPerSecond += 1 / seconds(TimeConstant);
@@ -49,6 +66,8 @@
 void DemandMeter::recordWaitingContinuation(const std::string &service, const std::string &model,
                                             const std::string &softwareVersion, Instant now)
 {
+    if (!this->configuredModels.contains(model))
+        return;
     this->continuations[{service, model, softwareVersion}] = now;
     if (this->continuations.size() > MaxContinuations)
         this->continuations.erase(std::min_element(
--- a/src/gateway/DemandMeter.h
+++ b/src/gateway/DemandMeter.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include "base/Time.h"
+#include "fleet/FleetConfig.h"
 
 #include "fleet.pb.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace tray {
@@ -28,6 +30,9 @@
     /// Most needs of continuations that are kept and reported; the oldest ones are dropped first.
     static constexpr size_t MaxContinuations = 32;
 
+    /// Handles the configuration in force. Only models that it names are measured: callers may name
+    /// others, in any bytes and number, for which nothing can be placed.
+    void handleConfig(const FleetConfig &config);
     /// Records the arrival of a request that is expected to occupy an engine for the given time, in
     /// milliseconds.
     void recordRequest(const std::string &model, uint32_t promptTokens, uint32_t outputTokens,
@@ -62,6 +67,8 @@
         auto operator<=>(const ContinuationKey &) const = default;
     };
 
+    std::set<std::string> configuredModels;
+    // Rates of configured models.
     std::map<std::string, ModelRates> rates;
     // Time at which a continuation last waited; at most MaxContinuations rows.
     std::map<ContinuationKey, Instant> continuations;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -460,6 +460,7 @@
     }
     this->dispatcher.setHasAccounts(this->config->accounts != nullptr);
     this->versionRecords.handleConfig(*this->config);
+    this->demand.handleConfig(*this->config);
     this->callerServer.setLimits(toServerLimits(this->config->limits));
     logDecision(LogPriority::Notable, now,
                 fmt::format("event=config_in_force version={} revision={} routes={}",
--- a/tests/gateway/DemandMeterTest.cpp
+++ b/tests/gateway/DemandMeterTest.cpp
@@ -1,13 +1,62 @@
 // Tests the rates that a gateway reports as its demand.
 #include "gateway/DemandMeter.h"
+#include "fleet/DatagramPort.h"
 
 #include <doctest/doctest.h>
 
 using namespace tray;
 
+namespace {
+
+FleetConfig makeConfig(const std::vector<std::string> &models)
+{
+    auto engine = std::make_shared<EngineSpec>();
+    for (const auto &name : models)
+        engine->models.push_back({.name = name});
+    FleetConfig config;
+    config.services.push_back({.name = "llm", .engine = engine});
+    return config;
+}
+
+} // namespace
+
+TEST_CASE("A caller's model that the configuration does not name keeps no demand from the planner")
+{
+    DemandMeter meter;
+    meter.handleConfig(makeConfig({"m1"}));
+    const Instant now{std::chrono::hours(1)};
+    meter.recordRequest("m1", 1000, 100, 50, now);
+    SUBCASE("one that no datagram can hold")
+    {
+        meter.recordRequest("\xff", 1000, 100, 50, now);
+        meter.recordRefusal("\xfe", now);
+        meter.recordWaitingContinuation("llm", "\xfd", "v1", now);
+    }
+    SUBCASE("so many that no datagram has room for them")
+    {
+        for (int i = 0; i < 2000; ++i)
+            meter.recordRequest("unknown-" + std::to_string(i), 1000, 100, 50, now);
+    }
+    proto::Datagram datagram;
+    *datagram.mutable_demand() = meter.makeReport(now);
+    const std::string bytes = datagram.SerializeAsString();
+    CHECK(bytes.size() <= DatagramPort::MaxBytes);
+    proto::Datagram received;
+    REQUIRE(received.ParseFromString(bytes));
+    REQUIRE(received.demand().models_size() == 1);
+    CHECK(received.demand().models(0).model() == "m1");
+
+    SUBCASE("nor does one that a new configuration drops")
+    {
+        meter.handleConfig(makeConfig({"m2"}));
+        CHECK(meter.makeReport(now).models_size() == 0);
+    }
+}
+
 TEST_CASE("The reported rate of a steady stream of requests is its true rate")
 {
     DemandMeter meter;
+    meter.handleConfig(makeConfig({"m1", "m2"}));
     Instant now{std::chrono::hours(1)};
     for (int i = 0; i < 200; ++i) {
         now += milliseconds(100);
@@ -35,6 +84,10 @@
 TEST_CASE("A gateway reports the models that continuations wait for, by service and version")
 {
     DemandMeter meter;
+    std::vector<std::string> models{"m1"};
+    for (int i = 0; i < 200; ++i)
+        models.push_back("n" + std::to_string(i));
+    meter.handleConfig(makeConfig(models));
     const Instant now{std::chrono::hours(1)};
     meter.recordWaitingContinuation("llm", "m1", "v1", now);
     meter.recordWaitingContinuation("llm", "m1", "v1", now + milliseconds(100));
