--- a/tests/platform/FleetCheckTest.cpp
+++ b/tests/platform/FleetCheckTest.cpp
@@ -256,6 +256,7 @@
     {
         for (const auto &[text, field] : std::vector<std::pair<std::string, std::string>>{
                  {"{\n\"items\":[],\n\"more\":true}", ":3: /more: "},
+                 {"{\n\"items\":[],\n\"more\":\"yes\"}", ":3: /more: "},
                  {"{\n\"objects\":[]}", ":1: /items: "},
                  {"{\n\"items\":[}", ":2: not valid JSON"}}) {
             CHECK(check(text) == FleetCheckUnreadable);
