--- a/src/net/HttpMessage.cpp
+++ b/src/net/HttpMessage.cpp
@@ -1,6 +1,7 @@
 // Header look-up and parsing of request targets.
 #include "net/HttpMessage.h"
 
+#include "base/Ascii.h"
 #include "net/UriEncoding.h"
 
 #include <algorithm>
@@ -10,12 +11,6 @@
 
 namespace {
 
-bool isControl(char c)
-{
-    const auto byte = static_cast<unsigned char>(c);
-    return byte < 0x20 || byte == 0x7f;
-}
-
 /// Returns whether a text is a token of RFC 9110, as methods and names of headers are.
 bool isToken(std::string_view text)
 {
--- a/src/observe/DecisionLog.cpp
+++ b/src/observe/DecisionLog.cpp
@@ -1,6 +1,8 @@
 // Rate limit of log lines and their non-blocking output.
 #include "observe/DecisionLog.h"
 
+#include "base/Ascii.h"
+
 #include <algorithm>
 #include <atomic>
 #include <fmt/format.h>
@@ -19,14 +21,9 @@
 constexpr size_t MaxNonBlockingBytes = 4096;
 // Bytes of a line that the time, the level and the name of the process may take.
 constexpr size_t MaxPrefixBytes = 200;
+constexpr size_t MaxLineBytes = MaxNonBlockingBytes - MaxPrefixBytes;
 constexpr std::string_view CutOffMark = "...";
 
-bool isControl(char c)
-{
-    const auto byte = static_cast<unsigned char>(c);
-    return byte < 0x20 || byte == 0x7f;
-}
-
 std::atomic<uint64_t> linesOverBudget{0};
 std::atomic<uint64_t> linesNotTaken{0};
 
@@ -47,7 +44,7 @@
         spdlog::details::log_msg line = message;
         std::string escaped;
         if (std::any_of(payload.begin(), payload.end(), isControl)) {
-            escaped = escapeControls(payload);
+            escaped = truncateLogLine(escapeControls(payload), MaxLineBytes);
             line.payload = escaped;
         }
         if (!this->write(line)) {
@@ -128,7 +125,7 @@
     }
     if (const auto dropped = budget.takeDropped(); dropped > 0)
         spdlog::warn("event=log_lines_left_out count={}", dropped);
-    const std::string text = truncateLogLine(line, MaxNonBlockingBytes - MaxPrefixBytes);
+    const std::string text = truncateLogLine(line, MaxLineBytes);
     if (priority == LogPriority::Routine)
         spdlog::info("{}", text);
     else
--- a/tests/observe/DecisionLogTest.cpp
+++ b/tests/observe/DecisionLogTest.cpp
@@ -104,10 +104,12 @@
         CapturedOutput output;
         setUpDecisionLog("test");
         spdlog::warn("event=one name=v\r\nevent=two\x1b[2J");
+        logDecision(LogPriority::Essential, clockNow(), "event=long " + std::string(3000, '\n'));
         text = output.read();
     }
     spdlog::set_default_logger(previous);
-    CHECK(std::count(text.begin(), text.end(), '\n') == 1);
+    CHECK(std::count(text.begin(), text.end(), '\n') == 2);
+    CHECK(text.find("event=long") != std::string::npos);
     CHECK(text.find(R"(event=one name=v\x0d\x0aevent=two\x1b[2J)") != std::string::npos);
 }
 
