Tell witnesses of streams again after they have restarted

Cause: witnesses of a stream's origin keep it in memory only and were told once. When each of them had restarted, only the gateway at which the stream began knew its origin, until it ended, too.

Gateway 2 logs stream_origin_search with silent=0 known=false: the witnesses were asked and had answered that they do not know.

Change: the gateway at which a stream began or was taken up last keeps a bounded table of the witnesses that it told. A gateway that takes a stream up tells its own witnesses. A gateway that has read the records of its peers reports to all of them at once, so that they notice its restart.

Why it works: whatever the order of restarts, the responsible gateway lives while its witnesses restart, and its witnesses have been told when it ends.

--- a/src/fleet/WitnessSelection.h
+++ b/src/fleet/WitnessSelection.h
@@ -2,9 +2,12 @@
 // gateway asks those that were told, whichever gateway told them.
 #pragma once
 
+#include "base/Address.h"
 #include "fleet/Upstream.h"
 
 #include <map>
+#include <string>
+#include <vector>
 
 namespace tray {
 
@@ -26,6 +29,15 @@
 inline constexpr WitnessCounts ToldWitnesses{2, 2};
 inline constexpr WitnessCounts AskedWitnesses{3, 3};
 
+/// Witnesses of one stream, each once: stewards by their address, gateways by their name.
+struct Witnesses
+{
+    std::vector<Address> stewards;
+    std::vector<std::string> peers;
+
+    size_t size() const { return this->stewards.size() + this->peers.size(); }
+};
+
 /// Returns the engines of a service whose stewards are witnesses of a stream: for each software
 /// version that has ready ones, the given number. So a whole version can leave without taking all
 /// witnesses with it. If there are more than MaxWitnessVersions, those with the most ready engines
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -269,6 +269,8 @@
                         [this] { return this->storeReachable ? 1.0 : 0.0; });
     this->metrics.gauge("tray_gateway_planner_term",
                         [this] { return static_cast<double>(this->plannerCoordinator.ownTerm()); });
+    this->metrics.gauge("tray_gateway_told_streams",
+                        [this] { return static_cast<double>(this->streamOrigins.toldStreams()); });
     this->metrics.gauge("tray_gateway_body_memory_bytes",
                         [this] { return static_cast<double>(this->bodyMemory.usedBytes()); });
     this->metrics.gauge("tray_gateway_connections_dialled",
@@ -790,6 +792,8 @@
 void Gateway::handleDatagram(const proto::Datagram &datagram, const Address &sender)
 {
     if (datagram.has_snapshot()) {
+        this->streamOrigins.handleSteward(sender, datagram.snapshot().steward_incarnation(),
+                                          clockNow());
         if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow())) {
             this->plannerCoordinator.requestPlan();
             // Requests wait for engines that load their models.
@@ -816,6 +820,8 @@
     } else if (datagram.has_demand()) {
         this->plannerCoordinator.handleDemandReport(datagram.sender(), datagram.demand(),
                                                     clockNow());
+        this->streamOrigins.handlePeer(datagram.sender(), datagram.demand().incarnation(),
+                                       clockNow());
         if (datagram.demand().stopping())
             this->quotas.notePeersChanged();
     }
--- a/src/gateway/PlannerCoordinator.cpp
+++ b/src/gateway/PlannerCoordinator.cpp
@@ -54,8 +54,9 @@
                                        std::string dataCentre, double cpuCores, Address address,
                                        StoreLoadLimits loadLimits, Dependencies dependencies)
     : context(context), instance(std::move(instance)), dataCentre(std::move(dataCentre)),
-      address(std::move(address)), loadLimits(loadLimits), dependencies(std::move(dependencies)),
-      election(hash64(this->instance), cpuCores, bootNow()), planTrigger(context)
+      address(std::move(address)), loadLimits(loadLimits), incarnation(newNonce()),
+      dependencies(std::move(dependencies)), election(hash64(this->instance), cpuCores, bootNow()),
+      planTrigger(context)
 {}
 
 void PlannerCoordinator::start()
@@ -113,6 +114,9 @@
         if (separator != std::string::npos)
             peer.dataCentre = record.text.substr(separator + 1);
     }
+    // Peers that were not known at the last report to all learn soon that this instance has
+    // started.
+    this->reportedToAllAt = {};
 }
 
 asio::awaitable<void> PlannerCoordinator::tickLoop()
@@ -191,6 +195,7 @@
     report->set_data_centre(this->dataCentre);
     report->set_planner_term(this->election.ownTerm());
     report->set_stopping(this->isStopAnnounced);
+    report->set_incarnation(this->incarnation);
     if (this->election.isPlanner())
         this->election.noteHeartbeatSent(bootNow());
     const bool toAll = this->election.isPlanner() || !this->election.knowsPlanner(bootNow()) ||
--- a/src/gateway/PlannerCoordinator.h
+++ b/src/gateway/PlannerCoordinator.h
@@ -123,6 +123,8 @@
     const std::string dataCentre;
     const Address address;
     const StoreLoadLimits loadLimits;
+    // Tells peers whether this instance has restarted.
+    const uint64_t incarnation;
     Dependencies dependencies;
     PlannerElection election;
     PlanPacer pacer;
--- a/src/gateway/StreamOriginExchange.cpp
+++ b/src/gateway/StreamOriginExchange.cpp
@@ -16,13 +16,14 @@
 // Time after which a query is sent again to the witnesses that have not answered; more than a round
 // trip between regions.
 constexpr Duration QueryResendInterval = milliseconds(150);
+// Rows of one report at most, in bytes; with its other fields a report stays below the size limit
+// of a datagram.
+constexpr size_t MaxReportBytes = 8192;
 
 } // namespace
 
-StreamOriginExchange::Witnesses StreamOriginExchange::selectWitnesses(uint64_t stream,
-                                                                      const std::string &service,
-                                                                      const WitnessCounts &counts,
-                                                                      Instant now) const
+Witnesses StreamOriginExchange::selectWitnesses(uint64_t stream, const std::string &service,
+                                                const WitnessCounts &counts, Instant now) const
 {
     Witnesses selected;
     if (this->peers.hasStewards(service)) {
@@ -50,17 +51,68 @@
                                   Instant now)
 {
     const uint64_t stream = streamDigest(requestId);
-    const Witnesses told = this->selectWitnesses(stream, origin.service, ToldWitnesses, now);
+    this->origins.record(stream, origin, now);
+    const Witnesses told = this->tellWitnesses(stream, origin, now);
     logDecision(LogPriority::Routine, now,
                 fmt::format("event=stream_origin id={} digest={:016x} service={} software={} "
                             "expires_in_ms={} stewards={} peers={}",
                             LogText{requestId}, stream, LogText{origin.service},
                             origin.softwareVersion, toMs(origin.expiresAt - now),
                             told.stewards.size(), told.peers.size()));
-    this->origins.record(stream, origin, now);
+}
+
+Witnesses StreamOriginExchange::tellWitnesses(uint64_t stream, const StreamOrigin &origin,
+                                              Instant now)
+{
+    Witnesses told = this->selectWitnesses(stream, origin.service, ToldWitnesses, now);
     proto::Datagram datagram;
     *datagram.mutable_stream_origins()->add_rows() = makeOriginRow(stream, origin, now);
     this->send(datagram, told);
+    this->ledger.noteTold(stream, told, origin.expiresAt, now);
+    return told;
+}
+
+void StreamOriginExchange::handleSteward(const Address &address, uint64_t incarnation, Instant now)
+{
+    this->tellAgain({{address}, {}}, this->ledger.noteSteward(address, incarnation, now), now);
+}
+
+void StreamOriginExchange::handlePeer(const std::string &peer, uint64_t incarnation, Instant now)
+{
+    this->tellAgain({{}, {peer}}, this->ledger.notePeer(peer, incarnation, now), now);
+}
+
+void StreamOriginExchange::tellAgain(const Witnesses &witness, const std::vector<uint64_t> &streams,
+                                     Instant now)
+{
+    if (streams.empty())
+        return;
+    proto::Datagram datagram;
+    size_t bytes = 0;
+    size_t rows = 0;
+    const auto flush = [&] {
+        if (bytes > 0)
+            this->send(datagram, witness);
+        datagram.Clear();
+        bytes = 0;
+    };
+    for (const uint64_t stream : streams) {
+        const auto origin = this->origins.find(stream, now);
+        if (!origin)
+            continue;
+        const auto row = makeOriginRow(stream, *origin, now);
+        if (bytes + row.ByteSizeLong() > MaxReportBytes)
+            flush();
+        bytes += row.ByteSizeLong();
+        ++rows;
+        *datagram.mutable_stream_origins()->add_rows() = row;
+    }
+    flush();
+    const std::string name =
+        witness.peers.empty() ? toString(witness.stewards.front()) : witness.peers.front();
+    logDecision(
+        LogPriority::Notable, now,
+        fmt::format("event=stream_witness_restarted witness={} streams={}", LogText{name}, rows));
 }
 
 void StreamOriginExchange::handleReport(const std::string &sender, const Address &address,
@@ -134,8 +186,13 @@
             const Instant askUntil = std::min(limit, clockNow() + MaxWitnessSearchTime);
             co_await this->askWitnesses(stream, service, askUntil);
         }
-        if (auto known = this->origins.find(stream, clockNow()))
+        if (auto known = this->origins.find(stream, clockNow())) {
+            // The gateway at which the stream began may have ended, so that it tells no witness
+            // again that restarts.
+            if (!this->ledger.contains(stream))
+                this->tellWitnesses(stream, *known, clockNow());
             co_return known;
+        }
     }
     // Nobody knows the stream; it may go on only if no other version can have begun it.
     const Instant began = clockNow();
--- a/src/gateway/StreamOriginExchange.h
+++ b/src/gateway/StreamOriginExchange.h
@@ -1,10 +1,11 @@
 // Finds out which software version began a stream that a caller takes up again, also if another
 // gateway, or this instance before a restart, has passed on its first event. Stewards and peer
-// gateways are told when a stream begins and asked when it is taken up.
+// gateways are told when a stream begins and asked when it is taken up. The gateway at which a
+// stream began or was taken up last tells witnesses again that have restarted since.
 #pragma once
 
 #include "fleet/StreamOrigins.h"
-#include "fleet/WitnessSelection.h"
+#include "fleet/WitnessLedger.h"
 #include "gateway/AsyncCondition.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -55,6 +56,12 @@
     void handleReport(const std::string &sender, const Address &address,
                       const proto::StreamOriginReport &report, Instant now);
     void handleQuery(const proto::StreamOriginQuery &query, const Address &address, Instant now);
+    /// Handles a sign of life of a steward, or of a peer gateway. One that is not of the
+    /// incarnation before has lost what it was told, and is told again.
+    void handleSteward(const Address &address, uint64_t incarnation, Instant now);
+    void handlePeer(const std::string &peer, uint64_t incarnation, Instant now);
+    /// Streams whose witnesses this gateway tells again.
+    size_t toldStreams() const { return this->ledger.size(); }
     /// Ends the searches, because the requests that wait must get their final responses.
     void handleAnswersDue();
 
@@ -68,15 +75,6 @@
     /// Searches that wait for witnesses at most; further ones know what this gateway knows.
     static constexpr size_t MaxSearches = 1000;
 
-    /// Witnesses of one stream, each once.
-    struct Witnesses
-    {
-        std::vector<Address> stewards;
-        std::vector<std::string> peers;
-
-        size_t size() const { return this->stewards.size() + this->peers.size(); }
-    };
-
     struct Search
     {
         uint64_t stream = 0;
@@ -89,6 +87,10 @@
     Witnesses selectWitnesses(uint64_t stream, const std::string &service,
                               const WitnessCounts &counts, Instant now) const;
     void send(const proto::Datagram &datagram, const Witnesses &targets);
+    /// Tells the witnesses of a stream what began it. Returns those that were told.
+    Witnesses tellWitnesses(uint64_t stream, const StreamOrigin &origin, Instant now);
+    /// Tells one witness what began the given streams.
+    void tellAgain(const Witnesses &witness, const std::vector<uint64_t> &streams, Instant now);
     /// Asks the witnesses of a stream until one of them knows it, all have answered or the time is
     /// over. What they know is in the table afterwards.
     boost::asio::awaitable<void> askWitnesses(uint64_t stream, std::string service, Instant limit);
@@ -96,6 +98,7 @@
     boost::asio::io_context &context;
     const Peers peers;
     StreamOrigins origins;
+    WitnessLedger ledger;
     std::list<Search> searches;
 };
 
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -93,10 +93,11 @@
 Steward::Steward(asio::io_context &context, StewardSettings settings, FleetStore &store,
                  OrderPort &engine, Metrics &metrics)
     : context(context), settings(std::move(settings)), store(store), engine(engine),
-      metrics(metrics), datagrams(context, this->settings.instance,
-                                  [this](const proto::Datagram &datagram, const Address &sender) {
-                                      this->receive(datagram, sender);
-                                  }),
+      metrics(metrics), incarnation(newNonce()),
+      datagrams(context, this->settings.instance,
+                [this](const proto::Datagram &datagram, const Address &sender) {
+                    this->receive(datagram, sender);
+                }),
       admissions(context, this->datagrams, metrics)
 {}
 
@@ -518,6 +519,7 @@
     snapshot.set_can_order(this->canOrder());
     snapshot.set_busy(this->report->busy);
     snapshot.set_silent(this->engineUnresponsive);
+    snapshot.set_steward_incarnation(this->incarnation);
     const std::string state = snapshot.SerializeAsString();
     const bool changed = state != this->lastSentState;
     this->lastSentState = state;
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -87,6 +87,8 @@
     FleetStore &store;
     OrderPort &engine;
     Metrics &metrics;
+    // Tells gateways whether this process has restarted.
+    const uint64_t incarnation;
     DatagramPort datagrams;
     AdmissionService admissions;
     OrderPlanner planner;
--- a/tests/platform/GatewayFixture.h
+++ b/tests/platform/GatewayFixture.h
@@ -120,6 +120,7 @@
         auto *snapshot = datagram.mutable_snapshot();
         snapshot->set_upstream_id("e-1");
         snapshot->set_can_order(true);
+        snapshot->set_steward_incarnation(this->stewardIncarnation);
         if (loadingLeftMs) {
             snapshot->set_loading(model);
             snapshot->set_loading_left_ms(*loadingLeftMs);
@@ -129,6 +130,13 @@
         this->steward.send(this->datagrams, std::move(datagram));
     }
 
+    /// Ends the steward and starts it anew: it has forgotten the streams that it was told of.
+    void restartSteward()
+    {
+        this->stewardOrigins = {};
+        ++this->stewardIncarnation;
+    }
+
     /// Sends a request once the gateway is ready and returns the complete answer.
     Result<HttpResponse> send(const std::string &target, HttpHeaders headers = {},
                               std::string body = "", Duration timeout = std::chrono::seconds(5))
@@ -205,6 +213,7 @@
     std::vector<proto::PlacementWish> placementRequests;
     /// Origins of streams that the steward was told; it answers queries as long as it is set to.
     StreamOrigins stewardOrigins;
+    uint64_t stewardIncarnation = 1;
     bool stewardAnswers = true;
     /// Called for each datagram that the steward receives.
     std::function<void(const proto::Datagram &datagram, const Address &sender)> onStewardDatagram;
--- a/tests/streams/StreamTakeUpTest.cpp
+++ b/tests/streams/StreamTakeUpTest.cpp
@@ -113,6 +113,49 @@
     CHECK(bodyOf(answer) == wholeStream("v1", 3));
 }
 
+// Guards against streams that are lost as all instances are stopped and started in turn.
+TEST_CASE("A stream goes on at its version after its witnesses and then its gateway were replaced")
+{
+    SUBCASE("where only gateways are witnesses")
+    {
+        TakeUpFixture fixture("v1", "v2");
+        const Address first = fixture.gateway.address;
+        fixture.startPeer("front-2");
+        fixture.gateway.address = first;
+        fixture.beginStream();
+        fixture.stop(*fixture.peers.back());
+        fixture.startPeer("front-2");
+        fixture.stop(*fixture.gateway.gateway);
+        CHECK(bodyOf(fixture.takeUp("r2", "r1", 2)) == wholeStream("v1", 3));
+    }
+    SUBCASE("where stewards are witnesses")
+    {
+        TakeUpFixture fixture("v1", "v2", true);
+        fixture.gateway.sendModelSnapshot("m1", std::nullopt);
+        fixture.beginStream();
+        fixture.gateway.restartSteward();
+        fixture.gateway.sendModelSnapshot("m1", std::nullopt);
+        fixture.gateway.runFor(milliseconds(100));
+        fixture.restart();
+        CHECK(bodyOf(fixture.takeUp("r2", "r1", 2)) == wholeStream("v1", 3));
+    }
+    SUBCASE("where a gateway that took it up ends after its witness")
+    {
+        TakeUpFixture fixture("v1", "v2");
+        fixture.beginStream();
+        fixture.startPeer("front-2");
+        fixture.first.breaks = 1;
+        REQUIRE_FALSE(isOk(fixture.takeUp("r2", "r1", 1)));
+        const Address second = fixture.gateway.address;
+        fixture.stop(*fixture.gateway.gateway);
+        fixture.startPeer("front-1");
+        fixture.gateway.address = second;
+        fixture.stop(*fixture.peers.front());
+        fixture.startPeer("front-3");
+        CHECK(bodyOf(fixture.takeUp("r3", "r1", 3)) == wholeStream("v1", 4));
+    }
+}
+
 TEST_CASE("A stream goes on at its version after all gateways have ended")
 {
     TakeUpFixture fixture("v1", "v2", true);
