Keep the version of a stream whose upstream restarts after it began

Cause: news of a restart made the version of all responses from that upstream's id unknown, also of those that had begun before it. A response comes from the process to which its connection was made, so only a response that may have begun after the restart, while the list was late, is in doubt.

A response that had begun by then keeps its version, and its stream goes on at another upstream.

Why it works: the later incarnation can't have answered on a connection that was made while the one before is known to have run. Where that is not known, nothing changes, so that no stream is joined that was not joined before.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -141,6 +141,8 @@
     for (const auto &[id, entry] : entries) {
         auto &upstream = this->upstreams[id];
         if (upstream.entry.startedAtMs != entry.startedAtMs) {
+            upstream.previousStartedAtMs = upstream.entry.startedAtMs;
+            upstream.previousRanUntil = std::exchange(upstream.ranUntil, Instant{});
             upstream.snapshot.reset();
             upstream.health = {};
             upstream.pace = {};
@@ -277,7 +279,32 @@
     for (auto &[id, upstream] : this->upstreams) {
         if (upstream.refusedAt && asOf >= *upstream.refusedAt + StartListingTime)
             upstream.refusedAt.reset();
+        // The changes that come with this list are applied later, those of the list before have
+        // been.
+        upstream.ranUntil = std::max(upstream.ranUntil, this->listKnownAsOf - StartListingTime);
     }
+    this->listKnownAsOf = std::max(this->listKnownAsOf, asOf);
+}
+
+void Dispatcher::noteRunning(const std::string &upstreamId, uint64_t startedAtMs, Instant at)
+{
+    const auto found = this->upstreams.find(upstreamId);
+    if (startedAtMs == 0 || found == this->upstreams.end() ||
+        found->second.entry.startedAtMs != startedAtMs)
+        return;
+    found->second.ranUntil = std::max(found->second.ranUntil, at);
+}
+
+bool Dispatcher::isAnswerOf(const std::string &upstreamId, uint64_t startedAtMs,
+                            Instant begunAt) const
+{
+    const auto found = this->upstreams.find(upstreamId);
+    if (startedAtMs == 0 || found == this->upstreams.end())
+        return false;
+    const auto &upstream = found->second;
+    if (upstream.entry.startedAtMs == startedAtMs)
+        return begunAt <= upstream.ranUntil;
+    return upstream.previousStartedAtMs == startedAtMs && begunAt <= upstream.previousRanUntil;
 }
 
 bool Dispatcher::hasFreshSnapshot(const Upstream &upstream, Instant now) const
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -167,6 +167,12 @@
     /// Records that the list was complete and reliable as of a time. An upstream that has refused
     /// connections so long before that a new start would be listed has not started again.
     void endDoubts(Instant asOf);
+    /// Records that this incarnation of an upstream ran at a time, as its steward has seen.
+    void noteRunning(const std::string &upstreamId, uint64_t startedAtMs, Instant at);
+    /// Whether an answer that had begun to arrive at a time came from this incarnation of an
+    /// upstream, whether or not the upstream has restarted since: the incarnation is known to have
+    /// run then or later, or no later start can have been before.
+    bool isAnswerOf(const std::string &upstreamId, uint64_t startedAtMs, Instant begunAt) const;
     /// Records that the upstream was chosen for a request.
     void noteChosen(const std::string &upstreamId, Instant now);
     /// Whether this instance is to receive the snapshots of the upstream's engine.
@@ -283,6 +289,12 @@
         // Start time in the latest snapshot of a later incarnation than that of the list entry; 0
         // if there was none.
         uint64_t laterStartedAtMs = 0;
+        // Time until which the listed incarnation is known not to have been replaced by a later
+        // one.
+        Instant ranUntil{};
+        // The incarnation before the listed one; the start time is 0 if there was none.
+        uint64_t previousStartedAtMs = 0;
+        Instant previousRanUntil{};
         // Last time at which the listed incarnation refused a connection; empty once the list has
         // shown that it runs on.
         std::optional<Instant> refusedAt;
@@ -367,6 +379,9 @@
     const ProximityLookup proximityOf;
     std::map<std::string, Upstream> upstreams;
     size_t remoteUpstreamCount = 0;
+    // Time as of which the list was last known to be complete; its changes since the list before
+    // may not be applied yet.
+    Instant listKnownAsOf{};
     PrefillTimeEstimator prefillTimeEstimator;
     UpstreamDirectives upstreamDirectives;
     const uint64_t choiceSeed;
--- a/src/gateway/ExchangeContinuation.cpp
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -51,7 +51,13 @@
 
 std::optional<std::string> Exchange::findAnsweringVersion() const
 {
-    if (this->gateway.dispatcher.isIncarnationDoubtful(this->lastUpstream))
+    const auto &dispatcher = this->gateway.dispatcher;
+    // A response comes from the process to which its connection was made, so it stays what it is
+    // if the upstream restarts later.
+    if (this->firstByteAt &&
+        dispatcher.isAnswerOf(this->lastUpstream, this->attemptStartedAtMs, *this->firstByteAt))
+        return this->attemptVersion;
+    if (dispatcher.isIncarnationDoubtful(this->lastUpstream))
         return std::nullopt;
     const auto &entries = this->gateway.directory.entries();
     const auto entry = entries.find(this->lastUpstream);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -757,6 +757,7 @@
         static_cast<uint32_t>(toMs(isRemote ? RemoteSnapshotPeriod : SnapshotPeriod)));
     subscribe->set_with_copies(plans);
     subscribe->set_store_era(this->store.era());
+    subscribe->set_stamp(this->subscriptionStamps.present());
     subscribe->set_config_version(this->config->version);
     subscribe->set_engine_digest(this->engineDigests.at(entry.service));
     this->datagrams.send(this->stewardAddress(entry), std::move(datagram));
@@ -781,6 +782,7 @@
 {
     while (!this->shutdownSchedule.isDrainOver(clockNow())) {
         this->applyUpstreamNotices(this->directory.removeExpired(clockNow()));
+        this->subscriptionStamps.renew(clockNow());
         this->subscribeAll();
         this->suspectExchange.runPeriodic(clockNow());
         this->dispatcher.directives().refresh(clockNow());
@@ -789,17 +791,24 @@
     }
 }
 
+void Gateway::handleSnapshot(const proto::EngineSnapshot &snapshot, const Address &steward)
+{
+    const Instant now = clockNow();
+    this->streamOrigins.handleSteward(steward, snapshot.steward_incarnation(), now);
+    if (const auto ranAt = this->subscriptionStamps.sentAt(snapshot.subscribe_stamp()))
+        this->dispatcher.noteRunning(snapshot.upstream_id(), snapshot.born_ms(), *ranAt);
+    if (this->dispatcher.noteSnapshot(snapshot, now)) {
+        this->plannerCoordinator.requestPlan();
+        // Requests wait for engines that load their models.
+        this->capacityChanged.notifyAll();
+    }
+    this->snapshotArrived.notifyAll();
+}
+
 void Gateway::handleDatagram(const proto::Datagram &datagram, const Address &sender)
 {
     if (datagram.has_snapshot()) {
-        this->streamOrigins.handleSteward(sender, datagram.snapshot().steward_incarnation(),
-                                          clockNow());
-        if (this->dispatcher.noteSnapshot(datagram.snapshot(), clockNow())) {
-            this->plannerCoordinator.requestPlan();
-            // Requests wait for engines that load their models.
-            this->capacityChanged.notifyAll();
-        }
-        this->snapshotArrived.notifyAll();
+        this->handleSnapshot(datagram.snapshot(), sender);
     } else if (datagram.has_admission_reply()) {
         this->admissionClient->handleReply(datagram.admission_reply(), sender, clockNow());
     } else if (datagram.has_list_word()) {
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/ServiceVersionRecords.h"
 #include "gateway/ShutdownSchedule.h"
 #include "gateway/StreamOriginExchange.h"
+#include "gateway/SubscriptionStamps.h"
 #include "gateway/SuspectExchange.h"
 #include "gateway/SuspectRecords.h"
 #include "net/HttpClient.h"
@@ -117,6 +118,7 @@
     /// Records that a call to the store has failed that began at the given time and might wait for
     /// changes for the given time.
     void recordStoreFailure(Instant calledAt, Duration wait, const std::string &reason);
+    void handleSnapshot(const proto::EngineSnapshot &snapshot, const Address &steward);
     void handleDatagram(const proto::Datagram &datagram, const Address &sender);
     /// Records that an upstream refuses connections, so that it may start again with another
     /// software version before the list shows it, and tells the other gateways.
@@ -159,6 +161,7 @@
     // time after the first such report, the last new version here and the last explicit read.
     Instant configReadDueAt{};
     Dispatcher dispatcher;
+    SubscriptionStamps subscriptionStamps;
     DemandMeter demand;
     AsyncCondition snapshotArrived;
     // An attempt has ended or its prompt has been read.
--- a/src/steward/Steward.cpp
+++ b/src/steward/Steward.cpp
@@ -310,11 +310,7 @@
         std::erase_if(this->subscribers,
                       [&](const auto &item) { return item.second.expiresAt <= now; });
         if (!this->orderLoopRunning && !this->subscribers.empty()) {
-            auto reading = co_await this->engine.report();
-            if (isOk(reading))
-                this->applyReport(value(std::move(reading)));
-            else
-                this->noteEngineUnresponsive(error(reading).message);
+            co_await this->readReport();
             this->sendSnapshots(clockNow());
             this->startOrderLoop();
         }
@@ -322,6 +318,24 @@
     }
 }
 
+asio::awaitable<void> Steward::readReport()
+{
+    std::map<std::string, uint64_t> stamps;
+    for (const auto &[name, subscriber] : this->subscribers)
+        stamps[name] = subscriber.stamp;
+    auto reading = co_await this->engine.report();
+    if (!isOk(reading)) {
+        this->noteEngineUnresponsive(error(reading).message);
+        co_return;
+    }
+    this->applyReport(value(std::move(reading)));
+    for (const auto &[name, stamp] : stamps) {
+        const auto subscriber = this->subscribers.find(name);
+        if (subscriber != this->subscribers.end())
+            subscriber->second.reportStamp = stamp;
+    }
+}
+
 void Steward::noteEngineUnresponsive(const std::string &reason)
 {
     if (!this->engineUnresponsive)
@@ -447,6 +461,7 @@
         if (subscribe.with_copies() && !subscriber.withCopies)
             subscriber.sentAt = {};
         subscriber.withCopies = subscribe.with_copies();
+        subscriber.stamp = subscribe.stamp();
         this->admissions.noteSender(datagram.sender(), now);
     } else if (datagram.has_adapter_wish()) {
         const auto &request = datagram.adapter_wish();
@@ -542,6 +557,7 @@
         subscriber.sentAt = now;
         proto::Datagram datagram;
         *datagram.mutable_snapshot() = subscriber.withCopies ? withCopies : snapshot;
+        datagram.mutable_snapshot()->set_subscribe_stamp(subscriber.reportStamp);
         this->datagrams.send(subscriber.address, std::move(datagram));
     }
 }
--- a/src/steward/Steward.h
+++ b/src/steward/Steward.h
@@ -49,6 +49,10 @@
         Instant sentAt{};
         // Whether snapshots list the copies on the engine's host.
         bool withCopies = false;
+        // Stamp of the last subscription, and the one that it had when the engine was asked for its
+        // present report.
+        uint64_t stamp = 0;
+        uint64_t reportStamp = 0;
     };
 
     boost::asio::awaitable<void> obtainAuthority();
@@ -62,6 +66,8 @@
     void noteGatewayConfig(uint64_t version, uint64_t digest, Instant now);
     boost::asio::awaitable<void> refreshConfiguration();
     boost::asio::awaitable<void> reportLoop();
+    /// Reads the engine's report, and records which subscriptions had arrived before.
+    boost::asio::awaitable<void> readReport();
     boost::asio::awaitable<void> runOrderLoop();
 
     void receive(const proto::Datagram &datagram, const Address &sender);
--- a/tests/dispatch/DispatcherTest.cpp
+++ b/tests/dispatch/DispatcherTest.cpp
@@ -421,6 +421,51 @@
     }
 }
 
+// Guards against streams that are cut because their upstream has restarted after they began.
+TEST_CASE("An answer is known to be of the incarnation that ran after it had begun")
+{
+    Dispatcher dispatcher(proximityOf);
+    auto engine = engineNamed("one");
+    engine.startedAtMs = 7;
+    const auto restart = [&](uint64_t startedAtMs) {
+        engine.startedAtMs = startedAtMs;
+        dispatcher.setUpstreams({{"one", engine}});
+    };
+    restart(7);
+    const Instant begunAt = Start + milliseconds(500);
+    CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt));
+
+    SUBCASE("as its steward reported")
+    {
+        dispatcher.noteRunning("one", 7, begunAt - milliseconds(1));
+        CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt));
+        dispatcher.noteRunning("one", 7, begunAt);
+        CHECK(dispatcher.isAnswerOf("one", 7, begunAt));
+    }
+    SUBCASE("but not by a report of another incarnation, or of one without a start time")
+    {
+        dispatcher.noteRunning("one", 8, begunAt);
+        dispatcher.noteRunning("one", 0, begunAt);
+        CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt));
+        CHECK_FALSE(dispatcher.isAnswerOf("one", 0, begunAt));
+        return;
+    }
+    SUBCASE("as the list would show a later start")
+    {
+        dispatcher.endDoubts(begunAt + Dispatcher::StartListingTime);
+        // The changes of this list are not applied yet.
+        CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt));
+        dispatcher.endDoubts(begunAt + Dispatcher::StartListingTime);
+        CHECK(dispatcher.isAnswerOf("one", 7, begunAt));
+    }
+    restart(8);
+    CHECK(dispatcher.isAnswerOf("one", 7, begunAt));
+    CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt + milliseconds(1)));
+    CHECK_FALSE(dispatcher.isAnswerOf("one", 8, begunAt));
+    restart(9);
+    CHECK_FALSE(dispatcher.isAnswerOf("one", 7, begunAt));
+}
+
 TEST_CASE("Stewards admit requests only at engines of services that report their pace")
 {
     Dispatcher dispatcher(proximityOf);
--- a/tests/streams/StreamTakeUpTest.cpp
+++ b/tests/streams/StreamTakeUpTest.cpp
@@ -15,21 +15,7 @@
                   bool hasStewards = false)
         : VersionFixture(firstVersion, secondVersion)
     {
-        std::string text = Config;
-        const auto replace = [&](const std::string &part, const std::string &other) {
-            REQUIRE(text.find(part) != std::string::npos);
-            text.replace(text.find(part), part.size(), other);
-        };
-        replace(R"("version":1)", R"("version":2)");
-        // Callers wait long enough for a gateway's restart.
-        replace(R"("timeout_ms":1500,"max_attempts":2,"resumable":true)",
-                R"("timeout_ms":20000,"max_attempts":2,"resumable":true)");
-        if (hasStewards)
-            replace(R"("name":"shop",)",
-                    R"("name":"shop","engine":{"slots":64,"kv_cache_tokens":100000,)"
-                    R"("weights_mb":100000,"adapter_slots":4,"loads_per_s":1,"models":[]},)");
-        this->gateway.store.put("config", "main", text);
-        this->gateway.runFor(milliseconds(800));
+        this->allowLongStreams(hasStewards);
     }
 
     /// Begins stream r1 at the present gateway; its answer breaks after two events.
--- a/tests/streams/VersionedUpstream.h
+++ b/tests/streams/VersionedUpstream.h
@@ -20,6 +20,8 @@
     std::string version;
     int breaks = 0;
     bool breaksBeforeEvents = false;
+    /// Time without events before it breaks off.
+    Duration silence{};
     /// Time until it answers.
     Duration delay{};
     /// Crashes on the next request, before an answer, for this time.
@@ -43,6 +45,8 @@
                 reply.bytes += StubUpstream::encodeChunk(eventOf(this->version, next));
             reply.reset = true;
             reply.delay = milliseconds(1);
+            reply.pieces = {""};
+            reply.pieceDelay = this->silence;
             return reply;
         }
         for (; next <= Events; ++next)
@@ -71,6 +75,37 @@
                   {this->first.version, this->second.version})
     {}
 
+    /// Puts a configuration in force whose callers wait long enough for a gateway's restart, and
+    /// whose upstreams may have stewards.
+    void allowLongStreams(bool hasStewards)
+    {
+        std::string text = Config;
+        const auto replace = [&](const std::string &part, const std::string &other) {
+            REQUIRE(text.find(part) != std::string::npos);
+            text.replace(text.find(part), part.size(), other);
+        };
+        replace(R"("version":1)", R"("version":2)");
+        replace(R"("timeout_ms":1500,"max_attempts":2,"resumable":true)",
+                R"("timeout_ms":20000,"max_attempts":2,"resumable":true)");
+        if (hasStewards)
+            replace(R"("name":"shop",)",
+                    R"("name":"shop","engine":{"slots":64,"kv_cache_tokens":100000,)"
+                    R"("weights_mb":100000,"adapter_slots":4,"loads_per_s":1,"models":[]},)");
+        this->gateway.store.put("config", "main", text);
+        this->gateway.runFor(milliseconds(800));
+    }
+
+    /// Lists an incarnation of an upstream.
+    void listUpstream(const std::string &id, const Address &address, std::string_view version,
+                      uint64_t startedAtMs)
+    {
+        this->gateway.store.put(
+            "servers", id,
+            fmt::format(R"({{"service":"shop","address":"{}","zone":"{}","slots":4,)"
+                        R"("state":"ready","sequence":1,"models":[],"version":"{}","born":{}}})",
+                        toString(address), id == "i-1" ? "here" : "there", version, startedAtMs));
+    }
+
     /// Takes up the stream of an earlier request after an event.
     Result<HttpResponse> takeUp(const std::string &requestId, const std::string &resumed,
                                 int lastEvent)
