Read the instance list before requests are sent on an overdue one

Cause: nothing bounded the age of the list on which requests are sent. After a pause, or when news is late for another reason, requests went out before the next read.

Change: ListAge tells as of when the list in hand is complete: the call that brought it, or the store's answer that a reader reports, without datagrams that a pause has delayed.

Evidence: "A gateway that stood still sends requests on only after it has read the list" got "first" instead of "second" before.

--- a/src/fleet/ListRelay.cpp
+++ b/src/fleet/ListRelay.cpp
@@ -209,13 +209,12 @@
         return {};
     if (this->reader && update.rank() < this->rank)
         this->reader = false;
-    if (!this->reader) {
-        // An update of an earlier release says only that the answer is not too old.
-        const Duration age = update.has_answer_age_ms()
-                                 ? Duration(milliseconds(update.answer_age_ms()))
-                                 : StoreAnswerLifetime;
-        this->readerAnsweredAt = std::max(this->readerAnsweredAt, now - age);
-    }
+    // An update of an earlier release says only that the answer is not too old.
+    const Instant answeredAt =
+        now - (update.has_answer_age_ms() ? Duration(milliseconds(update.answer_age_ms()))
+                                          : StoreAnswerLifetime);
+    if (!this->reader)
+        this->readerAnsweredAt = std::max(this->readerAnsweredAt, answeredAt);
     if (update.from_revision() > this->knownRevision) {
         this->missedChanges = true;
         return {};
@@ -235,6 +234,7 @@
         if (update.changes_size() > 0)
             this->lastChangeRevision = update.revision();
         this->knownRevision = update.revision();
+        this->heardAnswerAt = std::max(this->heardAnswerAt, answeredAt);
     }
     return changes;
 }
--- a/src/fleet/ListRelay.h
+++ b/src/fleet/ListRelay.h
@@ -93,6 +93,9 @@
     /// up its role.
     std::optional<proto::ListWord> takeDueUpdate(Instant now);
 
+    /// Time of the newest store answer to another reader of which this instance has all changes.
+    Instant heardAnswerTime() const { return this->heardAnswerAt; }
+
     /// Handles an update from another instance of the data centre. Returns the changes to apply.
     std::vector<UpstreamChange> handleUpdate(const proto::ListWord &update, Instant now);
 
@@ -105,8 +108,10 @@
     // last.
     const uint64_t rank;
     const Duration takeoverTimeout;
-    // Time from which the takeover timeout runs: that of the newest store answer of a reader.
+    // Time from which the takeover timeout runs: that of the newest store answer of a reader, or an
+    // earlier or later time if this instance is to take over sooner or later than others.
     Instant readerAnsweredAt{};
+    Instant heardAnswerAt{};
     bool reader = false;
     // Time at which this instance became the reader last.
     Instant readerSince{};
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -220,6 +220,10 @@
             co_return;
         }
         this->phase = ExchangePhase::ChoosingUpstream;
+        if (const Duration wait = this->gateway.listWaitTime(clockNow()); wait > Duration::zero()) {
+            co_await this->gateway.listConfirmed.waitFor(wait, this->priority());
+            continue;
+        }
         const DispatchQuery query = this->makeQuery();
         const DispatchDecision choice = this->gateway.dispatcher.choose(query, clockNow());
         // The engine whose queue was left is asked again if no other one is left.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -127,7 +127,8 @@
                 [this](const proto::Datagram &datagram, const Address &sender) {
                     this->handleDatagram(datagram, sender);
                 }),
-      listRelay(this->settings.instance, this->settings.cpuCores), listUpdateArrived(context),
+      listRelay(this->settings.instance, this->settings.cpuCores), listConfirmed(context),
+      listUpdateArrived(context),
       dispatcher(
           [this](const std::string &dataCentre) {
               return findProximity(this->settings, this->settings.dataCentre, dataCentre);
@@ -429,6 +430,9 @@
         this->configSuspectUntil = now + ConfigWatchSuspectTime;
     if (isNews && !std::exchange(this->storeReachable, false))
         return;
+    // Requests do not wait for a store that fails.
+    if (isNews)
+        this->listConfirmed.notifyAll();
     std::string_view event = "store_call_outdated";
     if (isNews)
         event = "store_lost";
@@ -553,6 +557,7 @@
         this->upstreamsKnown = true;
         this->versionRecords.handleList(this->directory.entries(), now);
         this->recordListConfirmed(calledAt, now);
+        this->listAge.noteRead(calledAt, now);
         co_return notices;
     }
     const uint64_t seenBefore = this->listRelay.highestSeenRevision();
@@ -574,6 +579,9 @@
         const auto more = this->directory.apply(change, now);
         notices.insert(notices.end(), more.begin(), more.end());
     }
+    // A watch without changes was answered when its wait was over, however late that is read here.
+    const Duration waited = value(reading).changes.empty() ? wait : Duration::zero();
+    this->listAge.noteRead(std::min<Instant>(calledAt + waited, now), now);
     for (auto &update :
          this->listRelay.handleStoreChanges(value(reading).revision, value(reading).changes, now))
         this->sendListUpdate(std::move(update));
@@ -586,7 +594,8 @@
     // Requests are still sent to upstreams during a shutdown.
     while (!this->shutdownSchedule.isDrainOver(clockNow())) {
         // A call that does not wait shows whether the store works if another one has failed.
-        if (!this->listRelay.shouldReadStore(clockNow()) && !this->directory.isStoreInDoubt()) {
+        if (!this->listRelay.shouldReadStore(clockNow()) && !this->directory.isStoreInDoubt() &&
+            !this->listAge.isOverdue(clockNow())) {
             co_await this->listUpdateArrived.waitFor(ListRelay::CheckPeriod);
             continue;
         }
@@ -595,6 +604,7 @@
         const auto notices = co_await this->readUpstreams(wait);
         if (isOk(notices)) {
             this->applyUpstreamNotices(value(notices));
+            this->listConfirmed.notifyAll();
             backoff = InitialRetryBackoff;
             const Instant answeredAt = clockNow();
             co_await this->refreshConfig();
@@ -629,6 +639,7 @@
     bool wasReader = false;
     while (!this->shutdownSchedule.isStopping()) {
         const Instant now = clockNow();
+        this->listAge.noteRunning(now);
         if (wasReader != this->listRelay.isReader()) {
             wasReader = this->listRelay.isReader();
             logDecision(LogPriority::Notable, now,
@@ -684,6 +695,7 @@
     if (!wasOutdated && this->isConfigOutdated())
         this->configReadDueAt = now + PeerConfigReadDelay;
     const auto changes = this->listRelay.handleUpdate(update, now);
+    this->listAge.noteHeard(this->listRelay.heardAnswerTime(), now);
     // A reader sends updates only while the store answers it.
     if (this->upstreamsKnown && !update.resigns() &&
         this->listRelay.revision() >= update.revision())
@@ -705,6 +717,13 @@
     }
     this->applyUpstreamNotices(notices);
     this->listUpdateArrived.notifyAll();
+    this->listConfirmed.notifyAll();
+}
+
+Duration Gateway::listWaitTime(Instant now)
+{
+    const Duration wait = this->listAge.waitTime(now);
+    return this->storeReachable ? wait : Duration::zero();
 }
 
 void Gateway::applyUpstreamNotices(const UpstreamDirectory::Notices &notices)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "dispatch/SharedRetryBudget.h"
 #include "fleet/DatagramPort.h"
 #include "fleet/FleetStore.h"
+#include "fleet/ListAge.h"
 #include "fleet/ListRelay.h"
 #include "gateway/AdmissionClient.h"
 #include "gateway/AsyncCondition.h"
@@ -124,6 +125,9 @@
     /// software version before the list shows it, and tells the other gateways.
     void recordRefusal(const std::string &upstreamId, uint64_t startedAtMs);
     void handleUpstreamDoubt(const std::string &sender, const proto::UpstreamDoubt &doubt);
+    /// Time for which a request that is about to be sent waits until the list in hand is newer;
+    /// zero if it does not wait.
+    Duration listWaitTime(Instant now);
     /// Records that the list is known to be complete as of a time; Instant{} if entries may be
     /// missing.
     void recordListConfirmed(Instant asOf, Instant now);
@@ -153,6 +157,9 @@
     std::map<std::string, uint64_t> engineDigests;
     UpstreamDirectory directory;
     ListRelay listRelay;
+    ListAge listAge;
+    // The list in hand is known to be newer, or the store to fail.
+    AsyncCondition listConfirmed;
     // A peer's report on the instance list has arrived.
     AsyncCondition listUpdateArrived;
     // Newest version of the configuration that a peer has reported.
--- a/tests/platform/ListUpdateTest.cpp
+++ b/tests/platform/ListUpdateTest.cpp
@@ -1,6 +1,8 @@
 // What gateways follow: the instance list, also from other gateways, and the configuration.
 #include "GatewayFixture.h"
 
+#include <thread>
+
 using namespace tray;
 using namespace tray::test;
 
@@ -159,3 +161,33 @@
     fixture.runFor(milliseconds(800));
     CHECK(bodyOf(fixture) == "second");
 }
+
+// Guards against requests to upstreams that have left while the gateway stood still.
+TEST_CASE("A gateway that stood still sends requests on only after it has read the list")
+{
+    GatewayFixture fixture([](const HttpRequest &request) -> StubReply {
+        return {StubUpstream::sealedAnswer(request, 200, "first")};
+    });
+    REQUIRE(bodyOf(fixture) == "first");
+    // The gateway has become the reader of the instance list.
+    fixture.runFor(ListRelay::ReaderTimeout + ListRelay::TakeoverJitter + milliseconds(600));
+    const auto standStill = [&] {
+        std::this_thread::sleep_for(ListRelay::MaxReadWait + StoreClient::CallTimeout +
+                                    milliseconds(300));
+    };
+    SUBCASE("if the store answers it")
+    {
+        fixture.store.lostWatchAnswers["servers"] = 1;
+        fixture.store.remove("servers", "i-1");
+        standStill();
+        CHECK(bodyOf(fixture) == "second");
+    }
+    SUBCASE("or soon if it does not")
+    {
+        fixture.store.neverRespond = true;
+        standStill();
+        const Instant began = clockNow();
+        CHECK(bodyOf(fixture) == "first");
+        CHECK(clockNow() - began < ListAge::MaxWait + milliseconds(500));
+    }
+}
