--- a/src/fleet/ListAge.h
+++ b/src/fleet/ListAge.h
@@ -32,6 +32,11 @@
     void noteHeard(Instant asOf, Instant now);
     /// Whether the list is to be read now, because it is overdue.
     bool isOverdue(Instant now);
+    /// Age of the list in hand; zero before the first list.
+    Duration age(Instant now) const
+    {
+        return this->knownAsOf ? now - *this->knownAsOf : Duration::zero();
+    }
     /// Time for which a request that is about to be sent waits for a newer list; zero if it does
     /// not wait.
     Duration waitTime(Instant now);
--- a/src/gateway/ExchangeContinuation.cpp
+++ b/src/gateway/ExchangeContinuation.cpp
@@ -96,12 +96,17 @@
 void Exchange::handleUpstreamRestart(const std::string &upstreamId, Instant now)
 {
     if (this->phase != ExchangePhase::RelayingResponse || this->lastUpstream != upstreamId ||
-        !this->isContinuation() || this->findAnsweringVersion())
+        !this->isContinuation())
+        return;
+    const bool isKept = this->findAnsweringVersion().has_value();
+    logDecision(
+        LogPriority::Notable, now,
+        fmt::format("event=stream_version_{} id={} upstream={} software={} answer_age_ms={}",
+                    isKept ? "kept" : "lost", LogText{this->properties.requestId},
+                    LogText{upstreamId}, LogText{*this->streamVersion},
+                    this->firstByteAt ? toMs(now - *this->firstByteAt) : -1));
+    if (isKept)
         return;
-    logDecision(LogPriority::Notable, now,
-                fmt::format("event=stream_version_lost id={} upstream={} software={}",
-                            LogText{this->properties.requestId}, LogText{upstreamId},
-                            *this->streamVersion));
     this->isStreamVersionLost = true;
     if (!this->properties.continuesStream)
         this->recordOrigin("", now);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -723,7 +723,14 @@
 Duration Gateway::listWaitTime(Instant now)
 {
     const Duration wait = this->listAge.waitTime(now);
-    return this->storeReachable ? wait : Duration::zero();
+    if (!this->storeReachable)
+        return Duration::zero();
+    if (wait == ListAge::MaxWait)
+        logDecision(LogPriority::Notable, now,
+                    fmt::format("event=list_overdue age_ms={} revision={} reader={}",
+                                toMs(this->listAge.age(now)), this->listRelay.revision(),
+                                this->listRelay.isReader()));
+    return wait;
 }
 
 void Gateway::applyUpstreamNotices(const UpstreamDirectory::Notices &notices)
